Grant leases only to entries that are level, and keep budgets when VMs are silent

Change: a lease needs the revision that is in force and, after an election, the start of the leader's term; a drain must leave the budget met also when the VM is unavailable already; a silent VM is rebooted only after the wave's silent_timeout_s; a home entry times an upstream that it never heard.

--- /dev/null
+++ b/features/search/fleet_fakes.py
@@ -0,0 +1,109 @@
+"""Small fakes of VMs and of the platform that reboots them."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from greengagering import coordination
+from greengagering import state
+
+ANNOUNCE_S = 0.5
+REBOOT_S = 0.6
+SLOTS = 4
+
+
+@dataclasses.dataclass
+class FakeCall:
+    """A call between an entry and a VM.
+
+    Attributes:
+        call: the call, as its entry knows it.
+        target: where it was sent.
+        entry_boot: process that sent it.
+        arrives_s: true time at which it reaches the VM.
+        ends_s: true time at which the VM has run it.
+        is_running: whether it has reached the VM.
+    """
+
+    call: coordination.Call
+    target: coordination.Target
+    entry_boot: str
+    arrives_s: float
+    ends_s: float
+    is_running: bool = False
+
+
+class FakeVm:
+    """A VM that announces itself and runs calls."""
+
+    def __init__(self, name: str, pool: str, rng: random.Random) -> None:
+        self.name = name
+        self.pool = pool
+        self.calls: list[FakeCall] = []
+        self.boots = 0
+        self.cut_calls = 0
+        self.reboots: list[str] = []
+        self.up_at_s = 0.0
+        self.is_up = False
+        self._rng = rng
+        self._sequence = 0
+        self._announce_at_s = 0.0
+
+    @property
+    def boot_id(self) -> str:
+        """Name of the present boot."""
+        return f'{self.name}-boot-{self.boots}'
+
+    def in_flight(self) -> int:
+        """Return how many calls run here."""
+        return sum(call.is_running for call in self.calls)
+
+    def reboot(self, operation_id: str, now_s: float) -> None:
+        """Reboot, once for each operation."""
+        if operation_id in self.reboots:
+            return
+        self.reboots.append(operation_id)
+        self.cut_calls += self.in_flight()
+        self.calls.clear()
+        self.is_up = False
+        self.up_at_s = now_s + REBOOT_S
+
+    def advance(
+        self, now_s: float, finish: Callable[[FakeCall, bool], None]
+    ) -> None:
+        """Boot, take calls that arrive, and end calls that are done."""
+        if not self.is_up and now_s >= self.up_at_s:
+            self.is_up = True
+            self.boots += 1
+            self._sequence = 0
+        for call in list(self.calls):
+            if not call.is_running and now_s >= call.arrives_s:
+                call.is_running = self._takes(call)
+                if not call.is_running:
+                    self.calls.remove(call)
+                    finish(call, False)
+                    continue
+            if call.is_running and now_s >= call.ends_s:
+                self.calls.remove(call)
+                finish(call, True)
+
+    def announcement(self, now_s: float) -> coordination.Upstream | None:
+        """Return the announcement that is due, if any."""
+        if not self.is_up or now_s < self._announce_at_s:
+            return None
+        self._announce_at_s = now_s + ANNOUNCE_S
+        self._sequence += 1
+        return coordination.Upstream(
+            vm=self.name,
+            pool=self.pool,
+            address=f'{self.name}:80',
+            facts=state.VmFacts('dc-1', 'rack-1', SLOTS, 64),
+            boot_id=self.boot_id,
+            boot_started_at_ms=self.boots,
+            sequence=self._sequence,
+            state=coordination.UpstreamState.UP,
+        )
+
+    def _takes(self, call: FakeCall) -> bool:
+        is_same_boot = call.target.boot_id == self.boot_id
+        return self.is_up and is_same_boot and self.in_flight() < SLOTS
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -8,6 +8,7 @@
 
 import fire
 
+from features.search import control_search
 from features.search import replica_search
 
 WORKERS = 4
@@ -30,8 +31,23 @@
         return SeedFailure(seed, ''.join(lines))
 
 
-SEARCHES: dict[str, Any] = {'replica': run_replica_seed}
-TOTALS: dict[str, Any] = {'replica': replica_search.SearchResult}
+def run_control_seed(seed: int) -> control_search.ControlResult | SeedFailure:
+    """Run one schedule over tickets, leases and waves."""
+    try:
+        return control_search.ControlSearch(seed).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
+SEARCHES: dict[str, Any] = {
+    'replica': run_replica_seed,
+    'control': run_control_seed,
+}
+TOTALS: dict[str, Any] = {
+    'replica': replica_search.SearchResult,
+    'control': control_search.ControlResult,
+}
 
 
 def run_search(
@@ -46,7 +62,7 @@
     failures = []
     seeds = range(first_seed, first_seed + count)
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        for outcome in pool.map(SEARCHES[name], seeds, chunksize=16):
+        for outcome in pool.map(SEARCHES[name], seeds, chunksize=4):
             if isinstance(outcome, SeedFailure):
                 failures.append(outcome)
             else:
@@ -58,7 +74,7 @@
     """Run a search and print what it did.
 
     Args:
-        name: replica.
+        name: replica or control.
         first_seed: first seed.
         count: number of schedules.
     """
--- a/greengagering/coordination/_budgets.py
+++ b/greengagering/coordination/_budgets.py
@@ -37,25 +37,27 @@
             self._count(vm)
 
     def find_problem(self, vm: state.Vm) -> str:
-        """Return why a VM may not go out now, or ''."""
-        if vm.name not in self._available:
-            # It counts as out already, so a drain costs nothing more.
-            return ''
+        """Return why a VM may not go out now, or ''.
+
+        A VM that is unavailable already takes nothing away, but it must not
+        be kept from coming back while its service lacks it.
+        """
         service = self._service_of(vm)
         budget = self._budget_of(service)
         count = self._counts[service]
-        if count.available - 1 < budget.min_available_vms:
+        cost = int(vm.name in self._available)
+        if count.available - cost < budget.min_available_vms:
             return (
                 f'service {service} has {count.available} VMs available and '
                 f'must keep {budget.min_available_vms}'
             )
         limit = budget.max_out_vms
-        if limit is not None and count.out + 1 > limit:
+        if limit is not None and count.out + cost > limit:
             return (
                 f'service {service} has {count.out} VMs out and may have '
                 f'{limit}'
             )
-        return self._find_data_centre_problem(vm, budget, count)
+        return self._find_data_centre_problem(vm, budget, count, cost)
 
     def book(self, vm: state.Vm) -> None:
         """Count a VM as out from now on."""
@@ -71,14 +73,18 @@
         return self._counts
 
     def _find_data_centre_problem(
-        self, vm: state.Vm, budget: state.Budget, count: ServiceCount
+        self,
+        vm: state.Vm,
+        budget: state.Budget,
+        count: ServiceCount,
+        cost: int,
     ) -> str:
         limit = budget.max_out_per_data_centre_vms
         if limit is None or vm.facts is None:
             return ''
         data_centre = vm.facts.data_centre
         out = count.out_by_data_centre.get(data_centre, 0)
-        if out + 1 <= limit:
+        if out + cost <= limit:
             return ''
         return (
             f'service {budget.service} has {out} VMs out in data centre '
--- a/greengagering/coordination/_control.py
+++ b/greengagering/coordination/_control.py
@@ -73,6 +73,7 @@
         self._outcomes: list[TicketOutcome] = []
         self._entry_outbox: list[EntryOutgoing] = []
         self._sessions_term = 0
+        self._term_floor_revision = 0
         self._own_proposal_index = 0
         self._pending_reports: dict[str, state.VmReported] = {}
         self._is_join_scan_due = False
@@ -120,15 +121,21 @@
         """Take an entry's report, and answer it while leading."""
         if not self.replica.has_lease(now_s):
             return
+        self._apply_committed()
         self._match_term(now_s)
         if self.sessions is None:
             return
         for status in report.statuses:
             self._note_status(status)
-        session = self.sessions.note_report(report, now_s)
-        if not report.is_leaving:
+        # What is in force everywhere stays so: an entry that comes back with
+        # an older revision gets the feed first, and a lease once it is level.
+        is_level = report.applied_revision >= self._lease_floor()
+        session = self.sessions.note_report(report, now_s, is_level=is_level)
+        if report.is_leaving:
+            return
+        if is_level:
             self._grant_lease(session, report, now_s)
-            self._send_feed(session, now_s)
+        self._send_feed(session, now_s)
 
     def step(self, now_s: float, now_ms: int) -> None:
         """Advance everything that time or a message may have moved."""
@@ -200,6 +207,15 @@
         self._pending_reports.clear()
         self._own_proposal_index = 0
         self.confirmed_revision = 0
+        self._term_floor_revision = self.replica.term_start_index
+
+    def _lease_floor(self) -> int:
+        """Return the revision below which no entry may serve.
+
+        Former leaders may have rested decisions on anything that stood in
+        the log before this term, such as a drain that every entry confirmed.
+        """
+        return max(self.confirmed_revision, self._term_floor_revision)
 
     def _load_snapshot(self, snapshot: state.Snapshot) -> None:
         self.state = state.decode(snapshot.data, state.ControlState)
--- a/greengagering/coordination/_entry.py
+++ b/greengagering/coordination/_entry.py
@@ -138,7 +138,7 @@
         if known is not None and _is_earlier_boot(upstream, known):
             return self._reply(upstream.vm)
         if known is None or _is_news(upstream, known):
-            self._merge(upstream, is_local=True)
+            self._merge(upstream, now_s, is_local=True)
         self._note_heartbeat(
             messages.Heartbeat(
                 vm=upstream.vm,
@@ -165,7 +165,7 @@
                     self._note_heartbeat(heartbeat, now_s)
             case messages.UpstreamChanges():
                 for upstream in message.upstreams:
-                    self._merge(upstream, is_local=False)
+                    self._merge(upstream, now_s, is_local=False)
             case messages.TableDigest():
                 self._answer_digest(sender, message)
 
@@ -219,14 +219,24 @@
             phase=vm.phase if vm else '',
         )
 
-    def _merge(self, upstream: messages.Upstream, *, is_local: bool) -> None:
+    def _merge(
+        self, upstream: messages.Upstream, now_s: float, *, is_local: bool
+    ) -> None:
         if not self.table.merge(upstream):
             return
         self._is_rebuild_due = True
         if is_local:
             self._changed[upstream.vm] = upstream
         if self._is_home(upstream.vm):
-            self._queue_status(upstream.vm)
+            self._watch(upstream, now_s)
+
+    def _watch(self, upstream: messages.Upstream, now_s: float) -> None:
+        """Time the silence of an upstream whose home this entry is."""
+        self.liveness.watch(
+            upstream.vm, upstream.boot_id, upstream.sequence, now_s
+        )
+        self._homed.add(upstream.vm)
+        self._queue_status(upstream.vm)
 
     def _is_home(self, vm: str) -> bool:
         return home_of(vm, self._home_entries) == self.identity.entry_id
@@ -260,7 +270,7 @@
                 state=messages.UpstreamState.UP,
                 sequence=heartbeat.sequence,
             )
-            self._merge(revived, is_local=True)
+            self._merge(revived, now_s, is_local=True)
 
     def _check_silence(self, now_s: float) -> None:
         for vm in list(self._homed):
@@ -277,7 +287,7 @@
                     state=messages.UpstreamState.SILENT,
                     sequence=max(known.sequence, sequence),
                 )
-                self._merge(silent, is_local=True)
+                self._merge(silent, now_s, is_local=True)
 
     def _on_grant(self, grant: messages.LeaseGrant, now_s: float) -> None:
         self._granted_at_s = now_s
@@ -303,12 +313,7 @@
                 self._homed.discard(upstream.vm)
                 self.liveness.forget(upstream.vm)
                 continue
-            if upstream.vm not in self._homed:
-                self.liveness.watch(
-                    upstream.vm, upstream.boot_id, upstream.sequence, now_s
-                )
-                self._homed.add(upstream.vm)
-            self._queue_status(upstream.vm)
+            self._watch(upstream, now_s)
 
     def _on_feed(
         self, message: messages.FeedDelta | messages.FeedSnapshot
@@ -374,6 +379,8 @@
         is_due = self._is_report_due or self._statuses.has_unsent()
         if not is_due and now_s < due_s:
             return
+        if now_s >= due_s:
+            self._queue_out_vms()
         self._is_report_due = False
         self._reported_at_s = now_s
         patience_s = self.options.leader_patience_s
@@ -391,6 +398,12 @@
         leader_id = self.follower.leader_id if is_leader_known else ''
         self._outbox.append(ToControl(leader_id, report))
 
+    def _queue_out_vms(self) -> None:
+        """Report on VMs in maintenance each time, changed or not."""
+        for vm in self.follower.fleet.out_vms:
+            if self._is_home(vm):
+                self._statuses.queue(vm)
+
     def _collect_statuses(self, now_s: float) -> list[messages.UpstreamStatus]:
         statuses = []
         for vm in self._statuses.take(now_s):
@@ -403,7 +416,7 @@
                     upstream=upstream,
                     in_flight_count=heard.in_flight_count if heard else 0,
                     idle_revision=heard.idle_revision if heard else 0,
-                    is_heard=not self.liveness.is_silent(vm, now_s),
+                    silent_for_s=self.liveness.silent_for_s(vm, now_s),
                 )
             )
         return statuses
--- a/greengagering/coordination/_entry_messages.py
+++ b/greengagering/coordination/_entry_messages.py
@@ -90,13 +90,13 @@
         in_flight_count: calls that run there by its own count.
         idle_revision: newest revision in force everywhere since before the
             upstream last reported no call in flight, or 0.
-        is_heard: whether its announcements still arrive.
+        silent_for_s: how long no announcement of it has arrived.
     """
 
     upstream: Upstream
     in_flight_count: int
     idle_revision: int
-    is_heard: bool
+    silent_for_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/coordination/_entry_sessions.py
+++ b/greengagering/coordination/_entry_sessions.py
@@ -38,6 +38,7 @@
         sent_revision: newest revision on its way to it.
         sent_at_s: leader's clock at that send.
         busy_vms: VMs out of service with calls of this entry in flight.
+        reported_at_s: entry's clock at the send of its newest report.
     """
 
     entry_id: str
@@ -48,6 +49,7 @@
     sent_revision: int
     sent_at_s: float
     busy_vms: frozenset[str]
+    reported_at_s: float
 
 
 class EntrySessions:
@@ -63,9 +65,22 @@
         self._sessions: dict[tuple[str, str], EntrySession] = {}
 
     def note_report(
-        self, report: entry_messages.EntryReport, now_s: float
+        self,
+        report: entry_messages.EntryReport,
+        now_s: float,
+        *,
+        is_level: bool,
     ) -> EntrySession:
-        """Record a report and extend the entry's lease."""
+        """Record a report, and extend the lease of an entry that is level.
+
+        Args:
+            report: the report.
+            now_s: leader's clock.
+            is_level: whether the entry may get a lease for it.
+
+        Returns:
+            The session, which counts as live only if it has a lease.
+        """
         key = (report.entry_id, report.boot_id)
         session = self._sessions.get(key)
         if session is None:
@@ -78,8 +93,13 @@
                 sent_revision=report.applied_revision,
                 sent_at_s=now_s,
                 busy_vms=frozenset(),
+                reported_at_s=report.sent_at_s,
             )
             self._sessions[key] = session
+        if report.sent_at_s < session.reported_at_s:
+            # A report that was overtaken says nothing about the present.
+            return session
+        session.reported_at_s = report.sent_at_s
         session.address = report.address
         session.busy_vms = frozenset(report.busy_vms)
         session.confirmed_revision = max(
@@ -90,7 +110,7 @@
             # A leaving entry has promised to start no further call, so
             # there is nothing left to wait for.
             session.lease_ends_s = now_s
-        else:
+        elif is_level:
             session.lease_ends_s = now_s + self.options.longest_s
         return session
 
--- a/greengagering/coordination/_liveness.py
+++ b/greengagering/coordination/_liveness.py
@@ -97,7 +97,17 @@
 
     def is_silent(self, vm: str, now_s: float) -> bool:
         """Tell whether an upstream's announcements have stopped."""
+        return self.silent_for_s(vm, now_s) > 0
+
+    def silent_for_s(self, vm: str, now_s: float) -> float:
+        """Return for how long an upstream has been silent, or 0.
+
+        One that was never heard counts from its first mention by others.
+        """
         heard = self._heard.get(vm)
         if heard is None:
-            return True
-        return now_s > heard.heard_at_s + self.options.silence_timeout_s
+            return 0.0
+        silent_s = now_s - heard.heard_at_s
+        if silent_s <= self.options.silence_timeout_s:
+            return 0.0
+        return silent_s
--- a/greengagering/coordination/_replica.py
+++ b/greengagering/coordination/_replica.py
@@ -122,7 +122,7 @@
         self._incoming: _IncomingSnapshot | None = None
         self._installed: state.Snapshot | None = None
         self._is_transfer = False
-        self._term_start_index = 0
+        self.term_start_index = 0
         self._elected_at_s = now_s
         # A restarted replica may have promised a leader its patience just
         # before it stopped, so it waits before it helps to elect another.
@@ -265,7 +265,7 @@
         A quorum that answered a message sent at time t votes for nobody
         before t plus the shortest election time, on its own clocks.
         """
-        if not self.is_leader or self.commit_index < self._term_start_index:
+        if not self.is_leader or self.commit_index < self.term_start_index:
             return False
         slowed = 1 - self.options.clock_drift_ratio
         lease_s = self.options.election_min_s * slowed
@@ -307,7 +307,7 @@
             for entry in self._proposals
         ):
             return 'an earlier change of members is not committed yet'
-        if self.commit_index < self._term_start_index:
+        if self.commit_index < self.term_start_index:
             return 'this leader has not committed an entry of its term yet'
         changed = set(present.voters) ^ set(wanted.voters)
         if len(changed) > 1:
@@ -501,7 +501,7 @@
         self.progress.clear()
         self._match_members()
         self._elected_at_s = now_s
-        self._term_start_index = self._queue(state.EntryKind.NOOP, b'')
+        self.term_start_index = self._queue(state.EntryKind.NOOP, b'')
         self.flush(now_s)
 
     def _match_members(self) -> None:
--- a/greengagering/coordination/_waves.py
+++ b/greengagering/coordination/_waves.py
@@ -144,13 +144,19 @@
     status = view.statuses.get(vm.name)
     if status is None:
         return 'draining; no report of the upstream yet'
-    if not status.is_heard:
-        # A silent upstream will never report itself idle, and every entry
-        # has already said that none of its calls runs there.
+    if status.idle_revision >= vm.phase_revision:
         return ''
-    if status.idle_revision < vm.phase_revision:
-        return f'draining; {status.in_flight_count} calls in flight there'
-    return ''
+    # A silent upstream may still run a call of an entry that is cut off, so
+    # it is taken as dead only after the wave's own timeout.
+    if status.silent_for_s > _wave_of(view, vm).silent_timeout_s:
+        return ''
+    if status.silent_for_s > 0:
+        return f'draining; silent for {status.silent_for_s:.0f} s'
+    return f'draining; {status.in_flight_count} calls in flight there'
+
+
+def _wave_of(view: FleetView, vm: state.Vm) -> state.Wave:
+    return view.fleet.waves.get(vm.wave) or state.Wave(vm.wave)
 
 
 def _continue_reboot(
@@ -159,8 +165,7 @@
     if _is_back(view, vm):
         decisions.records.append(_returned(view, vm))
         return
-    wave = view.fleet.waves.get(vm.wave)
-    timeout_s = (wave or state.Wave(vm.wave)).return_timeout_s
+    timeout_s = _wave_of(view, vm).return_timeout_s
     waited_s = (view.now_ms - vm.phase_at_ms) / 1000
     if waited_s > timeout_s:
         reason = f'not back {timeout_s:g} s after its reboot'
--- a/greengagering/protocol/_ticket_model.py
+++ b/greengagering/protocol/_ticket_model.py
@@ -77,6 +77,7 @@
     max_parallel_vms: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1
     max_failed_vms: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1
     return_timeout_s: Seconds = 600.0
+    silent_timeout_s: Seconds = 120.0
     not_before_ms: Annotated[int, pydantic.Field(ge=0)] = 0
     intent: Annotated[state.WaveIntent, pydantic.Field(strict=False)] = (
         state.WaveIntent.RUNNING
@@ -101,6 +102,7 @@
             max_parallel_vms=self.max_parallel_vms,
             max_failed_vms=self.max_failed_vms,
             return_timeout_s=self.return_timeout_s,
+            silent_timeout_s=self.silent_timeout_s,
             not_before_ms=self.not_before_ms,
             intent=self.intent,
         )
--- a/greengagering/state/_model.py
+++ b/greengagering/state/_model.py
@@ -71,6 +71,8 @@
         max_parallel_vms: VMs that may be out at once for this wave.
         max_failed_vms: failures after which the wave stops.
         return_timeout_s: time from a reboot to a healthy VM.
+        silent_timeout_s: silence after which a draining VM is taken as dead
+            and rebooted although it never said that it is idle.
         not_before_ms: Unix time of the earliest drain, or 0.
         intent: whether it runs, pauses or is aborted.
     """
@@ -83,6 +85,7 @@
     max_parallel_vms: int = 1
     max_failed_vms: int = 1
     return_timeout_s: float = 600.0
+    silent_timeout_s: float = 120.0
     not_before_ms: int = 0
     intent: WaveIntent = WaveIntent.RUNNING
 
