Replace control replicas by tickets, and prove the faults of control

Cause: voters could not be changed by operators, and faults of control were proved only by the searches. Change: a ticket may name the control replicas; the leader adds a newcomer as learner, lets it vote once it is in step, then drops who is no longer named, and refuses a ticket that would leave no quorum in step. Features with real processes for killed leaders, silence, cut entries, full and damaged folders, lost disks and replacement; features of the data folder at every byte.

--- /dev/null
+++ b/features/control_faults.feature
@@ -0,0 +1,99 @@
+Feature: Accepted tickets outlive lost processes, disks, links and leaders
+
+  Scenario: The leader is killed under a stream of tickets
+    Given 3 control replicas and 2 entries
+    When tickets 1 to 60 are submitted and the leader is killed amid them
+    Then every ticket that was answered accepted is in the history, unchanged
+    And every ticket of the history is in force on both entries
+    And each ticket sent again gets its first answer
+
+  Scenario: A replica that was silent through many changes catches up
+    Given 3 control replicas and 1 entries
+    When a follower is silenced while tickets 1 to 40 are accepted
+    And the follower is heard again
+    Then it holds every entry of the leader's log
+
+  Scenario: A silenced leader hands no stale answer out
+    Given 3 control replicas and 2 entries
+    And accepted ticket 1
+    When the leader is silenced
+    Then another replica leads and accepts ticket 2
+    And the silenced replica answers history and tickets with 503
+    When the leader is heard again
+    Then it follows and holds ticket 2
+
+  Scenario: An entry that is cut off stops serving, and returns level
+    Given 3 control replicas and 2 entries
+    And upstreams vm-1, vm-2 and vm-3 announce pool dispatch-pool to any entry
+    And ticket 1 puts pool dispatch-pool for service dispatch in force
+    When entry-2 hears nothing any more
+    Then entry-2 fails its readiness check and answers calls not-run because no_lease
+    And ticket 2 comes in force without entry-2
+    And entry-1 answers calls
+    When entry-2 is heard again
+    Then entry-2 is ready and serves by a revision not older than ticket 2
+
+  Scenario: A restarted cluster answers as before
+    Given 3 control replicas and 1 entries
+    And accepted tickets 1 to 30
+    When every control replica is killed and started again
+    Then each ticket sent again gets its first answer
+    And other content under number 7 is refused with its holder
+
+  Scenario: History past a snapshot answers as before
+    Given 3 control replicas and 1 entries
+    And a snapshot is taken every 1000 entries
+    When 1200 tickets are accepted
+    Then every replica has taken a snapshot
+    When every control replica is killed and started again
+    Then each ticket sent again gets its first answer
+
+  Scenario: A full disk of the leader costs the lead, not a ticket
+    Given 3 control replicas and 1 entries
+    And accepted ticket 1
+    When the data folder of the leader can't grow
+    Then ticket 2 is accepted under another leader
+    And the dump of the full replica tells of the full folder
+    When the data folder can grow again
+    Then the replica holds every entry of the leader's log
+
+  Scenario: Two full disks of three accept nothing and lose nothing
+    Given 3 control replicas and 1 entries
+    And accepted ticket 1
+    When the data folders of two replicas can't grow
+    Then ticket 2 is not accepted
+    When the data folders can grow again
+    Then ticket 2 is accepted when it is sent again
+    And ticket 1 is in the history
+
+  Scenario: A damaged segment keeps a replica down and names the byte
+    Given 3 control replicas and 1 entries
+    And accepted tickets 1 to 5
+    When a follower is stopped and a byte in the middle of its segment is damaged
+    Then it ends with an error that names the segment, the offset and the cure
+    And ticket 6 is accepted by the other two
+
+  Scenario: A replica that lost its disk can't vote under its old name
+    Given 3 control replicas and 1 entries
+    And accepted tickets 1 to 5
+    When a follower loses its disk and is formatted again under its old name
+    Then the leader refuses to hear it
+    And a second lost replica leaves no leader that could forget a ticket
+
+  Scenario: A lost replica is replaced by a ticket, and the next loss does no harm
+    Given 3 control replicas and 1 entries
+    And accepted tickets 1 to 5
+    When control-3 loses its disk for good
+    And ticket 6 replaces control-3 by control-4
+    Then control-1, control-2 and control-4 vote and are in step
+    When control-1 is killed
+    Then ticket 7 is accepted
+    And every ticket that was answered accepted is in the history, unchanged
+
+  Scenario: A change of replicas that would break the quorum is refused
+    Given 3 control replicas and 1 entries
+    And accepted ticket 1
+    When control-3 is killed
+    Then a ticket that removes a live replica is refused as quorum_at_risk
+    And a ticket that replaces two replicas is refused as quorum_at_risk
+    And ticket 2 is accepted by the other two
--- /dev/null
+++ b/features/fault_search.feature
@@ -0,0 +1,11 @@
+Feature: Seeded fault searches find no broken promise
+
+  Scenario: Control replicas agree through cuts, crashes, lost disks and changes of voters
+    When 2000 schedules of the replica search run from seed 0
+    Then no schedule breaks a promise
+    And the schedules exercised commits, leaders, crashes, membership_changes, snapshots_installed and lost_disks
+
+  Scenario: Accepted tickets come in force and stay, and waves cut no call
+    When 300 schedules of the control search run from seed 0
+    Then no schedule breaks a promise
+    And the schedules exercised accepted, refused, in_force, reboots, calls, crashes and lease_gaps
--- /dev/null
+++ b/features/replica_rules.feature
@@ -0,0 +1,34 @@
+Feature: Rules of the agreement that chance seldom tests
+
+  Scenario: A replica that hears a leader grants no vote
+    Given a follower that heard the leader of term 1 just now
+    When another replica with a longer log asks it for votes in term 2
+    Then it refuses both votes and stays in term 1
+    When the shortest election time passes and it is asked again
+    Then it grants both votes
+
+  Scenario: A restarted replica grants no vote for the shortest election time
+    Given a follower that heard the leader of term 1 just now
+    When it restarts from its disk
+    And another replica with a longer log asks it for votes in term 2
+    Then it refuses both votes and stays in term 1
+
+  Scenario: A leader commits entries of earlier terms only with one of its own
+    Given a leader of term 3 whose log holds uncommitted entries of term 1
+    When a follower confirms the entries of term 1 only
+    Then nothing is committed
+    When a follower confirms the leader's own entry too
+    Then all of them are committed
+
+  Scenario: A vote survives a restart
+    Given a follower that voted for control-2 in term 5
+    When it restarts from its disk
+    And the shortest election time passes
+    Then it refuses control-3 a vote in term 5
+
+  Scenario: A learner stands for election only when nobody else has led for long
+    Given a learner that heard the leader of term 1 just now
+    When the longest election time passes
+    Then it asks for no vote
+    When five of the longest election times pass
+    Then it asks every voter for a vote
--- a/features/search/control_search.py
+++ b/features/search/control_search.py
@@ -83,7 +83,9 @@
         self.options = coordination.ReplicaOptions(
             clock_drift_ratio=DRIFT_RATIO
         )
-        self.leases = coordination.LeaseOptions(LEASE_S, DRIFT_RATIO)
+        self.leases = coordination.LeaseOptions(
+            duration_s=LEASE_S, clock_drift_ratio=DRIFT_RATIO
+        )
         self.network = fakes.FakeNetwork(
             self.rng,
             fakes.NetworkOptions(loss_ratio=self.rng.choice((0, 0.02, 0.1))),
@@ -176,14 +178,13 @@
         author = f'operator-{self.rng.randrange(3)}'
         if not self._newest_state().fleet.pools:
             budget = state.Budget('service-a', MIN_AVAILABLE)
-            return state.Ticket(
-                number, author, 'set up', (pool,), (budget,)
-            )
+            return state.Ticket(number, author, 'set up', (pool,), (budget,))
         wave = state.Wave(
             name=f'wave-{self.rng.randrange(2)}',
             vms=tuple(self.rng.sample(names, self.rng.randint(1, 3))),
             max_parallel_vms=self.rng.randint(1, 3),
-            return_timeout_s=60.0, silent_timeout_s=60.0,
+            return_timeout_s=60.0,
+            silent_timeout_s=60.0,
             intent=self.rng.choice(list(state.WaveIntent)),
         )
         return state.Ticket(number, author, 'maintain', waves=(wave,))
@@ -347,9 +348,7 @@
         core = node.core
         assert core is not None
         try:
-            core.step(
-                node.clock.read(self.now_s), int(self.now_s * 1000) + 1
-            )
+            core.step(node.clock.read(self.now_s), int(self.now_s * 1000) + 1)
         except fakes.CrashError:
             self._stop_control(node)
             return
@@ -404,9 +403,7 @@
                 raise InvariantError(f'ticket {number} was accepted twice')
 
     def _newest_state(self) -> state.ControlState:
-        states = [
-            n.core.state for n in self._running_controls() if n.core
-        ]
+        states = [n.core.state for n in self._running_controls() if n.core]
         return max(
             states,
             key=lambda s: s.fleet.revision,
@@ -497,7 +494,10 @@
             budgets=(state.Budget('service-a', MIN_AVAILABLE),),
             waves=(
                 state.Wave(
-                    'last-wave', tuple(self.vms), return_timeout_s=60.0, silent_timeout_s=60.0
+                    'last-wave',
+                    tuple(self.vms),
+                    return_timeout_s=60.0,
+                    silent_timeout_s=60.0,
                 ),
             ),
         )
--- a/features/search/fleet_fakes.py
+++ b/features/search/fleet_fakes.py
@@ -1,8 +1,8 @@
 """Small fakes of VMs and of the platform that reboots them."""
 
+from collections.abc import Callable
 import dataclasses
 import random
-from collections.abc import Callable
 
 from greengagering import coordination
 from greengagering import state
--- a/features/search/replica_search.py
+++ b/features/search/replica_search.py
@@ -15,6 +15,9 @@
 CRASH_RATIO = 0.002
 DRIFT_RATIO = 0.3
 
+PROFILES = ((1, 1, 1), (2, 0, 0), (2, 1, 0), (0, 4, 0), (1, 1, 4), (3, 3, 3))
+"""Weights of cuts, crashes and changes of members; a schedule has one."""
+
 
 class InvariantError(AssertionError):
     """A promise was broken; the seed reproduces it."""
@@ -63,13 +66,17 @@
             snapshot_chunk_bytes=64,
             clock_drift_ratio=DRIFT_RATIO,
         )
-        self.unrest = self.rng.choice((1, 2, 4))
+        self.profile = self.rng.choice(PROFILES)
+        self.step_s = self.rng.choice((STEP_S / 2, STEP_S))
         count = self.rng.choice((3, 3, 5))
         names = tuple(f'control-{n}' for n in range(count))
         self.initial = state.Membership(voters=names)
         self.network = fakes.FakeNetwork(
             self.rng,
-            fakes.NetworkOptions(loss_ratio=self.rng.choice((0, 0.02, 0.15))),
+            fakes.NetworkOptions(
+                max_delay_s=self.rng.choice((0.002, 0.03, 0.1)),
+                loss_ratio=self.rng.choice((0, 0.02, 0.15)),
+            ),
         )
         self.nodes: dict[str, Node] = {}
         self.leaders: dict[int, str] = {}
@@ -98,7 +105,7 @@
             identity=coordination.ReplicaIdentity(
                 name, f'{self.rng.random():.12f}'
             ),
-            disk=fakes.FakeDisk(self.rng, CRASH_RATIO),
+            disk=fakes.FakeDisk(self.rng, CRASH_RATIO * self.profile[1]),
             clock=fakes.draw_clock(self.rng, self.options.clock_drift_ratio),
         )
         self.nodes[name] = node
@@ -126,18 +133,19 @@
     def _inject(self) -> None:
         """Draw at most one fault or request."""
         draw = self.rng.random()
-        unrest = self.unrest
+        cuts, crashes, changes = self.profile
         actions = (
             (0.30, self._propose),
-            (0.02 * unrest, self._crash_one),
-            (0.04 * unrest, self._restart_one),
-            (0.02 * unrest, self._cut_some),
-            (0.01 * unrest, self._isolate_leader),
-            (0.02 * unrest, self.network.heal),
+            (0.01 * crashes, self._crash_one),
+            (0.05, self._restart_one),
+            (0.01 * cuts, self._cut_some),
+            (0.01 * cuts, self._isolate_leader),
+            (0.02 * cuts, self._cut_leader_from_one),
+            (0.04, self.network.heal),
             (0.02, self._compact_one),
-            (0.02, self._fill_disk),
-            (0.04, self._change_membership),
-            (0.005, self._lose_disk),
+            (0.005 * crashes, self._fill_disk),
+            (0.02 * changes, self._change_membership),
+            (0.002 * crashes, self._lose_disk),
             (0.01, self._transfer),
         )
         for ratio, action in actions:
@@ -180,6 +188,16 @@
                 others = [n for n in self.nodes if n != name]
                 self.network.isolate(name, others)
 
+    def _cut_leader_from_one(self) -> None:
+        """Keep a leader from one follower that others still hear."""
+        for node in self._running():
+            if node.replica and node.replica.is_leader:
+                name = node.identity.replica_id
+                other = self.rng.choice([n for n in self.nodes if n != name])
+                self.network.cut(name, other)
+                if self.rng.random() < 0.5:
+                    self.network.cut(other, name)
+
     def _compact_one(self) -> None:
         node = self.rng.choice(list(self.nodes.values()))
         if node.replica is None:
@@ -204,7 +222,9 @@
         wanted = self._draw_membership(present)
         if wanted is None:
             return
-        if isinstance(leader.propose_membership(wanted), Ok):
+        if isinstance(
+            leader.propose_membership(wanted, self._clock(leaders[-1])), Ok
+        ):
             self.result.membership_changes += 1
             for name in wanted.members:
                 if name not in self.nodes:
@@ -287,7 +307,7 @@
             self._crash(node)
 
     def _advance(self) -> None:
-        self.now_s += STEP_S * self.rng.uniform(0.2, 2)
+        self.now_s += self.step_s * self.rng.uniform(0.2, 2)
         for node in self._running():
             assert node.replica is not None
             self._guard(node, node.replica.tick, self._clock(node))
--- /dev/null
+++ b/features/steps/replica_rule_steps.py
@@ -0,0 +1,191 @@
+"""Steps that pass single messages to one replica."""
+
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.search import fakes
+from greengagering import coordination
+from greengagering import state
+
+VOTERS = ('control-1', 'control-2', 'control-3')
+
+
+def peer(name: str) -> coordination.ReplicaIdentity:
+    """Return the identity of another replica."""
+    return coordination.ReplicaIdentity(name, f'{name}-folder')
+
+
+def start(context: Any) -> None:
+    """Start control-1 from its disk."""
+    context.replica = coordination.Replica(
+        peer('control-1'),
+        state.Membership(voters=VOTERS),
+        context.disk,
+        random.Random(1),
+        context.now_s,
+    )
+
+
+def new_replica(context: Any) -> None:
+    """Start control-1 with an empty disk."""
+    context.now_s = 100.0
+    context.disk = fakes.FakeDisk(random.Random(1), 0.0)
+    start(context)
+
+
+def entry(index: int, term: int) -> state.LogEntry:
+    """Return an entry."""
+    return state.LogEntry(index, term, state.EntryKind.COMMAND, b'x')
+
+
+def append(term: int, *entries: state.LogEntry) -> Any:
+    """Return an append request from the start of the log."""
+    return coordination.AppendRequest(term, 0, 0, entries, 0, 1.0)
+
+
+@given('a follower that heard the leader of term 1 just now')
+def heard_leader(context: Any) -> None:
+    new_replica(context)
+    context.replica.receive(
+        peer('control-2'), append(1, entry(1, 1)), context.now_s
+    )
+    context.replica.take_outbox()
+
+
+@when('another replica with a longer log asks it for votes in term 2')
+@when('the shortest election time passes and it is asked again')
+def ask_votes(context: Any) -> None:
+    if getattr(context, 'votes', None):
+        pass_time(context)
+    context.votes = []
+    for is_pre in (True, False):
+        request = coordination.VoteRequest(2, 9, 1, is_pre)
+        context.replica.receive(peer('control-3'), request, context.now_s)
+        (answer,) = context.replica.take_outbox()
+        context.votes.append(answer.message.is_granted)
+
+
+@then('it refuses both votes and stays in term 1')
+def check_refused(context: Any) -> None:
+    assert context.votes == [False, False]
+    assert context.replica.term == 1
+
+
+@then('it grants both votes')
+def check_granted(context: Any) -> None:
+    assert context.votes == [True, True]
+    assert context.replica.term == 2
+
+
+@when('it restarts from its disk')
+def restart(context: Any) -> None:
+    start(context)
+
+
+@when('the shortest election time passes')
+def pass_time(context: Any) -> None:
+    context.now_s += context.replica.options.election_min_s
+
+
+@given('a leader of term 3 whose log holds uncommitted entries of term 1')
+def make_leader(context: Any) -> None:
+    new_replica(context)
+    replica = context.replica
+    entries = (entry(1, 1), entry(2, 1))
+    replica.receive(peer('control-2'), append(1, *entries), context.now_s)
+    replica.receive(peer('control-2'), append(2), context.now_s)
+    context.now_s += replica.options.election_max_s
+    replica.tick(context.now_s)
+    for is_pre in (True, False):
+        vote = coordination.VoteResponse(3, is_pre, True)
+        replica.receive(peer('control-3'), vote, context.now_s)
+    assert replica.is_leader
+    assert replica.term == 3
+    assert replica.log.last_index == 3
+
+
+def _confirm(context: Any, index: int) -> None:
+    response = coordination.AppendResponse(3, True, index, 0, context.now_s)
+    context.replica.receive(peer('control-3'), response, context.now_s)
+
+
+@when('a follower confirms the entries of term 1 only')
+def confirm_old(context: Any) -> None:
+    _confirm(context, 2)
+
+
+@then('nothing is committed')
+def check_nothing(context: Any) -> None:
+    assert context.replica.commit_index == 0
+
+
+@when("a follower confirms the leader's own entry too")
+def confirm_all(context: Any) -> None:
+    _confirm(context, 3)
+
+
+@then('all of them are committed')
+def check_all(context: Any) -> None:
+    assert context.replica.commit_index == 3
+
+
+@given('a follower that voted for control-2 in term 5')
+def voted(context: Any) -> None:
+    new_replica(context)
+    pass_time(context)
+    request = coordination.VoteRequest(5, 9, 1, False)
+    context.replica.receive(peer('control-2'), request, context.now_s)
+    (answer,) = context.replica.take_outbox()
+    assert answer.message.is_granted
+
+
+@then('it refuses control-3 a vote in term 5')
+def check_one_vote(context: Any) -> None:
+    request = coordination.VoteRequest(5, 99, 4, False)
+    context.replica.receive(peer('control-3'), request, context.now_s)
+    (answer,) = context.replica.take_outbox()
+    assert not answer.message.is_granted
+
+
+@given('a learner that heard the leader of term 1 just now')
+def make_learner(context: Any) -> None:
+    context.now_s = 100.0
+    context.disk = fakes.FakeDisk(random.Random(1), 0.0)
+    context.replica = coordination.Replica(
+        peer('control-4'),
+        state.Membership(voters=VOTERS, learners=('control-4',)),
+        context.disk,
+        random.Random(1),
+        context.now_s,
+    )
+    context.replica.receive(
+        peer('control-2'), append(1, entry(1, 1)), context.now_s
+    )
+    context.replica.take_outbox()
+
+
+@when('the longest election time passes')
+def pass_longest(context: Any) -> None:
+    context.now_s += context.replica.options.election_max_s
+    context.replica.tick(context.now_s)
+
+
+@when('five of the longest election times pass')
+def pass_five(context: Any) -> None:
+    context.now_s += 5 * context.replica.options.election_max_s
+    context.replica.tick(context.now_s)
+
+
+@then('it asks for no vote')
+def check_quiet(context: Any) -> None:
+    assert context.replica.take_outbox() == []
+
+
+@then('it asks every voter for a vote')
+def check_asks(context: Any) -> None:
+    asked = [outgoing.receiver for outgoing in context.replica.take_outbox()]
+    assert asked == list(VOTERS), asked
--- a/features/support/link_proxy.py
+++ b/features/support/link_proxy.py
@@ -6,6 +6,8 @@
 
 from features.support import ports
 
+CUT_TIMEOUT_S = 2.0
+
 
 class LinkProxy(TCPProxy):
     """A TCPProxy that closes a client whose target refuses it.
@@ -41,6 +43,8 @@
 
 async def cut_connections(proxy: LinkProxy) -> None:
     """Cut every connection through a proxy."""
-    for client in list(proxy.clients):
-        for task in client.tasks:
-            task.cancel()
+    tasks = [task for client in list(proxy.clients) for task in client.tasks]
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
--- a/features/support/loop_thread.py
+++ b/features/support/loop_thread.py
@@ -28,7 +28,8 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
 
     def close(self) -> None:
-        """Stop the loop."""
+        """End what still runs, and stop the loop."""
+        self.run(_cancel_others())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
         self.loop.close()
@@ -36,3 +37,10 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.run_forever()
+
+
+async def _cancel_others() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/greengagering/coordination/_control.py
+++ b/greengagering/coordination/_control.py
@@ -11,6 +11,7 @@
 from greengagering.coordination._entry_sessions import EntrySessions
 from greengagering.coordination._entry_sessions import LeaseOptions
 from greengagering.coordination._feed import Feed
+from greengagering.coordination import _membership
 from greengagering.coordination._replica import Replica
 from greengagering.coordination import _waves
 from greengagering.coordination import errors
@@ -69,6 +70,7 @@
         self.decisions = _waves.WaveDecisions()
         self.confirmed_revision = 0
         self.applied_entries = 0
+        self.membership_waiting = ''
         self._snapshot_due_index = SNAPSHOT_EVERY_ENTRIES
         self._outcomes: list[TicketOutcome] = []
         self._entry_outbox: list[EntryOutgoing] = []
@@ -101,6 +103,9 @@
             return Err(errors.NotLeaderError(self.replica.leader_id))
         if isinstance(early, Err):
             return early
+        refusal = _membership.find_quorum_risk(self.replica, ticket, now_s)
+        if refusal is not None:
+            return Err(refusal)
         record = state.TicketSubmitted(ticket, digest, received_at_ms)
         proposed = self.replica.propose(state.encode_record(record))
         if isinstance(proposed, Err):
@@ -130,12 +135,13 @@
         # What is in force everywhere stays so: an entry that comes back with
         # an older revision gets the feed first, and a lease once it is level.
         is_level = report.applied_revision >= self._lease_floor()
-        session = self.sessions.note_report(report, now_s, is_level=is_level)
-        if report.is_leaving:
-            return
-        if is_level:
-            self._grant_lease(session, report, now_s)
-        self._send_feed(session, now_s)
+        outcome = self.sessions.note_report(
+            report, self.feed.revision, now_s, is_level=is_level
+        )
+        if outcome.is_granted:
+            self._grant_lease(outcome.session, report, now_s)
+        if not report.is_leaving:
+            self._send_feed(outcome.session, now_s)
 
     def step(self, now_s: float, now_ms: int) -> None:
         """Advance everything that time or a message may have moved."""
@@ -329,11 +335,25 @@
             self.decisions = _waves.decide(self.view(now_s, now_ms))
         else:
             self.decisions = _waves.WaveDecisions()
+        self._reconcile_members(now_s)
         for record in self.decisions.records:
             self._propose(record)
         for report in self._pending_reports.values():
             self._propose(dataclasses.replace(report, at_ms=now_ms))
 
+    def _reconcile_members(self, now_s: float) -> None:
+        """Bring the voters one step closer to what the tickets say."""
+        wanted = self.state.fleet.control
+        step = _membership.next_step(self.replica, wanted, now_s)
+        self.membership_waiting = step.waiting
+        if step.wanted is None:
+            return
+        proposed = self.replica.propose_membership(step.wanted, now_s)
+        if isinstance(proposed, Err):
+            self.membership_waiting = str(proposed.err_value)
+        else:
+            self._own_proposal_index = proposed.ok_value
+
     def _has_wave_work(self) -> bool:
         fleet = self.state.fleet
         return bool(fleet.out_vms) or any(
--- a/greengagering/coordination/_entry_sessions.py
+++ b/greengagering/coordination/_entry_sessions.py
@@ -14,9 +14,12 @@
     Attributes:
         duration_s: how long an entry may serve after the send of a report.
         clock_drift_ratio: bound on the difference of two clocks' speeds.
+        max_lag_s: how long an entry may take to apply a revision before its
+            lease is no longer extended.
     """
 
     duration_s: float = 1.8
+    max_lag_s: float = 1.0
     clock_drift_ratio: float = 0.05
 
     @property
@@ -39,6 +42,8 @@
         sent_at_s: leader's clock at that send.
         busy_vms: VMs out of service with calls of this entry in flight.
         reported_at_s: entry's clock at the send of its newest report.
+        awaited_revision: revision that it should have applied by now.
+        awaited_since_s: leader's clock since when.
     """
 
     entry_id: str
@@ -50,6 +55,21 @@
     sent_at_s: float
     busy_vms: frozenset[str]
     reported_at_s: float
+    awaited_revision: int
+    awaited_since_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportOutcome:
+    """What a report led to.
+
+    Attributes:
+        session: the session that it belongs to.
+        is_granted: whether the lease was extended, and may be announced.
+    """
+
+    session: EntrySession
+    is_granted: bool
 
 
 class EntrySessions:
@@ -67,19 +87,18 @@
     def note_report(
         self,
         report: entry_messages.EntryReport,
+        feed_revision: int,
         now_s: float,
         *,
         is_level: bool,
-    ) -> EntrySession:
+    ) -> ReportOutcome:
         """Record a report, and extend the lease of an entry that is level.
 
         Args:
             report: the report.
+            feed_revision: newest revision of the feed.
             now_s: leader's clock.
             is_level: whether the entry may get a lease for it.
-
-        Returns:
-            The session, which counts as live only if it has a lease.
         """
         key = (report.entry_id, report.boot_id)
         session = self._sessions.get(key)
@@ -94,11 +113,13 @@
                 sent_at_s=now_s,
                 busy_vms=frozenset(),
                 reported_at_s=report.sent_at_s,
+                awaited_revision=0,
+                awaited_since_s=now_s,
             )
             self._sessions[key] = session
         if report.sent_at_s < session.reported_at_s:
             # A report that was overtaken says nothing about the present.
-            return session
+            return ReportOutcome(session, is_granted=False)
         session.reported_at_s = report.sent_at_s
         session.address = report.address
         session.busy_vms = frozenset(report.busy_vms)
@@ -110,9 +131,24 @@
             # A leaving entry has promised to start no further call, so
             # there is nothing left to wait for.
             session.lease_ends_s = now_s
-        elif is_level:
+            return ReportOutcome(session, is_granted=False)
+        if report.applied_revision >= session.awaited_revision:
+            session.awaited_revision = feed_revision
+            session.awaited_since_s = now_s
+        is_granted = is_level and not self._is_lagging(session, now_s)
+        if is_granted:
             session.lease_ends_s = now_s + self.options.longest_s
-        return session
+        return ReportOutcome(session, is_granted)
+
+    def _is_lagging(self, session: EntrySession, now_s: float) -> bool:
+        """Tell whether an entry has been behind for too long.
+
+        An entry that can send but not hear would otherwise keep its lease
+        alive on the leader's side, and nothing would come in force.
+        """
+        is_behind = session.confirmed_revision < session.awaited_revision
+        waited_s = now_s - session.awaited_since_s
+        return is_behind and waited_s > self.options.max_lag_s
 
     def live(self, now_s: float) -> list[EntrySession]:
         """Return the sessions whose leases may still run."""
--- a/greengagering/coordination/_replica.py
+++ b/greengagering/coordination/_replica.py
@@ -162,7 +162,7 @@
         return Ok(self._queue(state.EntryKind.COMMAND, payload))
 
     def propose_membership(
-        self, wanted: state.Membership
+        self, wanted: state.Membership, now_s: float
     ) -> Result[int, errors.CoordinationError]:
         """Queue a change of members; at most one voter at a time.
 
@@ -171,7 +171,7 @@
         """
         if not self.is_leader:
             return Err(errors.NotLeaderError(self.leader_id))
-        problem = self._find_membership_problem(wanted)
+        problem = self._find_membership_problem(wanted, now_s)
         if problem:
             return Err(errors.MembershipError(problem))
         index = self._queue(state.EntryKind.MEMBERSHIP, state.encode(wanted))
@@ -300,7 +300,9 @@
         self._proposals.append(entry)
         return entry.index
 
-    def _find_membership_problem(self, wanted: state.Membership) -> str:
+    def _find_membership_problem(
+        self, wanted: state.Membership, now_s: float
+    ) -> str:
         present = self.membership
         if self.log.membership_index > self.commit_index or any(
             entry.kind is state.EntryKind.MEMBERSHIP
@@ -315,17 +317,15 @@
         if not wanted.voters:
             return 'a cluster needs a voter'
         for voter in set(wanted.voters) - set(present.voters):
-            if not self._is_caught_up(voter):
+            if not self.is_in_step(voter, now_s):
                 return f'{voter} must catch up as a learner first'
-        return self._find_quorum_problem(wanted)
+        return self._find_quorum_problem(wanted, now_s)
 
-    def _find_quorum_problem(self, wanted: state.Membership) -> str:
+    def _find_quorum_problem(
+        self, wanted: state.Membership, now_s: float
+    ) -> str:
         """Refuse voters of whom no majority is in step right now."""
-        in_step = [
-            voter
-            for voter in wanted.voters
-            if voter == self.identity.replica_id or self._is_caught_up(voter)
-        ]
+        in_step = [v for v in wanted.voters if self.is_in_step(v, now_s)]
         needed = wanted.quorum_size()
         if len(in_step) < needed:
             return (
@@ -334,11 +334,19 @@
             )
         return ''
 
-    def _is_caught_up(self, replica_id: str) -> bool:
+    def is_in_step(self, replica_id: str, now_s: float) -> bool:
+        """Tell whether a replica answers and holds all that is committed.
+
+        Only a leader knows of others.
+        """
+        if replica_id == self.identity.replica_id:
+            return True
         progress = self.progress.get(replica_id)
-        return progress is not None and (
-            progress.match_index >= self.commit_index
-        )
+        if progress is None:
+            return False
+        patience_s = self.options.election_max_s
+        is_heard = now_s < progress.acked_sent_at_s + patience_s
+        return is_heard and progress.match_index >= self.commit_index
 
     def _is_identity_accepted(self, sender: ReplicaIdentity) -> bool:
         bound = self.membership.incarnations.get(sender.replica_id)
@@ -692,7 +700,7 @@
             self._send_append(peer, now_s, is_heartbeat=False)
             return
         progress.note_success(response.match_index)
-        self._bind_incarnation(sender)
+        self._bind_incarnation(sender, now_s)
         self._advance_commit(now_s)
         # The commit may have been that of this leader's or the peer's own
         # removal, after which there is nobody to send to.
@@ -700,7 +708,7 @@
         if is_followed and progress.next_index <= self.log.last_index:
             self._send_append(peer, now_s, is_heartbeat=False)
 
-    def _bind_incarnation(self, sender: ReplicaIdentity) -> None:
+    def _bind_incarnation(self, sender: ReplicaIdentity, now_s: float) -> None:
         """Bind a replica's name to its data folder, through the log."""
         present = self.membership
         if sender.replica_id in present.incarnations:
@@ -709,7 +717,7 @@
         bound[sender.replica_id] = sender.incarnation
         bound[self.identity.replica_id] = self.identity.incarnation
         self.propose_membership(
-            dataclasses.replace(present, incarnations=bound)
+            dataclasses.replace(present, incarnations=bound), now_s
         )
 
     def _advance_commit(self, now_s: float) -> None:
--- a/greengagering/programs/_tables.py
+++ b/greengagering/programs/_tables.py
@@ -101,6 +101,36 @@
     return tabulate.tabulate(rows, head)
 
 
+def members_table(page: pages.MembersPage) -> str:
+    """Return the control replicas."""
+    rows = [
+        (
+            member.replica_id,
+            member.address,
+            'leader' if member.replica_id == page.leader_id else 'follower',
+            'yes' if member.is_voter else 'learns',
+            'yes' if member.is_in_step else 'no',
+            member.match_index,
+            member.answered_ago_s,
+        )
+        for member in page.members
+    ]
+    head = (
+        'replica',
+        'address',
+        'role',
+        'votes',
+        'in step',
+        'match index',
+        'answered ago (s)',
+    )
+    table = tabulate.tabulate(rows, head)
+    if page.waiting:
+        table += f'\n\nthe change to {", ".join(page.wanted)} waits: '
+        table += page.waiting
+    return table
+
+
 def wave_table(page: pages.WavePage) -> str:
     """Return a wave's progress."""
     rows = [
--- a/greengagering/programs/ticket.py
+++ b/greengagering/programs/ticket.py
@@ -102,6 +102,13 @@
             _tables.fleet_table,
         )
 
+    def members(self) -> None:
+        """Show the control replicas, and a change of voters in progress."""
+        self._print(
+            self._client.get('/v1/control', pages.MembersPage),
+            _tables.members_table,
+        )
+
     def wave(self, name: str, follow: bool = False) -> None:
         """Show a maintenance wave's progress.
 
--- a/greengagering/protocol/_pages.py
+++ b/greengagering/protocol/_pages.py
@@ -193,11 +193,30 @@
     """One control replica as the leader sees it."""
 
     replica_id: str
+    address: str
     is_voter: bool
+    is_in_step: bool
     match_index: int
     answered_ago_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersPage:
+    """Control replicas, and the change of voters in progress.
+
+    Attributes:
+        leader_id: replica that leads.
+        members: voters and learners.
+        wanted: voters that the newest ticket names, or empty.
+        waiting: what the change waits for, or ''.
+    """
+
+    leader_id: str
+    members: tuple[MemberPage, ...]
+    wanted: tuple[str, ...]
+    waiting: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlDump:
     """State of a control process."""
--- a/greengagering/protocol/_ticket_model.py
+++ b/greengagering/protocol/_ticket_model.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from greengagering.protocol._settings import Address
 from greengagering.protocol._settings import Name
 from greengagering.protocol._settings import Seconds
 from greengagering.protocol import _validation
@@ -108,6 +109,17 @@
         )
 
 
+class ControlMemberModel(_validation.BorderModel):
+    """A control replica that should vote; see state.ControlMember."""
+
+    replica_id: Name
+    address: Address
+
+    def to_state(self) -> state.ControlMember:
+        """Return the data class."""
+        return state.ControlMember(self.replica_id, self.address)
+
+
 class TicketModel(_validation.BorderModel):
     """A numbered change; see state.Ticket."""
 
@@ -117,13 +129,16 @@
     pools: list[PoolModel] = []
     budgets: list[BudgetModel] = []
     waves: list[WaveModel] = []
+    control: list[ControlMemberModel] = []
 
     @pydantic.model_validator(mode='after')
     def _consistent(self) -> 'TicketModel':
-        if not (self.pools or self.budgets or self.waves):
+        if not (self.pools or self.budgets or self.waves or self.control):
             raise ValueError(
-                'a ticket must touch something: pools, budgets or waves'
+                'a ticket must touch something: pools, budgets, waves or '
+                'control'
             )
+        _check_unique([member.replica_id for member in self.control])
         _check_unique([pool.name for pool in self.pools])
         _check_unique([budget.service for budget in self.budgets])
         _check_unique([wave.name for wave in self.waves])
@@ -139,6 +154,7 @@
             pools=tuple(pool.to_state() for pool in self.pools),
             budgets=tuple(budget.to_state() for budget in self.budgets),
             waves=tuple(wave.to_state() for wave in self.waves),
+            control=tuple(member.to_state() for member in self.control),
         )
 
     def _check_one_pool_each(self) -> None:
--- a/greengagering/protocol/pages.py
+++ b/greengagering/protocol/pages.py
@@ -17,6 +17,7 @@
 from greengagering.protocol._pages import HistoryPage
 from greengagering.protocol._pages import LinkLine
 from greengagering.protocol._pages import MemberPage
+from greengagering.protocol._pages import MembersPage
 from greengagering.protocol._pages import RebootRequest
 from greengagering.protocol._pages import ServiceLine
 from greengagering.protocol._pages import TicketPage
@@ -41,6 +42,7 @@
     'HistoryPage',
     'LinkLine',
     'MemberPage',
+    'MembersPage',
     'RebootRequest',
     'ServiceLine',
     'TicketPage',
--- a/greengagering/state/__init__.py
+++ b/greengagering/state/__init__.py
@@ -26,6 +26,7 @@
 from greengagering.state._log_model import StoredLog
 from greengagering.state._log_model import Vote
 from greengagering.state._model import Budget
+from greengagering.state._model import ControlMember
 from greengagering.state._model import ControlState
 from greengagering.state._model import FleetState
 from greengagering.state._model import InForceMarked
@@ -50,6 +51,7 @@
     'Admission',
     'Applied',
     'Budget',
+    'ControlMember',
     'ControlState',
     'DataFolder',
     'EntryKind',
--- a/greengagering/state/_admission.py
+++ b/greengagering/state/_admission.py
@@ -21,6 +21,7 @@
     BUDGET_TOO_HIGH = 'budget_too_high'
     UNKNOWN_VM = 'unknown_vm'
     EMPTY_WAVE = 'empty_wave'
+    QUORUM_AT_RISK = 'quorum_at_risk'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/state/_fold.py
+++ b/greengagering/state/_fold.py
@@ -91,6 +91,8 @@
         fleet.budgets[budget.service] = budget
     for wave in ticket.waves:
         _start_wave(fleet, wave, record)
+    if ticket.control:
+        fleet.control = ticket.control
 
 
 def _drop_unnamed(fleet: _model.FleetState, pool: _model.Pool) -> None:
--- a/greengagering/state/_folder.py
+++ b/greengagering/state/_folder.py
@@ -20,6 +20,7 @@
 SEGMENT_DIGITS = 12
 TEMPORARY_SUFFIX = '.tmp'
 INCARNATION_BYTES = 8
+FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,12 +277,12 @@
             )
 
     def _raise_failure(self, error: OSError) -> None:
-        """Undo a partial write after ENOSPC; give up after anything else.
+        """Undo a partial write to a full disk; give up after anything else.
 
         After a failed fsync the kernel may have dropped the dirty pages, so
         nothing later can be trusted until the file is read again.
         """
-        if error.errno == errno.ENOSPC and self._segment is not None:
+        if error.errno in FULL_ERRNOS and self._segment is not None:
             os.ftruncate(self._segment.fileno(), self._segment_bytes)
             raise errors.StorageFullError(
                 f'data folder {self.path} is full'
--- a/greengagering/state/_model.py
+++ b/greengagering/state/_model.py
@@ -90,9 +90,28 @@
     intent: WaveIntent = WaveIntent.RUNNING
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlMember:
+    """A control replica that should vote, and where it listens."""
+
+    replica_id: str
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
-    """A numbered change that holds the whole new state of what it touches."""
+    """A numbered change that holds the whole new state of what it touches.
+
+    Attributes:
+        number: unique number; the first accepted ticket keeps it.
+        author: who decided.
+        reason: why.
+        pools: whole new pools.
+        budgets: whole new budgets.
+        waves: whole new waves.
+        control: every control replica that should vote, or empty where the
+            ticket doesn't touch them.
+    """
 
     number: int
     author: str
@@ -100,12 +119,15 @@
     pools: tuple[Pool, ...] = ()
     budgets: tuple[Budget, ...] = ()
     waves: tuple[Wave, ...] = ()
+    control: tuple[ControlMember, ...] = ()
 
     def touched(self) -> list[str]:
         """Return the keys of the objects that this ticket touches."""
         keys = [f'pool/{pool.name}' for pool in self.pools]
         keys += [f'budget/{budget.service}' for budget in self.budgets]
         keys += [f'wave/{wave.name}' for wave in self.waves]
+        if self.control:
+            keys.append('control')
         return keys
 
 
@@ -299,6 +321,7 @@
         progress: progress by wave name.
         object_numbers: newest ticket number by touched object.
         out_vms: names of the VMs that are not in phase SERVING.
+        control: control replicas that should vote, once a ticket said so.
     """
 
     revision: int = 0
@@ -309,6 +332,7 @@
     progress: dict[str, WaveProgress] = dataclasses.field(default_factory=dict)
     object_numbers: dict[str, int] = dataclasses.field(default_factory=dict)
     out_vms: set[str] = dataclasses.field(default_factory=set)
+    control: tuple[ControlMember, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/greengagering/transport/_control_api.py
+++ b/greengagering/transport/_control_api.py
@@ -37,6 +37,7 @@
                 web.get('/v1/fleet', self.show_fleet),
                 web.get('/v1/waves/{name}', self.show_wave),
                 web.get('/v1/vms/{vm}/account', self.explain_vm),
+                web.get('/v1/control', self.show_members),
                 web.get('/v1/dump', self.dump),
                 web.get('/healthz', self.check_health),
                 web.get('/readyz', self.check_readiness),
@@ -129,6 +130,13 @@
             return _not_found('vm', vm, 'nothing is known of it')
         return _http.page_response(pages.AccountPage(vm, tuple(events)))
 
+    async def show_members(self, request: web.Request) -> web.Response:
+        """Show the control replicas and their change in progress."""
+        control = self._read_state()
+        if isinstance(control, web.Response):
+            return control
+        return _http.page_response(_control_pages.members_page(self._node))
+
     async def dump(self, request: web.Request) -> web.Response:
         """Show this process's own state, leader or not."""
         return _http.page_response(_control_pages.control_dump(self._node))
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -195,6 +195,10 @@
             session = to_entry.session
             self.mesh.send(session.entry_id, session.address, to_entry.message)
 
+    def address_of(self, replica_id: str) -> str:
+        """Return where a replica listens, or '' where it isn't known."""
+        return self._addresses().get(replica_id, '')
+
     def _addresses(self) -> dict[str, str]:
         return {**self.settings.members, **self.replica.membership.addresses}
 
--- a/greengagering/transport/_control_pages.py
+++ b/greengagering/transport/_control_pages.py
@@ -73,6 +73,17 @@
     )
 
 
+def members_page(node: ControlNode) -> pages.MembersPage:
+    """Return the control replicas."""
+    wanted = node.core.state.fleet.control
+    return pages.MembersPage(
+        leader_id=node.replica.leader_id,
+        members=tuple(_member_pages(node, time.monotonic())),
+        wanted=tuple(member.replica_id for member in wanted),
+        waiting=node.core.membership_waiting,
+    )
+
+
 def control_dump(node: ControlNode) -> pages.ControlDump:
     """Return the state of the process."""
     replica = node.replica
@@ -178,7 +189,9 @@
         members.append(
             pages.MemberPage(
                 replica_id=replica_id,
+                address=node.address_of(replica_id),
                 is_voter=replica_id in replica.membership.voters,
+                is_in_step=replica.is_in_step(replica_id, now_s),
                 match_index=match_index,
                 answered_ago_s=answered_ago_s,
             )
--- a/greengagering/transport/_entry_node.py
+++ b/greengagering/transport/_entry_node.py
@@ -211,10 +211,16 @@
                     outgoing.entry_id, outgoing.address, outgoing.message
                 )
                 continue
-            for replica_id, address in self.settings.controls.items():
+            for replica_id, address in self._controls().items():
                 if outgoing.leader_id in ('', replica_id):
                     self.mesh.send(replica_id, address, outgoing.report)
 
+    def _controls(self) -> dict[str, str]:
+        """Return the control replicas of the settings and of the tickets."""
+        named = self.core.follower.fleet.control
+        controls = {member.replica_id: member.address for member in named}
+        return {**self.settings.controls, **controls}
+
     def _pump(self) -> None:
         """Hand out free slots, and answer calls whose time is over."""
         now_s = time.monotonic()
