Decide on waves and tickets in time that does not grow with the fleet

Cause: at 13,000 VMs each accepted ticket cost 29.6 ms, as the check for a VM in two pools read every pool, twice; each step under a wave cost 57 ms, 50 times a second, as it counted every VM and worded why each one waits; a call looked at all 406 upstreams of its service. Ruled out: the log and the feed, 0.2 ms a ticket at 40 VMs. Change: a ticket is checked against what it touches; waves decide when something changed or once a second, count availability only when there is room, and word reasons when a page asks; a call tries three random pairs before it looks at all upstreams.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the system; see docs/CAPACITY.md."""
--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -22,10 +22,12 @@
 from greengagering.coordination._entry import EntryOptions
 from greengagering.coordination._entry import ToControl
 from greengagering.coordination._entry import ToPeer
+from greengagering.coordination._entry_messages import EntryAddress
 from greengagering.coordination._entry_messages import EntryMessage
 from greengagering.coordination._entry_messages import EntryReport
 from greengagering.coordination._entry_messages import FeedDelta
 from greengagering.coordination._entry_messages import FeedSnapshot
+from greengagering.coordination._entry_messages import Heartbeat
 from greengagering.coordination._entry_messages import HeartbeatBatch
 from greengagering.coordination._entry_messages import LeaseGrant
 from greengagering.coordination._entry_messages import TableDigest
@@ -51,6 +53,7 @@
 from greengagering.coordination._replica import Role
 from greengagering.coordination._retry_budget import RetryBudget
 from greengagering.coordination._waves import count_services
+from greengagering.coordination._waves import find_waiting
 from greengagering.coordination._waves import RebootOrder
 from greengagering.coordination._waves import wave_targets
 from greengagering.coordination._waves import WaveDecisions
@@ -67,6 +70,7 @@
     'ControlCore',
     'DispatchOptions',
     'Dispatcher',
+    'EntryAddress',
     'EntryCore',
     'EntryIdentity',
     'EntryMessage',
@@ -76,6 +80,7 @@
     'EntrySession',
     'FeedDelta',
     'FeedSnapshot',
+    'Heartbeat',
     'HeartbeatBatch',
     'LeaseGrant',
     'LeaseOptions',
@@ -106,5 +111,6 @@
     'VoteResponse',
     'WaveDecisions',
     'count_services',
+    'find_waiting',
     'wave_targets',
 ]
--- a/greengagering/coordination/_control.py
+++ b/greengagering/coordination/_control.py
@@ -18,6 +18,8 @@
 from greengagering import state
 
 SNAPSHOT_EVERY_ENTRIES = 1000
+DECISION_INTERVAL_S = 1.0
+"""Longest time between two decisions on waves, for what time alone moves."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +81,8 @@
         self._own_proposal_index = 0
         self._pending_reports: dict[str, state.VmReported] = {}
         self._is_join_scan_due = False
+        self._is_decision_due = True
+        self._decided_at_s = now_s
         if replica.log.snapshot is not None:
             self._load_snapshot(replica.log.snapshot)
         self._apply_committed()
@@ -241,6 +245,7 @@
 
     def _apply_command(self, entry: state.LogEntry) -> None:
         record = state.decode_record(entry.payload)
+        self._is_decision_due = True
         outcome = state.apply_to_control(self.state, entry.index, record)
         has_changed = isinstance(outcome, Ok) and isinstance(
             outcome.ok_value, state.Applied
@@ -253,7 +258,7 @@
         )
         if isinstance(record, state.TicketSubmitted):
             # A new pool may admit VMs that were reported before it.
-            self._is_join_scan_due = True
+            self._is_join_scan_due |= bool(record.ticket.pools)
             self._note_outcome(entry, record, outcome)
         if isinstance(record, state.VmReported):
             self._pending_reports.pop(record.vm, None)
@@ -309,7 +314,9 @@
         assert self.sessions is not None
         applied = self.state.fleet.revision
         confirmed = self.sessions.confirmed_revision(now_s, applied)
-        self.confirmed_revision = max(self.confirmed_revision, confirmed)
+        if confirmed > self.confirmed_revision:
+            self.confirmed_revision = confirmed
+            self._is_decision_due = True
 
     def _mark_in_force(self, now_ms: int) -> None:
         waiting = self._oldest_waiting_revision()
@@ -331,13 +338,8 @@
             self._is_join_scan_due = False
             for status in self.statuses.values():
                 self._note_facts(status.upstream)
-        if self._has_wave_work():
-            self.decisions = _waves.decide(self.view(now_s, now_ms))
-        else:
-            self.decisions = _waves.WaveDecisions()
+        self._decide(now_s, now_ms)
         self._reconcile_members(now_s)
-        for record in self.decisions.records:
-            self._propose(record)
         for report in self._pending_reports.values():
             self._propose(dataclasses.replace(report, at_ms=now_ms))
 
@@ -354,6 +356,20 @@
         else:
             self._own_proposal_index = proposed.ok_value
 
+    def _decide(self, now_s: float, now_ms: int) -> None:
+        """Decide on waves when something has changed, or now and then."""
+        if not self._has_wave_work():
+            self.decisions = _waves.WaveDecisions()
+            return
+        is_due = now_s >= self._decided_at_s + DECISION_INTERVAL_S
+        if not self._is_decision_due and not is_due:
+            return
+        self._is_decision_due = False
+        self._decided_at_s = now_s
+        self.decisions = _waves.decide(self.view(now_s, now_ms))
+        for record in self.decisions.records:
+            self._propose(record)
+
     def _has_wave_work(self) -> bool:
         fleet = self.state.fleet
         return bool(fleet.out_vms) or any(
@@ -370,7 +386,10 @@
         known = self.statuses.get(upstream.vm)
         if known is not None and _is_older(upstream, known.upstream):
             return
+        if status == known:
+            return
         self.statuses[upstream.vm] = status
+        self._is_decision_due = True
         self._note_facts(upstream)
 
     def _note_facts(self, upstream: entry_messages.Upstream) -> None:
--- a/greengagering/coordination/_dispatcher.py
+++ b/greengagering/coordination/_dispatcher.py
@@ -24,6 +24,8 @@
 Item = TypeVar('Item')
 SERVICE_TIME_WEIGHT = 0.1
 RETRY_AFTER_S = 1.0
+QUICK_CHOICES = 3
+"""Random pairs tried before every upstream of a service is looked at."""
 
 
 class ChoiceSource(Protocol):
@@ -215,6 +217,12 @@
         )
 
     def _choose(self, call: Call, now_s: float) -> Upstream | None:
+        serving = self._serving.get(call.service, [])
+        for _ in range(QUICK_CHOICES if len(serving) > 2 else 0):
+            pair = self._random.sample(serving, 2)
+            found = [u for u in pair if self._suits(u, call, now_s)]
+            if found:
+                return min(found, key=self._load_ratio)
         candidates = self._open(call.service, now_s)
         fresh = [c for c in candidates if c.vm not in call.avoided_vms]
         candidates = fresh or candidates
@@ -224,6 +232,11 @@
             candidates = self._random.sample(candidates, 2)
         return min(candidates, key=self._load_ratio)
 
+    def _suits(self, upstream: Upstream, call: Call, now_s: float) -> bool:
+        load = self._loads[upstream.vm]
+        is_open = load.is_open(upstream.facts.slot_count, now_s)
+        return is_open and upstream.vm not in call.avoided_vms
+
     def _load_ratio(self, upstream: Upstream) -> float:
         load = self._loads[upstream.vm]
         return load.in_flight_count / upstream.facts.slot_count
--- a/greengagering/coordination/_entry.py
+++ b/greengagering/coordination/_entry.py
@@ -15,6 +15,7 @@
 from greengagering.coordination._upstream_table import UpstreamTable
 
 Item = TypeVar('Item')
+SILENCE_CHECK_INTERVAL_S = 0.2
 
 
 class EntryRandom(Protocol):
@@ -127,6 +128,7 @@
         self._granted_at_s = float('-inf')
         self._relayed_at_s = float('-inf')
         self._digested_at_s = float('-inf')
+        self._silence_checked_at_s = float('-inf')
         self._home_entries: list[str] = [identity.entry_id]
         self._homed: set[str] = set()
 
@@ -171,7 +173,9 @@
 
     def step(self, now_s: float) -> None:
         """Do what is due by time or by what was received."""
-        self._check_silence(now_s)
+        if now_s >= self._silence_checked_at_s + SILENCE_CHECK_INTERVAL_S:
+            self._silence_checked_at_s = now_s
+            self._check_silence(now_s)
         self._send_changes()
         self._send_relays(now_s)
         self._send_digest(now_s)
--- a/greengagering/coordination/_waves.py
+++ b/greengagering/coordination/_waves.py
@@ -79,15 +79,39 @@
 def decide(view: FleetView) -> WaveDecisions:
     """Decide the next step of every wave."""
     decisions = WaveDecisions()
-    ledger = count_services(view)
-    for vm in view.fleet.vms.values():
-        if vm.phase is not state.VmPhase.SERVING:
-            _continue_vm(view, vm, decisions)
+    for name in sorted(view.fleet.out_vms):
+        _continue_vm(view, view.fleet.vms[name], decisions)
+    ledger = _LazyLedger(view)
     for name in sorted(view.fleet.waves):
         _step_wave(view, view.fleet.waves[name], ledger, decisions)
     return decisions
 
 
+def find_waiting(view: FleetView, wave: state.Wave) -> dict[str, str]:
+    """Return why each VM of a wave that is not taken yet waits, by name."""
+    ledger = count_services(view)
+    out = _count_out(view.fleet, wave)
+    reasons = {}
+    for vm in _left_targets(view.fleet, wave):
+        if vm.phase is state.VmPhase.SERVING:
+            reasons[vm.name] = _find_start_wait(view, wave, vm, ledger, out)
+    return reasons
+
+
+class _LazyLedger:
+    """Counts availability only when a wave has room for another VM."""
+
+    def __init__(self, view: FleetView) -> None:
+        self._view = view
+        self._ledger: _budgets.BudgetLedger | None = None
+
+    def get(self) -> _budgets.BudgetLedger:
+        """Return the one ledger of this round of decisions."""
+        if self._ledger is None:
+            self._ledger = count_services(self._view)
+        return self._ledger
+
+
 def _is_selected(wave: state.Wave, vm: state.Vm) -> bool:
     if vm.name in wave.vms or vm.pool in wave.pools:
         return True
@@ -223,28 +247,44 @@
 def _step_wave(
     view: FleetView,
     wave: state.Wave,
-    ledger: _budgets.BudgetLedger,
+    ledger: _LazyLedger,
     decisions: WaveDecisions,
 ) -> None:
     progress = view.fleet.progress[wave.name]
-    if progress.finished_at_ms or progress.stopped_reason:
+    if not _is_active(wave, progress, view.now_ms):
         return
-    if wave.intent is not state.WaveIntent.RUNNING:
+    if len(progress.failed) >= wave.max_failed_vms:
+        decisions.records.append(_stop(view, wave, progress))
         return
-    targets = wave_targets(view.fleet, wave)
-    # A VM belongs to the wave until it is done; one that is out for another
-    # wave is left to that one and taken afterwards.
-    left = [vm for vm in targets if vm.name not in progress.done]
-    if not left:
+    room = wave.max_parallel_vms - _count_out(view.fleet, wave)
+    if room <= 0:
+        return
+    left = _left_targets(view.fleet, wave)
+    if left:
+        _start_drains(view, wave, left, ledger.get(), room, decisions)
+    else:
         decisions.records.append(
             state.WaveFinished(wave.name, progress.ticket_number, view.now_ms)
         )
-        return
-    if len(progress.failed) >= wave.max_failed_vms:
-        decisions.records.append(_stop(view, wave, progress))
-        return
-    if view.now_ms >= wave.not_before_ms:
-        _start_drains(view, wave, left, ledger, decisions)
+
+
+def _is_active(
+    wave: state.Wave, progress: state.WaveProgress, now_ms: int
+) -> bool:
+    if progress.finished_at_ms or progress.stopped_reason:
+        return False
+    is_running = wave.intent is state.WaveIntent.RUNNING
+    return is_running and now_ms >= wave.not_before_ms
+
+
+def _count_out(fleet: state.FleetState, wave: state.Wave) -> int:
+    return sum(fleet.vms[name].wave == wave.name for name in fleet.out_vms)
+
+
+def _left_targets(fleet: state.FleetState, wave: state.Wave) -> list[state.Vm]:
+    """Return the VMs that a wave has not done, also those that are out."""
+    done = set(fleet.progress[wave.name].done)
+    return [vm for vm in wave_targets(fleet, wave) if vm.name not in done]
 
 
 def _stop(
@@ -264,32 +304,18 @@
     wave: state.Wave,
     left: list[state.Vm],
     ledger: _budgets.BudgetLedger,
+    room: int,
     decisions: WaveDecisions,
 ) -> None:
     progress = view.fleet.progress[wave.name]
-    out = sum(
-        1
-        for vm in view.fleet.vms.values()
-        if vm.wave == wave.name and vm.phase is not state.VmPhase.SERVING
-    )
     for vm in left:
-        if vm.phase is not state.VmPhase.SERVING:
-            continue
         status = view.statuses.get(vm.name)
-        if status is None:
-            decisions.waiting[vm.name] = 'no report of the upstream yet'
+        # A VM that is out for another wave is taken once it is back.
+        if vm.phase is not state.VmPhase.SERVING or status is None:
             continue
-        if out >= wave.max_parallel_vms:
-            decisions.waiting[vm.name] = (
-                f'{out} VMs of this wave are out, which is its bound'
-            )
-            continue
-        problem = ledger.find_problem(vm)
-        if problem:
-            decisions.waiting[vm.name] = problem
+        if ledger.find_problem(vm):
             continue
         ledger.book(vm)
-        out += 1
         decisions.records.append(
             state.VmPhaseChanged(
                 vm=vm.name,
@@ -300,3 +326,28 @@
                 boot_id=status.upstream.boot_id,
             )
         )
+        room -= 1
+        if not room:
+            return
+
+
+def _find_start_wait(
+    view: FleetView,
+    wave: state.Wave,
+    vm: state.Vm,
+    ledger: _budgets.BudgetLedger,
+    out: int,
+) -> str:
+    """Return what keeps a VM from being drained now."""
+    progress = view.fleet.progress[wave.name]
+    if progress.stopped_reason:
+        return 'the wave is stopped'
+    if wave.intent is not state.WaveIntent.RUNNING:
+        return f'the wave is {wave.intent}'
+    if view.now_ms < wave.not_before_ms:
+        return 'the wave has not begun'
+    if vm.name not in view.statuses:
+        return 'no report of the upstream yet'
+    if out >= wave.max_parallel_vms:
+        return f'{out} VMs of this wave are out, which is its bound'
+    return ledger.find_problem(vm) or 'is taken next'
--- a/greengagering/state/_admission.py
+++ b/greengagering/state/_admission.py
@@ -128,26 +128,35 @@
     state: _model.ControlState, ticket: _model.Ticket
 ) -> Refusal | None:
     """Find a VM that two pools would name once the ticket is applied."""
-    pools = dict(state.fleet.pools)
-    for pool in ticket.pools:
-        pools[pool.name] = pool
+    touched = {pool.name for pool in ticket.pools}
     holders: dict[str, str] = {}
-    for pool in pools.values():
-        for vm in pool.vms:
-            if vm in holders:
+    for pool in ticket.pools:
+        for name in pool.vms:
+            holder = holders.get(name) or _other_holder(state, name, touched)
+            if holder:
                 return Refusal(
                     kind=RefusalKind.VM_IN_TWO_POOLS,
                     field='pools.vms',
-                    value=vm,
+                    value=name,
                     message=(
-                        f'VM {vm} would be in pools {holders[vm]} and '
+                        f'VM {name} would be in pools {holder} and '
                         f'{pool.name}; a ticket that moves it must hold both'
                     ),
                 )
-            holders[vm] = pool.name
+            holders[name] = pool.name
     return None
 
 
+def _other_holder(
+    state: _model.ControlState, name: str, touched: set[str]
+) -> str:
+    """Return the pool that names a VM and is not touched, or ''."""
+    vm = state.fleet.vms.get(name)
+    if vm is None or not vm.named or vm.pool in touched:
+        return ''
+    return vm.pool
+
+
 def _find_unknown_pool(
     state: _model.ControlState, ticket: _model.Ticket
 ) -> Refusal | None:
@@ -164,18 +173,13 @@
     return None
 
 
-def _known_vms(state: _model.ControlState, ticket: _model.Ticket) -> set[str]:
-    named = {vm for pool in ticket.pools for vm in pool.vms}
-    return named | set(state.fleet.vms)
-
-
 def _find_unknown_vm(
     state: _model.ControlState, ticket: _model.Ticket
 ) -> Refusal | None:
-    known = _known_vms(state, ticket)
+    named = {vm for pool in ticket.pools for vm in pool.vms}
     for wave in ticket.waves:
         for name in wave.vms:
-            if name not in known:
+            if name not in named and name not in state.fleet.vms:
                 return Refusal(
                     kind=RefusalKind.UNKNOWN_VM,
                     field=f'waves.{wave.name}.vms',
@@ -189,6 +193,8 @@
     state: _model.ControlState, ticket: _model.Ticket
 ) -> Refusal | None:
     """Find a wave that selects places where no VM has been seen."""
+    if not any(wave.data_centres or wave.racks for wave in ticket.waves):
+        return None
     facts = [vm.facts for vm in state.fleet.vms.values() if vm.facts]
     data_centres = {fact.data_centre for fact in facts}
     racks = {fact.rack for fact in facts}
--- a/greengagering/transport/_control_pages.py
+++ b/greengagering/transport/_control_pages.py
@@ -59,6 +59,8 @@
     ]
     taken = set(progress.done) | {vm.name for vm in running}
     waiting = [vm for vm in targets if vm.name not in taken]
+    view = node.core.view(time.monotonic(), node.now_ms())
+    reasons = coordination.find_waiting(view, wave)
     return pages.WavePage(
         wave=name,
         ticket_number=progress.ticket_number,
@@ -69,7 +71,9 @@
         done=tuple(progress.done),
         running=tuple(_vm_line(node, vm) for vm in running),
         failed=tuple(progress.failed),
-        waiting=tuple(_vm_line(node, vm) for vm in waiting),
+        waiting=tuple(
+            _vm_line(node, vm, reasons.get(vm.name, '')) for vm in waiting
+        ),
     )
 
 
@@ -159,7 +163,9 @@
     return lines
 
 
-def _vm_line(node: ControlNode, vm: state.Vm) -> pages.VmLine:
+def _vm_line(
+    node: ControlNode, vm: state.Vm, waiting: str = ''
+) -> pages.VmLine:
     status = node.core.statuses.get(vm.name)
     return pages.VmLine(
         vm=vm.name,
@@ -170,7 +176,7 @@
         rack=vm.facts.rack if vm.facts else '',
         wave=vm.wave if vm.phase is not state.VmPhase.SERVING else '',
         ticket_number=vm.ticket_number,
-        waiting=node.core.decisions.waiting.get(vm.name, ''),
+        waiting=waiting or node.core.decisions.waiting.get(vm.name, ''),
     )
 
 
--- a/greengagering/transport/_entry_node.py
+++ b/greengagering/transport/_entry_node.py
@@ -172,12 +172,12 @@
         """Free the place or the slot of a call whose caller has gone."""
         if self.core.dispatcher.cancel(call) or not waiter.done():
             return
-        if waiter.cancelled() or isinstance(waiter.result(), Err):
+        if waiter.cancelled():
             return
-        target = waiter.result().ok_value
-        assert target is not None
-        outcome = coordination.AttemptOutcome.ABANDONED
-        self.release(call, target, outcome, 0.0)
+        result = waiter.result()
+        if isinstance(result, Ok):
+            outcome = coordination.AttemptOutcome.ABANDONED
+            self.release(call, result.ok_value, outcome, 0.0)
 
     def _on_message(
         self, sender: LinkSender, message: links.LinkMessage
