--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -32,10 +32,10 @@
     key: str,
     query: str = '',
     body: bytes = b'reroute',
-    **fields: str,
+    deadline_ms: int = 10_000,
 ) -> web.Answer:
     """Send keyed work."""
-    headers = {**keyed(context, key), **fields}
+    headers = {**keyed(context, key), DEADLINE: str(deadline_ms)}
     url = call_url(context, entry, 'dispatch', query)
     return await web.request('POST', url, body, headers)
 
@@ -206,7 +206,7 @@
     keyed(context, key)
     context.answers.append(
         context.system.thread.run(
-            post(context, entry, key, **{DEADLINE: str(deadline)})
+            post(context, entry, key, deadline_ms=deadline)
         )
     )
 
