--- a/features/steps/control_fault_steps.py
+++ b/features/steps/control_fault_steps.py
@@ -202,14 +202,6 @@
     context.page = context.system.wait_in_force(2)
 
 
-@then('entry-1 answers calls')
-def check_entry_one(context: Any) -> None:
-    answer = context.system.thread.run(
-        web.request('GET', call_url(context, 'entry-1', 'dispatch'))
-    )
-    assert answer.status == 200, answer
-
-
 @when('entry-2 is heard again')
 def heal_entry(context: Any) -> None:
     context.system.heal('entry-2')
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -1,7 +1,6 @@
 """Steps about tickets, calls and planned stops."""
 
 import asyncio
-import time
 from typing import Any
 
 from behave import given
@@ -270,10 +269,10 @@
     assert process.wait() == 0, process.log_text()
 
 
-@then('entry-2 answers calls')
-def check_other_entry(context: Any) -> None:
+@then('{entry} answers calls')
+def check_entry_answers(context: Any, entry: str) -> None:
     answer = context.system.thread.run(
-        web.request('GET', call_url(context, 'entry-2', 'dispatch'))
+        web.request('GET', call_url(context, entry, 'dispatch'))
     )
     assert answer.status == 200, answer
 
@@ -296,8 +295,3 @@
     assert context.system.leader() != context.stopped
     page = context.system.ask_control('GET', '/v1/tickets').json()
     assert [line['number'] for line in page['tickets']] == [1]
-
-
-@when('a short pause passes')
-def pause(context: Any) -> None:
-    time.sleep(0.5)
--- a/features/support/web.py
+++ b/features/support/web.py
@@ -62,3 +62,16 @@
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         elapsed_s = time.monotonic() - started_s
         return Answer(0, {}, b'', elapsed_s, repr(error))
+
+
+def encode(value: Any) -> bytes:
+    """Return JSON."""
+    return json.dumps(value).encode()
+
+
+def parse_answer(text: bytes) -> Answer:
+    """Read an answer that came over a plain socket."""
+    head, _, body = text.partition(b'\r\n\r\n')
+    lines = head.decode().split('\r\n')
+    fields = dict(line.split(': ', 1) for line in lines[1:])
+    return Answer(int(lines[0].split()[1]), fields, body)
--- a/greengagering/coordination/_replica.py
+++ b/greengagering/coordination/_replica.py
@@ -11,6 +11,7 @@
 from greengagering.coordination import _messages as messages
 from greengagering.coordination._progress import FollowerProgress
 from greengagering.coordination._replica_log import ReplicaLog
+from greengagering.coordination._snapshot_inbox import SnapshotInbox
 from greengagering.coordination import errors
 from greengagering import state
 from greengagering.state import errors as state_errors
@@ -79,15 +80,6 @@
     message: messages.ReplicaMessage
 
 
-@dataclasses.dataclass(slots=True)
-class _IncomingSnapshot:
-    """A snapshot that arrives in chunks from the leader of one term."""
-
-    index: int
-    leader_term: int
-    data: bytearray
-
-
 class Replica:
     """One control replica.
 
@@ -119,7 +111,7 @@
         self._outbox: list[Outgoing] = []
         self._proposals: list[state.LogEntry] = []
         self._votes: set[str] = set()
-        self._incoming: _IncomingSnapshot | None = None
+        self._inbox = SnapshotInbox()
         self._installed: state.Snapshot | None = None
         self._is_transfer = False
         self.term_start_index = 0
@@ -748,32 +740,15 @@
         if chunk.index <= self.commit_index:
             self._send_snapshot_response(peer, chunk, 0, is_installed=True)
             return
-        incoming = self._incoming_for(chunk)
-        if chunk.offset_bytes == len(incoming.data):
-            incoming.data += chunk.data
-            if chunk.is_last:
-                self._install(chunk, bytes(incoming.data))
-                self._send_snapshot_response(peer, chunk, 0, is_installed=True)
-                return
-        offset = len(incoming.data)
+        data = self._inbox.take(chunk)
+        if data is not None:
+            self._install(chunk, data)
+            self._send_snapshot_response(peer, chunk, 0, is_installed=True)
+            return
+        offset = self._inbox.next_offset_bytes()
         self._send_snapshot_response(peer, chunk, offset, is_installed=False)
 
-    def _incoming_for(
-        self, chunk: messages.SnapshotChunk
-    ) -> _IncomingSnapshot:
-        """Return the transfer that a chunk belongs to, new if need be."""
-        incoming = self._incoming
-        wanted = (chunk.index, chunk.term)
-        if (
-            incoming is None
-            or (incoming.index, incoming.leader_term) != wanted
-        ):
-            incoming = _IncomingSnapshot(chunk.index, chunk.term, bytearray())
-            self._incoming = incoming
-        return incoming
-
     def _install(self, chunk: messages.SnapshotChunk, data: bytes) -> None:
-        self._incoming = None
         snapshot = state.Snapshot(
             chunk.index, chunk.snapshot_term, chunk.membership, data
         )
--- a/greengagering/standins/_upstream.py
+++ b/greengagering/standins/_upstream.py
@@ -97,6 +97,7 @@
         self.in_flight = 0
         self.is_announcing = True
         self.announces_after_reboot = True
+        self.standing_fault = ''
         self._server: HttpServer | None = None
         self._session: aiohttp.ClientSession | None = None
         self._announcer: asyncio.Task[None] | None = None
@@ -229,7 +230,8 @@
         self._note_start(request)
         try:
             await asyncio.sleep(float(request.query.get('sleep_ms', 0)) / 1000)
-            fault = self._faults.get(request.query.get('fault', ''))
+            wanted = request.query.get('fault', self.standing_fault)
+            fault = self._faults.get(wanted)
             if fault is not None:
                 return await fault(request)
             self.counts.finished += 1
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -21,9 +21,8 @@
 from greengagering.transport import _metrics
 from greengagering.transport._peer_link import LinkIdentity
 from greengagering.transport._platform_client import PlatformClient
+from greengagering.transport._step_loop import StepLoop
 
-TICK_S = 0.04
-METRICS_INTERVAL_S = 1.0
 TRANSFER_POLL_S = 0.05
 
 TicketResult = Result[
@@ -76,14 +75,13 @@
             settings.link_address,
             self._on_message,
         )
+        self._loop = StepLoop(self._step, self._set_metrics)
         self._platform = PlatformClient(settings.platform_url, self.metrics)
         self._waiters: dict[
             coordination.ProposedTicket, asyncio.Future[TicketResult]
         ] = {}
-        self._is_step_due = False
         self._known_role = coordination.Role.FOLLOWER
         self._known_fault = ''
-        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listen for other processes and begin to take part.
@@ -92,11 +90,7 @@
             ListenError: the link address can't be listened on.
         """
         await self.mesh.start()
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(self._tick()),
-            loop.create_task(self._watch_metrics()),
-        ]
+        self._loop.start()
         logs.info(
             'control_started',
             replica_id=self.settings.replica_id,
@@ -110,9 +104,7 @@
         self.is_stopping = True
         await self._hand_over()
         self._fail_waiters()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._loop.stop()
         self._send_outbox()
         await self._platform.close()
         await self.mesh.close()
@@ -137,7 +129,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._waiters[place] = waiter
-        self._schedule_step()
+        self._loop.schedule()
         return await waiter
 
     def now_s(self) -> float:
@@ -168,15 +160,9 @@
                 kind=type(message).__name__,
             )
             return
-        self._schedule_step()
-
-    def _schedule_step(self) -> None:
-        if not self._is_step_due:
-            self._is_step_due = True
-            asyncio.get_running_loop().call_soon(self._step)
+        self._loop.schedule()
 
     def _step(self) -> None:
-        self._is_step_due = False
         now_s = time.monotonic()
         self.core.step(now_s, self.now_ms())
         if self.core.is_compaction_due():
@@ -251,16 +237,6 @@
                 return
             await asyncio.sleep(TRANSFER_POLL_S)
 
-    async def _tick(self) -> None:
-        while True:
-            self._step()
-            await asyncio.sleep(TICK_S)
-
-    async def _watch_metrics(self) -> None:
-        while True:
-            self._set_metrics()
-            await asyncio.sleep(METRICS_INTERVAL_S)
-
     def _set_metrics(self) -> None:
         live = 0
         if self.core.sessions is not None:
--- a/greengagering/transport/_entry_node.py
+++ b/greengagering/transport/_entry_node.py
@@ -20,11 +20,10 @@
 from greengagering.transport._mesh import Mesh
 from greengagering.transport import _metrics
 from greengagering.transport._peer_link import LinkIdentity
+from greengagering.transport._step_loop import StepLoop
 from greengagering.transport._upstream_client import UpstreamClient
 
-TICK_S = 0.04
 QUEUE_TICK_S = 0.005
-METRICS_INTERVAL_S = 1.0
 BOOT_ID_BYTES = 8
 STOP_POLL_S = 0.02
 BALANCER_NOTICE_S = 1.0
@@ -58,13 +57,12 @@
             self._on_message,
         )
         self.retries = coordination.RetryBudget()
-        self.claims = ClaimDesk(self.core, self._schedule_step)
+        self._loop = StepLoop(self._step, self._set_metrics)
+        self.claims = ClaimDesk(self.core, self._loop.schedule)
         self._upstreams: UpstreamClient | None = None
         self._waiters: dict[coordination.Call, asyncio.Future[SlotResult]] = {}
-        self._is_step_due = False
         self._had_lease = False
         self._queue_task: asyncio.Task[None] | None = None
-        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def upstreams(self) -> UpstreamClient:
@@ -80,11 +78,7 @@
         """
         await self.mesh.start()
         self._upstreams = UpstreamClient(self.settings.max_body_bytes)
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(self._tick()),
-            loop.create_task(self._watch_metrics()),
-        ]
+        self._loop.start()
         logs.info(
             'entry_started',
             entry_id=self.settings.entry_id,
@@ -106,12 +100,10 @@
 
     async def stop(self) -> None:
         """Close every link and connection."""
-        tasks = list(self._tasks)
+        await self._loop.stop()
         if self._queue_task is not None:
-            tasks.append(self._queue_task)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+            self._queue_task.cancel()
+            await asyncio.gather(self._queue_task, return_exceptions=True)
         await self.mesh.close()
         if self._upstreams is not None:
             await self._upstreams.close()
@@ -167,7 +159,7 @@
             announcement.in_flight_count,
             time.monotonic(),
         )
-        self._schedule_step()
+        self._loop.schedule()
         return reply
 
     def _abandon(
@@ -202,19 +194,13 @@
                 kind=type(message).__name__,
             )
             return
-        self._schedule_step()
+        self._loop.schedule()
 
     async def settle_claim(self, work: KeyedWork) -> Settlement:
         """Settle who runs a key's work; see ClaimDesk."""
         return await self.claims.settle(work)
 
-    def _schedule_step(self) -> None:
-        if not self._is_step_due:
-            self._is_step_due = True
-            asyncio.get_running_loop().call_soon(self._step)
-
     def _step(self) -> None:
-        self._is_step_due = False
         self.core.step(time.monotonic())
         self._send_outbox()
         self._pump()
@@ -285,16 +271,6 @@
         else:
             logs.warning('lease_lost', revision=self.core.follower.revision)
 
-    async def _tick(self) -> None:
-        while True:
-            self._step()
-            await asyncio.sleep(TICK_S)
-
-    async def _watch_metrics(self) -> None:
-        while True:
-            self._set_metrics()
-            await asyncio.sleep(METRICS_INTERVAL_S)
-
     def _set_metrics(self) -> None:
         dispatcher = self.core.dispatcher
         self.metrics.revision.set({}, self.core.follower.revision)
--- a/greengagering/transport/_metrics.py
+++ b/greengagering/transport/_metrics.py
@@ -6,6 +6,7 @@
 import aioprometheus
 from aioprometheus import renderer
 
+PREFIX = 'greengagering_'
 CALL_SECONDS_BUCKETS = (
     0.001,
     0.0025,
@@ -60,31 +61,29 @@
     """Return the metrics of a control process in a registry of their own."""
     registry = aioprometheus.Registry()
 
-    def counter(name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(
-            f'greengagering_{name}', doc, registry=registry
-        )
-
-    def gauge(name: str, doc: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(
-            f'greengagering_{name}', doc, registry=registry
-        )
-
     return ControlMetrics(
         registry=registry,
-        tickets=counter('tickets_total', 'Tickets by outcome.'),
-        is_leader=gauge('is_leader', '1 while this replica leads.'),
-        term=gauge('term', 'Present term.'),
-        revision=gauge('revision', 'Newest applied revision.'),
-        confirmed_revision=gauge(
-            'confirmed_revision', 'Newest revision in force everywhere.'
+        tickets=_counter(registry, 'tickets_total', 'Tickets by outcome.'),
+        is_leader=_gauge(registry, 'is_leader', '1 while this replica leads.'),
+        term=_gauge(registry, 'term', 'Present term.'),
+        revision=_gauge(registry, 'revision', 'Newest applied revision.'),
+        confirmed_revision=_gauge(
+            registry,
+            'confirmed_revision',
+            'Newest revision in force everywhere.',
+        ),
+        live_entries=_gauge(registry, 'live_entries', 'Entries with a lease.'),
+        out_vms=_gauge(
+            registry, 'out_vms', 'VMs that are draining, rebooting, failed.'
         ),
-        live_entries=gauge('live_entries', 'Entries with a lease.'),
-        out_vms=gauge('out_vms', 'VMs that are draining, rebooting, failed.'),
-        reboot_requests=counter(
-            'reboot_requests_total', 'Requests to the platform by result.'
+        reboot_requests=_counter(
+            registry,
+            'reboot_requests_total',
+            'Requests to the platform by result.',
+        ),
+        synced_bytes=_gauge(
+            registry, 'synced_bytes', 'Bytes written and synced.'
         ),
-        synced_bytes=gauge('synced_bytes', 'Bytes written and synced.'),
     )
 
 
@@ -92,36 +91,52 @@
     """Return the metrics of an entry in a registry of their own."""
     registry = aioprometheus.Registry()
 
-    def counter(name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(
-            f'greengagering_{name}', doc, registry=registry
-        )
+    return EntryMetrics(
+        registry=registry,
+        calls=_counter(
+            registry, 'calls_total', 'Calls by service, class and outcome.'
+        ),
+        call_seconds=_histogram(
+            registry, 'call_seconds', 'Time from call to answer.'
+        ),
+        wait_seconds=_histogram(
+            registry, 'wait_seconds', 'Time in the queue.'
+        ),
+        retries=_counter(
+            registry, 'retries_total', 'Attempts after the first.'
+        ),
+        announcements=_counter(
+            registry, 'announcements_total', 'Announcements.'
+        ),
+        revision=_gauge(
+            registry, 'revision', 'Revision that calls are served by.'
+        ),
+        has_lease=_gauge(
+            registry, 'has_lease', '1 while new calls may be served.'
+        ),
+        in_flight=_gauge(registry, 'in_flight', 'Calls at upstreams.'),
+        queued=_gauge(registry, 'queued', 'Calls that wait, by service.'),
+        upstreams=_gauge(registry, 'upstreams', 'Upstreams known.'),
+    )
 
-    def gauge(name: str, doc: str) -> aioprometheus.Gauge:
-        return aioprometheus.Gauge(
-            f'greengagering_{name}', doc, registry=registry
-        )
 
-    def histogram(name: str, doc: str) -> aioprometheus.Histogram:
-        return aioprometheus.Histogram(
-            f'greengagering_{name}',
-            doc,
-            registry=registry,
-            buckets=CALL_SECONDS_BUCKETS,
-        )
+def _counter(
+    registry: aioprometheus.Registry, name: str, doc: str
+) -> aioprometheus.Counter:
+    return aioprometheus.Counter(PREFIX + name, doc, registry=registry)
 
-    return EntryMetrics(
-        registry=registry,
-        calls=counter('calls_total', 'Calls by service, class and outcome.'),
-        call_seconds=histogram('call_seconds', 'Time from call to answer.'),
-        wait_seconds=histogram('wait_seconds', 'Time in the queue.'),
-        retries=counter('retries_total', 'Attempts after the first.'),
-        announcements=counter('announcements_total', 'Announcements.'),
-        revision=gauge('revision', 'Revision that calls are served by.'),
-        has_lease=gauge('has_lease', '1 while new calls may be served.'),
-        in_flight=gauge('in_flight', 'Calls at upstreams.'),
-        queued=gauge('queued', 'Calls that wait, by service.'),
-        upstreams=gauge('upstreams', 'Upstreams known.'),
+
+def _gauge(
+    registry: aioprometheus.Registry, name: str, doc: str
+) -> aioprometheus.Gauge:
+    return aioprometheus.Gauge(PREFIX + name, doc, registry=registry)
+
+
+def _histogram(
+    registry: aioprometheus.Registry, name: str, doc: str
+) -> aioprometheus.Histogram:
+    return aioprometheus.Histogram(
+        PREFIX + name, doc, registry=registry, buckets=CALL_SECONDS_BUCKETS
     )
 
 
