Keep entries on their peers' lists while a new leader gets to know them

Cause: for its first 1.9 s a new leader lists only the entries that have reported to it. Ruled out: failed attempts and lost verdicts; no log line of either. Change: a lease says whether its list is complete; a partial one only adds.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -323,6 +323,7 @@
                     coordination.EntryAddress(f'entry-{n}', '10.0.0.1:7100')
                     for n in range(28)
                 ),
+                True,
             ),
             1,
         ),
--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -32,3 +32,10 @@
     Then it asks for no vote
     When five of the longest election times pass
     Then it asks every voter for a vote
+
+  Scenario: A new leader's first leases take no live entry off an entry's list
+    Given an entry that knows entry-1, entry-2 and entry-3
+    When a new leader that has heard entry-2 only grants it a lease
+    Then it still knows entry-1, entry-2 and entry-3
+    When the leader knows every entry that may have a lease, entry-1 and entry-2
+    Then it knows entry-1 and entry-2
--- a/features/steps/replica_rule_steps.py
+++ b/features/steps/replica_rule_steps.py
@@ -189,3 +189,52 @@
 def check_asks(context: Any) -> None:
     asked = [outgoing.receiver for outgoing in context.replica.take_outbox()]
     assert asked == list(VOTERS), asked
+
+
+def _grant(
+    context: Any, term: int, names: list[str], *, is_complete: bool
+) -> None:
+    entries = tuple(coordination.EntryAddress(n, f'{n}:1') for n in names)
+    grant = coordination.LeaseGrant(
+        leader_id='control-1',
+        term=term,
+        entry_boot_id='boot',
+        report_sent_at_s=1.0,
+        duration_s=1.8,
+        confirmed_revision=0,
+        entries=entries,
+        is_complete=is_complete,
+    )
+    context.entry.receive('control-1', grant, 1.0)
+
+
+@given('an entry that knows entry-1, entry-2 and entry-3')
+def make_entry(context: Any) -> None:
+    identity = coordination.EntryIdentity('entry-2', 'boot', 'a:1', 'dc-1')
+    context.entry = coordination.EntryCore(identity, random.Random(1))
+    names = ['entry-1', 'entry-2', 'entry-3']
+    _grant(context, 1, names, is_complete=True)
+
+
+@when('a new leader that has heard entry-2 only grants it a lease')
+def grant_partial(context: Any) -> None:
+    _grant(context, 2, ['entry-2'], is_complete=False)
+
+
+@when(
+    'the leader knows every entry that may have a lease, entry-1 and entry-2'
+)
+def grant_complete(context: Any) -> None:
+    _grant(context, 2, ['entry-1', 'entry-2'], is_complete=True)
+
+
+@then('it still knows entry-1, entry-2 and entry-3')
+def check_three(context: Any) -> None:
+    names = [entry.entry_id for entry in context.entry.follower.entries]
+    assert names == ['entry-1', 'entry-2', 'entry-3'], names
+
+
+@then('it knows entry-1 and entry-2')
+def check_two(context: Any) -> None:
+    names = [entry.entry_id for entry in context.entry.follower.entries]
+    assert names == ['entry-1', 'entry-2'], names
--- a/greengagering/coordination/_control.py
+++ b/greengagering/coordination/_control.py
@@ -331,6 +331,7 @@
             duration_s=self.lease_options.duration_s,
             confirmed_revision=self.confirmed_revision,
             entries=None if digest == report.entries_digest else entries,
+            is_complete=self.sessions.is_complete(now_s),
         )
         self._send_entry(session, grant)
 
--- a/greengagering/coordination/_entry_messages.py
+++ b/greengagering/coordination/_entry_messages.py
@@ -148,6 +148,8 @@
         confirmed_revision: newest revision that holds on every entry.
         entries: every entry with a lease, or None where the receiver knows
             them already.
+        is_complete: whether every entry with a lease is among them; a new
+            leader knows only those that have reported to it.
     """
 
     leader_id: str
@@ -157,6 +159,7 @@
     duration_s: float
     confirmed_revision: int
     entries: tuple[EntryAddress, ...] | None
+    is_complete: bool
 
 
 def digest_entries(entries: tuple[EntryAddress, ...]) -> int:
--- a/greengagering/coordination/_entry_sessions.py
+++ b/greengagering/coordination/_entry_sessions.py
@@ -155,6 +155,10 @@
         self._drop_lapsed(now_s)
         return list(self._sessions.values())
 
+    def is_complete(self, now_s: float) -> bool:
+        """Tell whether every entry that may have a lease is known."""
+        return now_s >= self._known_after_s
+
     def confirmed_revision(self, now_s: float, applied_revision: int) -> int:
         """Return the newest revision that holds on every entry, or 0.
 
@@ -163,7 +167,7 @@
             applied_revision: what the leader has applied; the answer when
                 no entry holds a lease.
         """
-        if now_s < self._known_after_s:
+        if not self.is_complete(now_s):
             return 0
         revisions = [s.confirmed_revision for s in self.live(now_s)]
         return min(revisions, default=applied_revision)
--- a/greengagering/coordination/_follower.py
+++ b/greengagering/coordination/_follower.py
@@ -45,9 +45,20 @@
         self.leader_term = grant.term
         self.leader_id = grant.leader_id
         if grant.entries is not None:
-            self.entries = grant.entries
+            self._note_entries(grant.entries, is_complete=grant.is_complete)
         return is_new
 
+    def _note_entries(
+        self,
+        entries: tuple[entry_messages.EntryAddress, ...],
+        *,
+        is_complete: bool,
+    ) -> None:
+        """Adopt the live entries; a partial list removes none."""
+        known = {} if is_complete else {e.entry_id: e for e in self.entries}
+        known.update({entry.entry_id: entry for entry in entries})
+        self.entries = tuple(known[name] for name in sorted(known))
+
     def apply_delta(self, delta: entry_messages.FeedDelta) -> bool:
         """Apply newer records; return False for a gap, which is sent again."""
         if delta.from_revision > self.revision:
