Let the leader miss a dead replica before a ticket is to be refused

Ruled out: a change that takes effect: the step to the new voters is refused again by the replica itself while no quorum of them is in step. Change: the step waits until the members page shows the replica out of step.

--- a/features/control_faults.feature
+++ b/features/control_faults.feature
@@ -93,7 +93,7 @@
   Scenario: A change of replicas that would break the quorum is refused
     Given 3 control replicas and 1 entries
     And accepted ticket 1
-    When control-3 is killed
+    When control-3 is killed and the leader has missed its answers
     Then a ticket that removes a live replica is refused as quorum_at_risk
     And a ticket that replaces two replicas is refused as quorum_at_risk
     And ticket 2 is accepted by the other two
--- a/features/steps/control_fault_steps.py
+++ b/features/steps/control_fault_steps.py
@@ -456,6 +456,21 @@
     context.system.wait_until(is_replaced, 'control-4 has replaced control-3')
 
 
+@when('control-3 is killed and the leader has missed its answers')
+def kill_and_miss(context: Any) -> None:
+    system = context.system
+    system.processes['control-3'].kill()
+
+    def is_missed() -> bool:
+        members = system.ask_control('GET', '/v1/control').json()['members']
+        return any(
+            m['replica_id'] == 'control-3' and not m['is_in_step']
+            for m in members
+        )
+
+    system.wait_until(is_missed, 'the leader has missed control-3')
+
+
 @when('{name} is killed')
 def kill(context: Any, name: str) -> None:
     context.system.processes[name].kill()
