Stop the processes of a benchmark also when it fails

Cause: a benchmark that ended by an error left 13 processes behind, which slowed later runs and figures on the machine. Change: the system of a benchmark is closed by a with statement.

--- a/benchmarks/call_overhead.py
+++ b/benchmarks/call_overhead.py
@@ -85,8 +85,10 @@
         seconds: length of the closed loop.
         json_path: file for the figures, if wanted.
     """
-    with tempfile.TemporaryDirectory() as folder:
-        system = System(pathlib.Path(folder))
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        System(pathlib.Path(folder)) as system,
+    ):
         system.start_controls(1)
         system.start_entry('entry-1')
         system.wait_ready('entry-1')
@@ -123,7 +125,6 @@
                     'calls/s',
                 )
             )
-        system.close()
     report.report(figures, json_path)
 
 
--- a/benchmarks/control_times.py
+++ b/benchmarks/control_times.py
@@ -58,10 +58,9 @@
 
 
 def start_system(
-    folder: pathlib.Path, replicas: int, entries: int, delay_ms: float
-) -> System:
+    system: System, replicas: int, entries: int, delay_ms: float
+) -> None:
     """Start replicas and entries behind links with a delay."""
-    system = System(folder)
     system.start_controls(replicas)
     names = [f'entry-{number}' for number in range(entries)]
     for name in names:
@@ -70,7 +69,6 @@
         system.wait_ready(name)
     for name in (*system.members, *names):
         system._delay(name, delay_ms / 1000)
-    return system
 
 
 def measure_tickets(
@@ -172,8 +170,10 @@
 
 def measure_restart(history: int) -> list[report.Figure]:
     """Time the restart of one replica against the length of its history."""
-    with tempfile.TemporaryDirectory() as folder:
-        system = System(pathlib.Path(folder))
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        System(pathlib.Path(folder)) as system,
+    ):
         system.start_controls(1)
         measure_rate(system, 1, history, '')
         data = pathlib.Path(folder) / 'control-1-data'
@@ -184,7 +184,6 @@
         system.leader()
         elapsed_s = time.monotonic() - started
         memory_mb = system.dump('control-1')['resident_memory_mb']
-        system.close()
     label = f'history of {history} tickets'
     return [
         report.Figure(f'restart until it leads, {label}', elapsed_s, 's'),
@@ -197,7 +196,7 @@
     entries: int = 9,
     delay_ms: float = 1.5,
     tickets: int = 100,
-    histories: tuple[int, ...] = (100, 1000),
+    histories: tuple[int, ...] | list[int] = (100, 1000),
     json_path: str = '',
 ) -> None:
     """Measure acceptance, in force, rate, failover, idle use and restarts.
@@ -212,15 +211,15 @@
     figures = []
     for replicas in (3, 5):
         label = f'{replicas} replicas, {entries} entries, {delay_ms} ms'
-        with tempfile.TemporaryDirectory() as folder:
-            system = start_system(
-                pathlib.Path(folder), replicas, entries, delay_ms
-            )
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            System(pathlib.Path(folder)) as system,
+        ):
+            start_system(system, replicas, entries, delay_ms)
             figures += measure_tickets(system, 1, tickets, label)
             figures += measure_rate(system, 10_000, tickets * 5, label)
             figures += measure_idle(system, label)
             figures += measure_failover(system, 90_000, label)
-            system.close()
     for history in histories:
         figures += measure_restart(history)
     report.report(figures, json_path)
--- a/features/support/system.py
+++ b/features/support/system.py
@@ -41,6 +41,14 @@
         self.thread.run(self.platform.start())
         self._settings: dict[str, pathlib.Path] = {}
 
+    def __enter__(self) -> 'System':
+        """Return the system itself."""
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        """Stop everything, also after an error."""
+        self.close()
+
     def close(self) -> None:
         """Stop everything that this scenario started."""
         for process in self.processes.values():
