Start calls only under a lease, also those that waited for a slot

Cause: found by reading. A call that was admitted under a lease and waited for a slot was started when the slot came free, also after the lease had run out; a stopping entry gave its lease back while calls still waited. The leader counts on it that neither starts anything: a VM that it takes as drained could get a call and be rebooted with it. Ruled out: calls in flight; they are seen by the entry and the upstream. Change: the lease is checked where calls start; without it, waiting calls are refused at once as not run. A stopping entry refuses new calls, ends those that wait or run, and only then gives its lease back. The control search lets calls wait, with fewer slots, and checks the revision by which each one starts.

--- a/features/control_faults.feature
+++ b/features/control_faults.feature
@@ -33,6 +33,15 @@
     When entry-2 is heard again
     Then entry-2 is ready and serves by a revision not older than ticket 2
 
+  Scenario: A call that waits when its entry is cut off is refused and not started
+    Given 3 control replicas and 2 entries
+    And upstreams vm-1, vm-2 and vm-3 announce pool dispatch-pool to any entry
+    And ticket 1 puts pool dispatch-pool for service dispatch in force
+    When 24 calls hold every slot for 4000 ms
+    And a call waits at entry-2 when entry-2 hears nothing any more
+    Then the waiting call is refused as not-run because no_lease
+    And the upstreams have run the 24 calls only
+
   Scenario: A restarted cluster answers as before
     Given 3 control replicas and 1 entries
     And accepted tickets 1 to 30
--- a/features/search/control_search.py
+++ b/features/search/control_search.py
@@ -19,7 +19,7 @@
 LEASE_S = 1.2
 MIN_AVAILABLE = 2
 VM_COUNT = 4
-CALL_RATIO = 0.5
+CALL_RATIO = 0.8
 ENTRIES = ('entry-0', 'entry-1', 'entry-2')
 CONTROLS = ('control-0', 'control-1', 'control-2')
 
@@ -255,11 +255,24 @@
             call_class=coordination.CallClass.URGENT,
             deadline_s=now_s + 5,
         )
-        submitted = node.core.dispatcher.submit(call, now_s)
+        submitted = node.core.submit(call, now_s)
         if isinstance(submitted, Err) or submitted.ok_value is None:
-            node.core.dispatcher.cancel(call)
             return
-        target = submitted.ok_value.target
+        self._start_call(node, call, submitted.ok_value.target)
+
+    def _start_call(
+        self,
+        node: EntryNode,
+        call: coordination.Call,
+        target: coordination.Target,
+    ) -> None:
+        assert node.core is not None
+        revision = node.core.follower.revision
+        if revision < self.marked_revision:
+            raise InvariantError(
+                f'{node.name} starts a call by revision {revision} while '
+                f'{self.marked_revision} is in force'
+            )
         arrives_s = self.now_s + self.rng.uniform(0.001, 0.1)
         self.vms[target.vm].calls.append(
             fleet_fakes.FakeCall(
@@ -335,7 +348,11 @@
     def _step_entry(self, node: EntryNode) -> None:
         if node.core is None:
             return
-        node.core.step(node.clock.read(self.now_s))
+        now_s = node.clock.read(self.now_s)
+        node.core.step(now_s)
+        node.core.refuse_waiting(now_s)
+        for assignment in node.core.assign_waiting(now_s):
+            self._start_call(node, assignment.call, assignment.target)
         for outgoing in node.core.take_outbox():
             if isinstance(outgoing, coordination.ToPeer):
                 self._send(node.name, outgoing.entry_id, outgoing.message)
--- a/features/search/fleet_fakes.py
+++ b/features/search/fleet_fakes.py
@@ -9,7 +9,7 @@
 
 ANNOUNCE_S = 0.5
 REBOOT_S = 0.6
-SLOTS = 4
+SLOTS = 2
 
 
 @dataclasses.dataclass
--- a/features/steps/control_fault_steps.py
+++ b/features/steps/control_fault_steps.py
@@ -196,6 +196,25 @@
     assert int(answer.fields['Retry-After']) > 0
 
 
+@when('a call waits at entry-2 when entry-2 hears nothing any more')
+def wait_and_silence(context: Any) -> None:
+    system = context.system
+    url = call_url(context, 'entry-2', 'dispatch')
+    context.waiting = system.thread.start(web.request('GET', url))
+    system.wait_until(
+        lambda: system.dump('entry-2')['queued'].get('dispatch') == 1,
+        'the call waits at entry-2',
+    )
+    system.silence('entry-2')
+
+
+@then('the waiting call is refused as not-run because no_lease')
+def check_waiting_refused(context: Any) -> None:
+    answer = context.waiting.result(30)
+    shown = (answer.status, answer.outcome, answer.reason)
+    assert shown == (503, 'not-run', 'no_lease'), answer
+
+
 @then('ticket 2 comes in force without entry-2')
 def check_without_entry(context: Any) -> None:
     accept(context, plain_ticket(2))
--- a/greengagering/coordination/_dispatcher.py
+++ b/greengagering/coordination/_dispatcher.py
@@ -165,6 +165,16 @@
             expired += queue.expire(now_s)
         return expired
 
+    def drop_waiting(self) -> list[Call]:
+        """Remove and return every waiting call."""
+        dropped = []
+        for queue in self._queues.values():
+            while len(queue):
+                call = queue.pop()
+                if call is not None:
+                    dropped.append(call)
+        return dropped
+
     def cancel(self, call: Call) -> bool:
         """Drop a waiting call whose caller has gone."""
         return self._queue(call.service).remove(call)
--- a/greengagering/coordination/_entry.py
+++ b/greengagering/coordination/_entry.py
@@ -4,6 +4,10 @@
 from typing import Protocol
 from typing import TypeVar
 
+from greengagering.coordination._call_model import Assignment
+from greengagering.coordination._call_model import Call
+from greengagering.coordination._call_model import CallRefusal
+from greengagering.coordination._call_model import RefusalReason
 from greengagering.coordination._claim_book import ClaimBook
 from greengagering.coordination import _claim_messages as claim_messages
 from greengagering.coordination._dispatcher import Dispatcher
@@ -15,11 +19,15 @@
 from greengagering.coordination._liveness import LivenessOptions
 from greengagering.coordination._status_outbox import StatusOutbox
 from greengagering.coordination._upstream_table import UpstreamTable
+from result import Err
+from result import Result
+
 from greengagering import state
 
 Item = TypeVar('Item')
 SILENCE_CHECK_INTERVAL_S = 0.2
 CLAIM_CLEAR_INTERVAL_S = 60.0
+NO_LEASE_REFUSAL = CallRefusal(RefusalReason.NO_LEASE, retry_after_s=1.0)
 
 
 class EntryRandom(Protocol):
@@ -94,6 +102,14 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedCall:
+    """A call that was removed from its queue without running."""
+
+    call: Call
+    refusal: CallRefusal
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnnounceReply:
     """What an upstream is told.
@@ -125,6 +141,7 @@
         self.liveness = Liveness(self.options.liveness)
         self.dispatcher = Dispatcher(self.table, random, self.options.dispatch)
         self.claims = ClaimBook(identity.boot_id)
+        self.is_closing = False
         self.is_leaving = False
         self._random = random
         self._statuses = StatusOutbox()
@@ -195,15 +212,53 @@
         self._send_claims(now_s)
         self._send_report(now_s)
 
+    def submit(
+        self, call: Call, now_s: float
+    ) -> Result[Assignment | None, CallRefusal]:
+        """Give a call a slot, or let it wait, or refuse it.
+
+        A call starts only under a lease, also when it was admitted under one
+        before: without, the fleet may have changed, and the leader counts on
+        it that nothing more starts here.
+        """
+        if not self.follower.has_lease(now_s):
+            return Err(NO_LEASE_REFUSAL)
+        return self.dispatcher.submit(call, now_s)
+
+    def assign_waiting(self, now_s: float) -> list[Assignment]:
+        """Return waiting calls that a free slot was found for."""
+        if not self.follower.has_lease(now_s):
+            return []
+        return self.dispatcher.assign_waiting(now_s)
+
+    def refuse_waiting(self, now_s: float) -> list[RefusedCall]:
+        """Remove and return waiting calls that can't start any more."""
+        refused = [
+            RefusedCall(call, CallRefusal(RefusalReason.DEADLINE_PASSED))
+            for call in self.dispatcher.expire(now_s)
+        ]
+        if not self.follower.has_lease(now_s):
+            refused += [
+                RefusedCall(call, NO_LEASE_REFUSAL)
+                for call in self.dispatcher.drop_waiting()
+            ]
+        return refused
+
+    def close_to_calls(self) -> None:
+        """Admit no new call; those that wait or run keep their lease."""
+        self.is_closing = True
+
     def leave(self, now_s: float) -> None:
-        """Give the lease back; no new call may be admitted after this."""
+        """Give the lease back; no call may start after this."""
+        self.is_closing = True
         self.is_leaving = True
+        self.follower.is_given_back = True
         self._is_report_due = True
         self._send_report(now_s)
 
     def may_serve(self, now_s: float) -> bool:
         """Tell whether new calls may be admitted."""
-        return not self.is_leaving and self.follower.has_lease(now_s)
+        return not self.is_closing and self.follower.has_lease(now_s)
 
     def take_outbox(self) -> list[ToControl | ToPeer]:
         """Return the messages to send, once."""
--- a/greengagering/coordination/_follower.py
+++ b/greengagering/coordination/_follower.py
@@ -11,6 +11,7 @@
         self.boot_id = boot_id
         self.fleet = state.FleetState()
         self.lease_ends_s = float('-inf')
+        self.is_given_back = False
         self.confirmed_revision = 0
         self.leader_id = ''
         self.leader_term = 0
@@ -24,7 +25,7 @@
 
     def has_lease(self, now_s: float) -> bool:
         """Tell whether new calls may be served by this copy."""
-        return now_s < self.lease_ends_s
+        return not self.is_given_back and now_s < self.lease_ends_s
 
     def note_grant(self, grant: entry_messages.LeaseGrant) -> bool:
         """Take a lease; return whether the leader is another than before.
--- a/greengagering/transport/_call_handler.py
+++ b/greengagering/transport/_call_handler.py
@@ -116,15 +116,7 @@
 
     async def _handle_open(self, request: web.Request) -> web.Response:
         if not self._node.may_serve():
-            reason = coordination.RefusalReason.NO_LEASE
-            if self._node.core.is_leaving:
-                reason = coordination.RefusalReason.STOPPING
-            refusal = coordination.CallRefusal(reason, RETRY_AFTER_S)
-            response = refusal_response(refusal)
-            if headers.IDEMPOTENCY_KEY in request.headers:
-                # Another entry may have run the key, and this one can't ask.
-                response.headers[headers.OUTCOME] = headers.CallOutcome.UNKNOWN
-            return response
+            return self._refuse_unready(request)
         settings = self._node.settings
         try:
             options = _call_headers.parse_call_headers(
@@ -148,6 +140,17 @@
             return await self._handle_keyed(state, work)
         return await self._attempt_until_done(state)
 
+    def _refuse_unready(self, request: web.Request) -> web.Response:
+        reason = coordination.RefusalReason.NO_LEASE
+        if self._node.core.is_closing:
+            reason = coordination.RefusalReason.STOPPING
+        refusal = coordination.CallRefusal(reason, RETRY_AFTER_S)
+        response = refusal_response(refusal)
+        if headers.IDEMPOTENCY_KEY in request.headers:
+            # Another entry may have run the key, and this one can't ask.
+            response.headers[headers.OUTCOME] = headers.CallOutcome.UNKNOWN
+        return response
+
     async def _handle_keyed(
         self, state: _CallState, work: KeyedWork
     ) -> web.Response:
--- a/greengagering/transport/_entry_node.py
+++ b/greengagering/transport/_entry_node.py
@@ -90,13 +90,14 @@
         """Fail readiness, then refuse new calls, then end those in flight."""
         self.is_stopping = True
         await asyncio.sleep(BALANCER_NOTICE_S)
-        self.core.leave(time.monotonic())
-        self._send_outbox()
+        self.core.close_to_calls()
         ends_s = time.monotonic() + self.settings.stop_timeout_s
         while self.open_calls and time.monotonic() < ends_s:
             await asyncio.sleep(STOP_POLL_S)
         if self.open_calls:
             logs.warning('calls_cut', count=self.open_calls)
+        self.core.leave(time.monotonic())
+        self._send_outbox()
 
     async def stop(self) -> None:
         """Close every link and connection."""
@@ -119,7 +120,7 @@
         A cancelled wait frees the call's place in the queue.
         """
         now_s = time.monotonic()
-        submitted = self.core.dispatcher.submit(call, now_s)
+        submitted = self.core.submit(call, now_s)
         if isinstance(submitted, Err):
             return submitted
         if submitted.ok_value is not None:
@@ -226,13 +227,9 @@
     def _pump(self) -> None:
         """Hand out free slots, and answer calls whose time is over."""
         now_s = time.monotonic()
-        dispatcher = self.core.dispatcher
-        for call in dispatcher.expire(now_s):
-            refusal = coordination.CallRefusal(
-                coordination.RefusalReason.DEADLINE_PASSED
-            )
-            self._settle(call, Err(refusal))
-        for assignment in dispatcher.assign_waiting(now_s):
+        for refused in self.core.refuse_waiting(now_s):
+            self._settle(refused.call, Err(refused.refusal))
+        for assignment in self.core.assign_waiting(now_s):
             self._settle(assignment.call, Ok(assignment.target))
 
     def _settle(self, call: coordination.Call, result: SlotResult) -> None:
