Reboot a VM that restarted by itself while it drained

Cause: found by reading. The boot that a reboot must replace was noted when the drain began; an upstream that crashed and came back while it drained then counted as rebooted, and the platform was never waited for. Ruled out: boots of another VM; the table orders the boots of each. Change: the boot is noted when the reboot is decided.

--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -64,7 +64,9 @@
 from greengagering.coordination._replica import Role
 from greengagering.coordination._retry_budget import RetryBudget
 from greengagering.coordination._waves import count_services
+from greengagering.coordination._waves import decide as decide_waves
 from greengagering.coordination._waves import find_waiting
+from greengagering.coordination._waves import FleetView
 from greengagering.coordination._waves import RebootOrder
 from greengagering.coordination._waves import wave_targets
 from greengagering.coordination._waves import WaveDecisions
@@ -132,7 +134,9 @@
     'VoteRequest',
     'VoteResponse',
     'WaveDecisions',
+    'FleetView',
     'count_services',
+    'decide_waves',
     'find_waiting',
     'wave_targets',
 ]
--- a/greengagering/coordination/_entry_sessions.py
+++ b/greengagering/coordination/_entry_sessions.py
@@ -100,23 +100,7 @@
             now_s: leader's clock.
             is_level: whether the entry may get a lease for it.
         """
-        key = (report.entry_id, report.boot_id)
-        session = self._sessions.get(key)
-        if session is None:
-            session = EntrySession(
-                entry_id=report.entry_id,
-                boot_id=report.boot_id,
-                address=report.address,
-                lease_ends_s=now_s,
-                confirmed_revision=report.applied_revision,
-                sent_revision=report.applied_revision,
-                sent_at_s=now_s,
-                busy_vms=frozenset(),
-                reported_at_s=report.sent_at_s,
-                awaited_revision=0,
-                awaited_since_s=now_s,
-            )
-            self._sessions[key] = session
+        session = self._session_of(report, now_s)
         if report.sent_at_s < session.reported_at_s:
             # A report that was overtaken says nothing about the present.
             return ReportOutcome(session, is_granted=False)
@@ -186,6 +170,29 @@
             for entry_id in sorted(newest)
         )
 
+    def _session_of(
+        self, report: entry_messages.EntryReport, now_s: float
+    ) -> EntrySession:
+        """Return the session of a report; a new one has no lease yet."""
+        key = (report.entry_id, report.boot_id)
+        session = self._sessions.get(key)
+        if session is None:
+            session = EntrySession(
+                entry_id=report.entry_id,
+                boot_id=report.boot_id,
+                address=report.address,
+                lease_ends_s=now_s,
+                confirmed_revision=report.applied_revision,
+                sent_revision=report.applied_revision,
+                sent_at_s=now_s,
+                busy_vms=frozenset(),
+                reported_at_s=report.sent_at_s,
+                awaited_revision=0,
+                awaited_since_s=now_s,
+            )
+            self._sessions[key] = session
+        return session
+
     def _note_feed(
         self,
         session: EntrySession,
--- a/greengagering/coordination/_waves.py
+++ b/greengagering/coordination/_waves.py
@@ -154,8 +154,14 @@
         decisions.waiting[vm.name] = reason
         return
     operation_id = f'{vm.wave}.{vm.name}.{vm.phase_revision}'
+    record = _change(
+        view, vm, state.VmPhase.REBOOTING, operation_id=operation_id
+    )
+    status = view.statuses[vm.name]
+    # The upstream may have restarted by itself while it drained; only a boot
+    # after this one shows that the reboot was done.
     decisions.records.append(
-        _change(view, vm, state.VmPhase.REBOOTING, operation_id=operation_id)
+        dataclasses.replace(record, boot_id=status.upstream.boot_id)
     )
 
 
