Give each matter of coordination its own sub-package

Cause: the flat package had 25 modules, and jobs would have doubled them. Change: moves only; agreement, fleet and entries, with the imports that follow from them. Result: lint passes; replica rules, wave rules and the whole path pass (15 scenarios).

--- /dev/null
+++ b/greengagering/coordination/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement among control replicas: log, elections, members, snapshots."""
--- a/greengagering/coordination/_membership.py
+++ b/greengagering/coordination/agreement/_membership.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from greengagering.coordination._replica import Replica
+from greengagering.coordination.agreement._replica import Replica
 from greengagering import state
 
 
--- a/greengagering/coordination/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -8,10 +8,10 @@
 from result import Ok
 from result import Result
 
-from greengagering.coordination import _messages as messages
-from greengagering.coordination._progress import FollowerProgress
-from greengagering.coordination._replica_log import ReplicaLog
-from greengagering.coordination._snapshot_inbox import SnapshotInbox
+from greengagering.coordination.agreement import _messages as messages
+from greengagering.coordination.agreement._progress import FollowerProgress
+from greengagering.coordination.agreement._replica_log import ReplicaLog
+from greengagering.coordination.agreement._snapshot_inbox import SnapshotInbox
 from greengagering.coordination import errors
 from greengagering import state
 from greengagering.state import errors as state_errors
--- a/greengagering/coordination/_snapshot_inbox.py
+++ b/greengagering/coordination/agreement/_snapshot_inbox.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from greengagering.coordination import _messages as messages
+from greengagering.coordination.agreement import _messages as messages
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/greengagering/coordination/entries/__init__.py
@@ -0,0 +1,1 @@
+"""Entries: leases, feed, upstreams, routing of calls, claims."""
--- a/greengagering/coordination/_call_queue.py
+++ b/greengagering/coordination/entries/_call_queue.py
@@ -3,8 +3,8 @@
 import collections
 import heapq
 
-from greengagering.coordination._call_model import Call
-from greengagering.coordination._call_model import CallClass
+from greengagering.coordination.entries._call_model import Call
+from greengagering.coordination.entries._call_model import CallClass
 
 PATIENT_SHARE_EVERY = 8
 """One slot in this many goes to patient work while both classes wait."""
--- a/greengagering/coordination/_claim_book.py
+++ b/greengagering/coordination/entries/_claim_book.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from greengagering.coordination import _claim_messages as claim_messages
+from greengagering.coordination.entries import _claim_messages as claim_msgs
 from greengagering import state
 
 REPEAT_ASK_S = 0.4
@@ -34,8 +34,8 @@
 
     body_digest: str
     state: WorkState
-    answer: claim_messages.KeptAnswer | None
-    asked_by: list[claim_messages.OutcomeRequest]
+    answer: claim_msgs.KeptAnswer | None
+    asked_by: list[claim_msgs.OutcomeRequest]
     held_since_s: float
 
 
@@ -51,8 +51,8 @@
 class OutcomeFor:
     """An outcome on its way to the entry that asked."""
 
-    request: claim_messages.OutcomeRequest
-    response: claim_messages.OutcomeResponse
+    request: claim_msgs.OutcomeRequest
+    response: claim_msgs.OutcomeResponse
 
 
 class ClaimBook:
@@ -125,7 +125,7 @@
         self,
         key_id: str,
         outcome: WorkState,
-        answer: claim_messages.KeptAnswer | None,
+        answer: claim_msgs.KeptAnswer | None,
     ) -> None:
         """Record the outcome of running work, and tell who asked."""
         held = self._held[key_id]
@@ -138,14 +138,12 @@
             self._respond(request, held)
         held.asked_by.clear()
 
-    def note_outcome_request(
-        self, request: claim_messages.OutcomeRequest
-    ) -> None:
+    def note_outcome_request(self, request: claim_msgs.OutcomeRequest) -> None:
         """Answer another entry, at once or when the work ends."""
         held = self._held.get(request.key_id)
         if held is None or request.boot_id != self.boot_id:
-            response = claim_messages.OutcomeResponse(
-                request.key_id, claim_messages.KeptState.UNKNOWN
+            response = claim_msgs.OutcomeResponse(
+                request.key_id, claim_msgs.KeptState.UNKNOWN
             )
             self._outcomes.append(OutcomeFor(request, response))
         elif held.state is WorkState.RUNNING:
@@ -173,17 +171,17 @@
             self._drop_answer(self._held.pop(key_id))
 
     def _respond(
-        self, request: claim_messages.OutcomeRequest, held: HeldClaim
+        self, request: claim_msgs.OutcomeRequest, held: HeldClaim
     ) -> None:
-        kept = claim_messages.KeptState.UNKNOWN
+        kept = claim_msgs.KeptState.UNKNOWN
         if held.state is WorkState.ANSWERED and held.answer is not None:
-            kept = claim_messages.KeptState.ANSWERED
+            kept = claim_msgs.KeptState.ANSWERED
         if held.state in (WorkState.NOT_RUN, WorkState.GIVEN_UP):
             # From here on this process never starts the work, so the entry
             # that asked may.
             held.state = WorkState.GIVEN_UP
-            kept = claim_messages.KeptState.GIVEN_UP
-        response = claim_messages.OutcomeResponse(
+            kept = claim_msgs.KeptState.GIVEN_UP
+        response = claim_msgs.OutcomeResponse(
             request.key_id, kept, held.answer
         )
         self._outcomes.append(OutcomeFor(request, response))
--- a/greengagering/coordination/_dispatcher.py
+++ b/greengagering/coordination/entries/_dispatcher.py
@@ -8,17 +8,17 @@
 from result import Ok
 from result import Result
 
-from greengagering.coordination._call_model import Assignment
-from greengagering.coordination._call_model import AttemptOutcome
-from greengagering.coordination._call_model import Call
-from greengagering.coordination._call_model import CallRefusal
-from greengagering.coordination._call_model import RefusalReason
-from greengagering.coordination._call_model import Target
-from greengagering.coordination._call_queue import CallQueue
-from greengagering.coordination._entry_messages import Upstream
-from greengagering.coordination._entry_messages import UpstreamState
-from greengagering.coordination._upstream_load import UpstreamLoad
-from greengagering.coordination._upstream_table import UpstreamTable
+from greengagering.coordination.entries._call_model import Assignment
+from greengagering.coordination.entries._call_model import AttemptOutcome
+from greengagering.coordination.entries._call_model import Call
+from greengagering.coordination.entries._call_model import CallRefusal
+from greengagering.coordination.entries._call_model import RefusalReason
+from greengagering.coordination.entries._call_model import Target
+from greengagering.coordination.entries._call_queue import CallQueue
+from greengagering.coordination.entries._entry_messages import Upstream
+from greengagering.coordination.entries._entry_messages import UpstreamState
+from greengagering.coordination.entries._upstream_load import UpstreamLoad
+from greengagering.coordination.entries._upstream_table import UpstreamTable
 from greengagering import state
 
 Item = TypeVar('Item')
--- a/greengagering/coordination/_entry.py
+++ b/greengagering/coordination/entries/_entry.py
@@ -7,21 +7,21 @@
 from result import Err
 from result import Result
 
-from greengagering.coordination._call_model import Assignment
-from greengagering.coordination._call_model import Call
-from greengagering.coordination._call_model import CallRefusal
-from greengagering.coordination._call_model import RefusalReason
-from greengagering.coordination._claim_book import ClaimBook
-from greengagering.coordination import _claim_messages as claim_messages
-from greengagering.coordination._dispatcher import Dispatcher
-from greengagering.coordination._dispatcher import DispatchOptions
-from greengagering.coordination import _entry_messages as messages
-from greengagering.coordination._follower import FleetFollower
-from greengagering.coordination._homes import home_of
-from greengagering.coordination._liveness import Liveness
-from greengagering.coordination._liveness import LivenessOptions
-from greengagering.coordination._status_outbox import StatusOutbox
-from greengagering.coordination._upstream_table import UpstreamTable
+from greengagering.coordination.entries._call_model import Assignment
+from greengagering.coordination.entries._call_model import Call
+from greengagering.coordination.entries._call_model import CallRefusal
+from greengagering.coordination.entries._call_model import RefusalReason
+from greengagering.coordination.entries._claim_book import ClaimBook
+from greengagering.coordination.entries import _claim_messages as claim_msgs
+from greengagering.coordination.entries._dispatcher import Dispatcher
+from greengagering.coordination.entries._dispatcher import DispatchOptions
+from greengagering.coordination.entries import _entry_messages as messages
+from greengagering.coordination.entries._follower import FleetFollower
+from greengagering.coordination.entries._homes import home_of
+from greengagering.coordination.entries._liveness import Liveness
+from greengagering.coordination.entries._liveness import LivenessOptions
+from greengagering.coordination.entries._status_outbox import StatusOutbox
+from greengagering.coordination.entries._upstream_table import UpstreamTable
 from greengagering import state
 
 Item = TypeVar('Item')
@@ -29,8 +29,8 @@
 CLAIM_CLEAR_INTERVAL_S = 60.0
 PeerMessage = (
     messages.EntryMessage
-    | claim_messages.OutcomeRequest
-    | claim_messages.OutcomeResponse
+    | claim_msgs.OutcomeRequest
+    | claim_msgs.OutcomeResponse
 )
 NO_LEASE_REFUSAL = CallRefusal(RefusalReason.NO_LEASE, retry_after_s=1.0)
 
@@ -91,7 +91,7 @@
     """A report for the leader, or for every replica while it is unknown."""
 
     leader_id: str
-    report: messages.EntryReport | claim_messages.ClaimRequest
+    report: messages.EntryReport | claim_msgs.ClaimRequest
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -445,7 +445,7 @@
 
     def ask_outcome(self, holder: state.Claim, key_id: str) -> bool:
         """Ask a claim's holder for the outcome; return False if it is gone."""
-        request = claim_messages.OutcomeRequest(
+        request = claim_msgs.OutcomeRequest(
             self.identity.entry_id,
             self.identity.address,
             holder.boot_id,
@@ -456,7 +456,7 @@
     def _send_claims(self, now_s: float) -> None:
         asks = self.claims.take_due_asks(now_s)
         if asks:
-            request = claim_messages.ClaimRequest(
+            request = claim_msgs.ClaimRequest(
                 self.identity.entry_id,
                 self.identity.boot_id,
                 self.identity.address,
--- a/greengagering/coordination/_entry_sessions.py
+++ b/greengagering/coordination/entries/_entry_sessions.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from greengagering.coordination import _entry_messages as entry_messages
+from greengagering.coordination.entries import _entry_messages as entry_msgs
 
 RESEND_AFTER_S = 0.5
 
@@ -86,7 +86,7 @@
 
     def note_report(
         self,
-        report: entry_messages.EntryReport,
+        report: entry_msgs.EntryReport,
         feed_revision: int,
         now_s: float,
         *,
@@ -156,18 +156,16 @@
         revisions = [s.confirmed_revision for s in self.live(now_s)]
         return min(revisions, default=applied_revision)
 
-    def addresses(
-        self, now_s: float
-    ) -> tuple[entry_messages.EntryAddress, ...]:
+    def addresses(self, now_s: float) -> tuple[entry_msgs.EntryAddress, ...]:
         """Return the live entries in a stable order."""
         newest = {s.entry_id: s.address for s in self.live(now_s)}
         return tuple(
-            entry_messages.EntryAddress(entry_id, newest[entry_id])
+            entry_msgs.EntryAddress(entry_id, newest[entry_id])
             for entry_id in sorted(newest)
         )
 
     def _session_of(
-        self, report: entry_messages.EntryReport, now_s: float
+        self, report: entry_msgs.EntryReport, now_s: float
     ) -> EntrySession:
         """Return the session of a report; a new one has no lease yet."""
         key = (report.entry_id, report.boot_id)
@@ -192,7 +190,7 @@
     def _note_feed(
         self,
         session: EntrySession,
-        report: entry_messages.EntryReport,
+        report: entry_msgs.EntryReport,
         now_s: float,
     ) -> None:
         """Notice deltas that got lost, so that they are sent again."""
--- a/greengagering/coordination/_feed.py
+++ b/greengagering/coordination/entries/_feed.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from greengagering.coordination import _entry_messages as entry_messages
+from greengagering.coordination.entries import _entry_messages as entry_msgs
 from greengagering import state
 
 MAX_FEED_RECORDS = 4096
@@ -21,7 +21,7 @@
         self.revision = revision
         self.record_revision = revision
         self._floor_revision = revision
-        self._records: collections.deque[entry_messages.FeedRecord] = (
+        self._records: collections.deque[entry_msgs.FeedRecord] = (
             collections.deque()
         )
 
@@ -31,7 +31,7 @@
         if payload is None:
             return
         self.record_revision = revision
-        self._records.append(entry_messages.FeedRecord(revision, payload))
+        self._records.append(entry_msgs.FeedRecord(revision, payload))
         while len(self._records) > MAX_FEED_RECORDS:
             self._floor_revision = self._records.popleft().revision
 
@@ -44,7 +44,7 @@
 
     def since(
         self, revision: int, fleet: state.FleetState
-    ) -> entry_messages.FeedDelta | entry_messages.FeedSnapshot | None:
+    ) -> entry_msgs.FeedDelta | entry_msgs.FeedSnapshot | None:
         """Return what leads an entry on from a revision, or None at the end.
 
         Args:
@@ -54,17 +54,15 @@
         if self.record_revision <= revision <= self.revision:
             return None
         if revision < self._floor_revision or revision > self.revision:
-            return entry_messages.FeedSnapshot(
-                self.revision, state.encode(fleet)
-            )
+            return entry_msgs.FeedSnapshot(self.revision, state.encode(fleet))
         newer = self._newer_than(revision)
         to_revision = self.record_revision
         if len(newer) > MAX_DELTA_RECORDS:
             newer = newer[:MAX_DELTA_RECORDS]
             to_revision = newer[-1].revision
-        return entry_messages.FeedDelta(revision, to_revision, tuple(newer))
+        return entry_msgs.FeedDelta(revision, to_revision, tuple(newer))
 
-    def _newer_than(self, revision: int) -> list[entry_messages.FeedRecord]:
+    def _newer_than(self, revision: int) -> list[entry_msgs.FeedRecord]:
         newer = []
         for record in reversed(self._records):
             if record.revision <= revision:
--- a/greengagering/coordination/_follower.py
+++ b/greengagering/coordination/entries/_follower.py
@@ -1,6 +1,6 @@
 """An entry's copy of the fleet, and its lease to act on it."""
 
-from greengagering.coordination import _entry_messages as entry_messages
+from greengagering.coordination.entries import _entry_messages as entry_msgs
 from greengagering import state
 
 
@@ -15,7 +15,7 @@
         self.confirmed_revision = 0
         self.leader_id = ''
         self.leader_term = 0
-        self.entries: tuple[entry_messages.EntryAddress, ...] = ()
+        self.entries: tuple[entry_msgs.EntryAddress, ...] = ()
         self.snapshots_applied = 0
 
     @property
@@ -27,7 +27,7 @@
         """Tell whether new calls may be served by this copy."""
         return not self.is_given_back and now_s < self.lease_ends_s
 
-    def note_grant(self, grant: entry_messages.LeaseGrant) -> bool:
+    def note_grant(self, grant: entry_msgs.LeaseGrant) -> bool:
         """Take a lease; return whether the leader is another than before.
 
         The lease counts from the send of the report that it answers, so the
@@ -51,7 +51,7 @@
 
     def _note_entries(
         self,
-        entries: tuple[entry_messages.EntryAddress, ...],
+        entries: tuple[entry_msgs.EntryAddress, ...],
         *,
         is_complete: bool,
     ) -> None:
@@ -60,7 +60,7 @@
         known.update({entry.entry_id: entry for entry in entries})
         self.entries = tuple(known[name] for name in sorted(known))
 
-    def apply_delta(self, delta: entry_messages.FeedDelta) -> bool:
+    def apply_delta(self, delta: entry_msgs.FeedDelta) -> bool:
         """Apply newer records; return False for a gap, which is sent again."""
         if delta.from_revision > self.revision:
             return False
@@ -75,7 +75,7 @@
             self.fleet.revision = delta.to_revision
         return True
 
-    def apply_snapshot(self, snapshot: entry_messages.FeedSnapshot) -> bool:
+    def apply_snapshot(self, snapshot: entry_msgs.FeedSnapshot) -> bool:
         """Take a whole state; return False for one that would revert."""
         if snapshot.revision < self.revision:
             return False
--- a/greengagering/coordination/_upstream_table.py
+++ b/greengagering/coordination/entries/_upstream_table.py
@@ -2,9 +2,9 @@
 
 import zlib
 
-from greengagering.coordination._entry_messages import TableDigest
-from greengagering.coordination._entry_messages import Upstream
-from greengagering.coordination._entry_messages import UpstreamState
+from greengagering.coordination.entries._entry_messages import TableDigest
+from greengagering.coordination.entries._entry_messages import Upstream
+from greengagering.coordination.entries._entry_messages import UpstreamState
 
 BUCKET_COUNT = 64
 
--- /dev/null
+++ b/greengagering/coordination/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet that control decides on: tickets, budgets, waves."""
--- a/greengagering/coordination/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -6,16 +6,16 @@
 from result import Ok
 from result import Result
 
-from greengagering.coordination import _claim_messages as claim_messages
-from greengagering.coordination import _entry_messages as entry_messages
-from greengagering.coordination._entry_sessions import EntrySession
-from greengagering.coordination._entry_sessions import EntrySessions
-from greengagering.coordination._entry_sessions import LeaseOptions
-from greengagering.coordination._feed import Feed
-from greengagering.coordination import _membership
-from greengagering.coordination._replica import Replica
-from greengagering.coordination import _waves
+from greengagering.coordination.agreement import _membership
+from greengagering.coordination.agreement._replica import Replica
+from greengagering.coordination.entries import _claim_messages as claim_msgs
+from greengagering.coordination.entries import _entry_messages as entry_msgs
+from greengagering.coordination.entries._entry_sessions import EntrySession
+from greengagering.coordination.entries._entry_sessions import EntrySessions
+from greengagering.coordination.entries._entry_sessions import LeaseOptions
+from greengagering.coordination.entries._feed import Feed
 from greengagering.coordination import errors
+from greengagering.coordination.fleet import _waves
 from greengagering import state
 
 SNAPSHOT_EVERY_ENTRIES = 1000
@@ -33,7 +33,7 @@
 
     entry_id: str
     address: str
-    message: entry_messages.EntryMessage | claim_messages.ClaimResponse
+    message: entry_msgs.EntryMessage | claim_msgs.ClaimResponse
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
         self.state = state.ControlState()
         self.feed = Feed()
         self.sessions: EntrySessions | None = None
-        self.statuses: dict[str, entry_messages.UpstreamStatus] = {}
+        self.statuses: dict[str, entry_msgs.UpstreamStatus] = {}
         self.decisions = _waves.WaveDecisions()
         self.confirmed_revision = 0
         self.applied_entries = 0
@@ -132,7 +132,7 @@
         return Ok(self.state)
 
     def note_entry_report(
-        self, report: entry_messages.EntryReport, now_s: float
+        self, report: entry_msgs.EntryReport, now_s: float
     ) -> None:
         """Take an entry's report, and answer it while leading."""
         if not self.replica.has_lease(now_s):
@@ -155,7 +155,7 @@
             self._send_feed(outcome.session, now_s)
 
     def note_claim_request(
-        self, request: claim_messages.ClaimRequest, now_s: float, now_ms: int
+        self, request: claim_msgs.ClaimRequest, now_s: float, now_ms: int
     ) -> None:
         """Propose an entry's claims; the answer follows their commitment."""
         if not self.replica.has_lease(now_s):
@@ -295,7 +295,7 @@
         applied = outcome.ok_value if isinstance(outcome, Ok) else None
         if address is None or not isinstance(applied, state.Applied):
             return
-        response = claim_messages.ClaimResponse(
+        response = claim_msgs.ClaimResponse(
             record.boot_id, applied.claim_answers
         )
         self._entry_outbox.append(
@@ -317,13 +317,13 @@
     def _grant_lease(
         self,
         session: EntrySession,
-        report: entry_messages.EntryReport,
+        report: entry_msgs.EntryReport,
         now_s: float,
     ) -> None:
         assert self.sessions is not None
         entries = self.sessions.addresses(now_s)
-        digest = entry_messages.digest_entries(entries)
-        grant = entry_messages.LeaseGrant(
+        digest = entry_msgs.digest_entries(entries)
+        grant = entry_msgs.LeaseGrant(
             leader_id=self.replica.identity.replica_id,
             term=self.replica.term,
             entry_boot_id=report.boot_id,
@@ -345,7 +345,7 @@
         message = self.feed.since(session.sent_revision, self.state.fleet)
         if message is None:
             return
-        if isinstance(message, entry_messages.FeedDelta):
+        if isinstance(message, entry_msgs.FeedDelta):
             session.sent_revision = message.to_revision
         else:
             session.sent_revision = message.revision
@@ -353,7 +353,7 @@
         self._send_entry(session, message)
 
     def _send_entry(
-        self, session: EntrySession, message: entry_messages.EntryMessage
+        self, session: EntrySession, message: entry_msgs.EntryMessage
     ) -> None:
         self._entry_outbox.append(
             EntryOutgoing(session.entry_id, session.address, message)
@@ -440,7 +440,7 @@
         if isinstance(proposed, Ok):
             self._own_proposal_index = proposed.ok_value
 
-    def _note_status(self, status: entry_messages.UpstreamStatus) -> None:
+    def _note_status(self, status: entry_msgs.UpstreamStatus) -> None:
         upstream = status.upstream
         known = self.statuses.get(upstream.vm)
         if (
@@ -454,7 +454,7 @@
         self._is_decision_due = True
         self._note_facts(upstream)
 
-    def _note_facts(self, upstream: entry_messages.Upstream) -> None:
+    def _note_facts(self, upstream: entry_msgs.Upstream) -> None:
         """Queue a record for a VM that is new or has new facts."""
         vm = self.state.fleet.vms.get(upstream.vm)
         if vm is None and not self._may_join(upstream):
@@ -467,6 +467,6 @@
                 at_ms=0,
             )
 
-    def _may_join(self, upstream: entry_messages.Upstream) -> bool:
+    def _may_join(self, upstream: entry_msgs.Upstream) -> bool:
         pool = self.state.fleet.pools.get(upstream.pool)
         return pool is not None and pool.accepts_announced
--- a/greengagering/coordination/_waves.py
+++ b/greengagering/coordination/fleet/_waves.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from greengagering.coordination import _budgets
-from greengagering.coordination import _entry_messages as entry_messages
+from greengagering.coordination.entries import _entry_messages as entry_msgs
+from greengagering.coordination.fleet import _budgets
 from greengagering import state
 
 REBOOT_REPEAT_S = 2.0
@@ -22,7 +22,7 @@
     """
 
     fleet: state.FleetState
-    statuses: dict[str, entry_messages.UpstreamStatus]
+    statuses: dict[str, entry_msgs.UpstreamStatus]
     confirmed_revision: int
     busy_vms: frozenset[str]
     now_ms: int
@@ -58,7 +58,7 @@
     status = view.statuses.get(vm.name)
     return (
         status is not None
-        and status.upstream.state is entry_messages.UpstreamState.UP
+        and status.upstream.state is entry_msgs.UpstreamState.UP
     )
 
 
@@ -219,7 +219,7 @@
     if status is None:
         return False
     upstream = status.upstream
-    is_up = upstream.state is entry_messages.UpstreamState.UP
+    is_up = upstream.state is entry_msgs.UpstreamState.UP
     return is_up and upstream.boot_id != vm.boot_id
 
 
