--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -3,6 +3,7 @@
 Nothing here does I/O, reads a clock or draws a random number of its own.
 """
 
+from greengagering.coordination.agreement._healing import MemberHealing
 from greengagering.coordination.agreement._messages import AppendRequest
 from greengagering.coordination.agreement._messages import AppendResponse
 from greengagering.coordination.agreement._messages import ReplicaMessage
@@ -70,8 +71,55 @@
 from greengagering.coordination.fleet._waves import RebootOrder
 from greengagering.coordination.fleet._waves import wave_targets
 from greengagering.coordination.fleet._waves import WaveDecisions
+from greengagering.coordination.jobs._director import Decision
+from greengagering.coordination.jobs._director import JobDirector
+from greengagering.coordination.jobs._gateway import GatewayOutgoing
+from greengagering.coordination.jobs._gateway import JobGateway
+from greengagering.coordination.jobs._job_messages import CallKind
+from greengagering.coordination.jobs._job_messages import ControlProbe
+from greengagering.coordination.jobs._job_messages import ControlStatus
+from greengagering.coordination.jobs._job_messages import JobAnswer
+from greengagering.coordination.jobs._job_messages import JobCall
+from greengagering.coordination.jobs._job_messages import JobMessage
+from greengagering.coordination.jobs._job_messages import JobOutcome
+from greengagering.coordination.jobs._orders import ListedRun
+from greengagering.coordination.jobs._orders import LookAnswer
+from greengagering.coordination.jobs._orders import LookOrder
+from greengagering.coordination.jobs._orders import Order
+from greengagering.coordination.jobs._orders import OrderAnswer
+from greengagering.coordination.jobs._orders import OrderOutcome
+from greengagering.coordination.jobs._orders import PaceOrder
+from greengagering.coordination.jobs._orders import StartOrder
+from greengagering.coordination.jobs._orders import StopOrder
+from greengagering.coordination.jobs._orders import WorkerReport
+from greengagering.coordination.jobs._routing import find_queue
+from greengagering.coordination.jobs._routing import RoutedPath
 
 __all__ = [
+    'MemberHealing',
+    'Decision',
+    'JobDirector',
+    'JobGateway',
+    'GatewayOutgoing',
+    'CallKind',
+    'JobOutcome',
+    'ControlProbe',
+    'ControlStatus',
+    'JobAnswer',
+    'JobCall',
+    'JobMessage',
+    'ListedRun',
+    'LookAnswer',
+    'LookOrder',
+    'Order',
+    'OrderAnswer',
+    'OrderOutcome',
+    'PaceOrder',
+    'StartOrder',
+    'StopOrder',
+    'WorkerReport',
+    'find_queue',
+    'RoutedPath',
     'ClaimBook',
     'HeldClaim',
     'OutcomeFor',
--- a/greengagering/coordination/agreement/_membership.py
+++ b/greengagering/coordination/agreement/_membership.py
@@ -37,17 +37,17 @@
     present = replica.membership
     for member in wanted:
         if member.replica_id not in present.members:
-            return MembershipStep(_with_learner(present, member))
+            return MembershipStep(with_learner(present, member))
     wanted_ids = {member.replica_id for member in wanted}
     for learner in present.learners:
         if learner not in wanted_ids:
-            return MembershipStep(_without(present, learner))
+            return MembershipStep(without(present, learner))
         if replica.is_in_step(learner, now_s):
-            return MembershipStep(_with_voter(present, learner))
+            return MembershipStep(with_voter(present, learner))
         return MembershipStep(waiting=f'{learner} catches up')
     for voter in present.voters:
         if voter not in wanted_ids:
-            return MembershipStep(_without(present, voter))
+            return MembershipStep(without(present, voter))
     return MembershipStep()
 
 
@@ -90,9 +90,10 @@
     )
 
 
-def _with_learner(
+def with_learner(
     present: state.Membership, member: state.ControlMember
 ) -> state.Membership:
+    """Add a replica that receives the log and doesn't vote."""
     addresses = {**present.addresses, member.replica_id: member.address}
     return dataclasses.replace(
         present,
@@ -101,15 +102,14 @@
     )
 
 
-def _with_voter(
-    present: state.Membership, replica_id: str
-) -> state.Membership:
+def with_voter(present: state.Membership, replica_id: str) -> state.Membership:
+    """Let a learner vote."""
     learners = tuple(x for x in present.learners if x != replica_id)
     voters = (*present.voters, replica_id)
     return dataclasses.replace(present, voters=voters, learners=learners)
 
 
-def _without(present: state.Membership, replica_id: str) -> state.Membership:
+def without(present: state.Membership, replica_id: str) -> state.Membership:
     """Remove a replica; its name stays bound, so it can't come back."""
     return dataclasses.replace(
         present,
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -118,7 +118,7 @@
         self._elected_at_s = now_s
         # A restarted replica may have promised a leader its patience just
         # before it stopped, so it waits before it helps to elect another.
-        self._leader_heard_s = now_s
+        self.leader_heard_s = now_s
         self._election_due_s = 0.0
         self._reset_election(now_s)
 
@@ -263,6 +263,15 @@
         lease_s = self.options.election_min_s * slowed
         return now_s < self.quorum_contact_s(now_s) + lease_s
 
+    def hears_leader(self, now_s: float) -> bool:
+        """Tell whether a leader was heard within an election's patience."""
+        if self.is_leader:
+            return True
+        patience_s = self.options.election_max_s
+        return bool(self.leader_id) and (
+            now_s < self.leader_heard_s + patience_s
+        )
+
     def transfer_leadership(self, now_s: float) -> bool:
         """Hand the lead to the most advanced voter before a planned stop.
 
@@ -381,7 +390,7 @@
         until its entries are committed, and steps down.
         """
         patience_s = self.options.election_max_s * RESCUE_AFTER_ELECTIONS
-        return now_s >= self._leader_heard_s + patience_s
+        return now_s >= self.leader_heard_s + patience_s
 
     def _peers(self) -> list[str]:
         own = self.identity.replica_id
@@ -455,7 +464,7 @@
     def _is_leader_recent(self, now_s: float) -> bool:
         if self.is_leader:
             return True
-        return now_s < self._leader_heard_s + self.options.election_min_s
+        return now_s < self.leader_heard_s + self.options.election_min_s
 
     def _is_vote_due(self, peer: str, request: messages.VoteRequest) -> bool:
         own_last = (self.log.last_term, self.log.last_index)
@@ -618,7 +627,7 @@
         if term > self.term or self.role is not Role.FOLLOWER:
             self._become_follower(term, peer, now_s)
         self.leader_id = peer
-        self._leader_heard_s = now_s
+        self.leader_heard_s = now_s
         self._reset_election(now_s)
         return True
 
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -6,6 +6,7 @@
 from result import Ok
 from result import Result
 
+from greengagering.coordination.agreement._healing import MemberHealing
 from greengagering.coordination.agreement import _membership
 from greengagering.coordination.agreement._replica import Replica
 from greengagering.coordination.entries import _claim_messages as claim_msgs
@@ -16,6 +17,7 @@
 from greengagering.coordination.entries._feed import Feed
 from greengagering.coordination import errors
 from greengagering.coordination.fleet import _waves
+from greengagering.coordination.jobs._director import JobDirector
 from greengagering import state
 
 SNAPSHOT_EVERY_ENTRIES = 1000
@@ -23,7 +25,12 @@
 DECISION_INTERVAL_S = 1.0
 """Longest time between two decisions on waves, for what time alone moves."""
 
-_NOT_FED = (state.InForceMarked, state.ClaimsAsked, state.ClaimsPurged)
+_NOT_FED = (
+    state.InForceMarked,
+    state.ClaimsAsked,
+    state.ClaimsPurged,
+    *state.JOB_RECORD_TYPES,
+)
 """Records that change nothing that entries follow."""
 
 
@@ -67,11 +74,17 @@
     """
 
     def __init__(
-        self, replica: Replica, lease_options: LeaseOptions, now_s: float
+        self,
+        replica: Replica,
+        lease_options: LeaseOptions,
+        now_s: float,
+        healing: MemberHealing | None = None,
     ) -> None:
         self.replica = replica
+        self.healing = healing
         self.lease_options = lease_options
         self.state = state.ControlState()
+        self.jobs = JobDirector(self.state.jobs)
         self.feed = Feed()
         self.sessions: EntrySessions | None = None
         self.statuses: dict[str, entry_msgs.UpstreamStatus] = {}
@@ -81,6 +94,10 @@
         self.membership_waiting = ''
         self._snapshot_due_index = SNAPSHOT_EVERY_ENTRIES
         self._outcomes: list[TicketOutcome] = []
+        self._awaited: set[ProposedTicket] = set()
+        self._applied: list[ProposedTicket] = []
+        self._now_s = now_s
+        self._now_ms = 0
         self._entry_outbox: list[EntryOutgoing] = []
         self._sessions_term = 0
         self._term_floor_revision = 0
@@ -166,9 +183,38 @@
         )
         self.replica.propose(state.encode_record(asked))
 
+    def propose_job_record(
+        self, record: state.JobRecord, now_s: float
+    ) -> Result[ProposedTicket, errors.CoordinationError]:
+        """Propose a record about jobs or workers.
+
+        Returns:
+            Its place in the log, which take_applied returns once the record
+            is committed and folded in, unless another entry takes it.
+        """
+        if not self.replica.has_lease(now_s):
+            return Err(errors.NotLeaderError(self.replica.leader_id))
+        proposed = self.replica.propose(state.encode_record(record))
+        if isinstance(proposed, Err):
+            return proposed
+        place = ProposedTicket(proposed.ok_value, self.replica.term)
+        self._awaited.add(place)
+        return Ok(place)
+
+    def take_applied(self) -> list[ProposedTicket]:
+        """Return the places of awaited records that were folded in, once."""
+        applied = self._applied
+        self._applied = []
+        return applied
+
     def step(self, now_s: float, now_ms: int) -> None:
         """Advance everything that time or a message may have moved."""
+        self._now_s = now_s
+        self._now_ms = now_ms
         self.replica.tick(now_s)
+        self._apply_committed()
+        self._match_term(now_s)
+        self._direct_jobs()
         self.replica.flush(now_s)
         self._apply_committed()
         self._match_term(now_s)
@@ -186,6 +232,17 @@
         self._apply_committed()
         self._feed_entries(now_s)
 
+    def _direct_jobs(self) -> None:
+        """Propose what the director decides, while nobody else may lead."""
+        if not self.jobs.is_leading or not self.replica.has_lease(self._now_s):
+            return
+        for record in self.jobs.step(self._now_s, self._now_ms):
+            proposed = self.replica.propose(state.encode_record(record))
+            if isinstance(proposed, Err):
+                # What was decided is lost, so it starts from the state again.
+                self.jobs.lead(self.replica.term, self._now_s, self._now_ms)
+                return
+
     def compact(self, now_s: float) -> None:
         """Snapshot the applied state and drop the log before it."""
         self._snapshot_due_index = (
@@ -233,11 +290,14 @@
         if not self.replica.is_leader or not is_established:
             self.sessions = None
             self._sessions_term = 0
+            self._awaited.clear()
+            self.jobs.retire()
             return
         if self._sessions_term == self.replica.term:
             return
         self._sessions_term = self.replica.term
         self.sessions = EntrySessions(self.lease_options, now_s)
+        self.jobs.lead(self.replica.term, now_s, self._now_ms)
         self.statuses.clear()
         self._pending_reports.clear()
         self._own_proposal_index = 0
@@ -254,6 +314,7 @@
 
     def _load_snapshot(self, snapshot: state.Snapshot) -> None:
         self.state = state.decode(snapshot.data, state.ControlState)
+        self.jobs.jobs = self.state.jobs
         self.feed.reset(snapshot.index)
 
     def _apply_committed(self) -> None:
@@ -262,12 +323,20 @@
             self._load_snapshot(installed)
         for entry in self.replica.take_committed():
             self.applied_entries += 1
+            if self._awaited:
+                self._note_place(entry)
             if entry.kind is state.EntryKind.COMMAND:
                 self._apply_command(entry)
             else:
                 self.state.fleet.revision = entry.index
                 self.feed.append(entry.index, None)
 
+    def _note_place(self, entry: state.LogEntry) -> None:
+        place = ProposedTicket(entry.index, entry.term)
+        if place in self._awaited:
+            self._awaited.discard(place)
+            self._applied.append(place)
+
     def _apply_command(self, entry: state.LogEntry) -> None:
         record = state.decode_record(entry.payload)
         self._is_decision_due = True
@@ -287,6 +356,8 @@
             self._pending_reports.pop(record.vm, None)
         if isinstance(record, state.ClaimsAsked):
             self._answer_claims(record, outcome)
+        if isinstance(record, state.JOB_RECORD_TYPES):
+            self.jobs.note_applied(record, self._now_s, self._now_ms)
 
     def _answer_claims(
         self, record: state.ClaimsAsked, outcome: state.Outcome
@@ -396,7 +467,10 @@
     def _reconcile_members(self, now_s: float) -> None:
         """Bring the voters one step closer to what the tickets say."""
         wanted = self.state.fleet.control
-        step = _membership.next_step(self.replica, wanted, now_s)
+        if self.healing is not None and not wanted:
+            step = self.healing.next_step(self.replica, now_s)
+        else:
+            step = _membership.next_step(self.replica, wanted, now_s)
         self.membership_waiting = step.waiting
         if step.wanted is None:
             return
--- /dev/null
+++ b/greengagering/coordination/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: steps, runs, worker leases, placement, upkeep, forwarding."""
--- /dev/null
+++ b/greengagering/coordination/jobs/_director.py
@@ -0,0 +1,835 @@
+"""The leader's decisions about jobs: runs, worker leases, orders."""
+
+import dataclasses
+import math
+
+from greengagering.coordination.jobs import _orders as orders
+from greengagering.coordination.jobs import _placement
+from greengagering.coordination.jobs._work_index import StepWork
+from greengagering.coordination.jobs._work_index import WorkIndex
+from greengagering.coordination.jobs import _worker_view as worker_view
+from greengagering.coordination.jobs._worker_view import RunPhase
+from greengagering.coordination.jobs._worker_view import RunView
+from greengagering.coordination.jobs._worker_view import WorkerView
+from greengagering import state
+
+ORDER_RETRY_S = 0.3
+"""Pause before an unanswered order is sent again; a few round trips."""
+
+MAX_START_TRIES = 3
+"""Unanswered orders to start a run before it is stopped and given up."""
+
+PLAN_INTERVAL_S = 0.25
+"""Longest time between two plans, for what time alone changes."""
+
+KEEP_FINISHED_S = 240.0
+"""How long a finished job is shown; callers are promised half of it."""
+
+MAX_RUNS_PER_RECORD = 400
+"""Runs in one record, so that one write stays short."""
+
+REFUSAL_PAUSE_S = 0.4
+"""Time without new runs for a worker that refused one, for want of room or
+health; a third of a usual run time."""
+
+STOP_GRACE_S = 1.0
+"""Time in which a stopped run must have ended; workers take 0.9 s at most."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision for the log: an event and its fields."""
+
+    event: str
+    fields: dict[str, object]
+
+
+class JobDirector:
+    """Decides what runs where, while its replica leads.
+
+    The caller passes in records after their fold, workers' reports and
+    answers, and time; it collects records to propose, orders to carry out,
+    and decisions to log.
+    """
+
+    def __init__(self, jobs: state.JobsState) -> None:
+        self.jobs = jobs
+        self.fence = 0
+        self.workers: dict[str, WorkerView] = {}
+        self.index = WorkIndex()
+        self._orders: list[orders.Order] = []
+        self._proposals: list[state.JobRecord] = []
+        self._decisions: list[Decision] = []
+        self._woken: set[str] = set()
+        self._is_plan_due = False
+        self._planned_at_s = float('-inf')
+        self._finished_at_s: dict[str, float] = {}
+        self._retries: list[tuple[float, RunView, WorkerView]] = []
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this replica gives orders."""
+        return self.fence > 0
+
+    def lead(self, term: int, now_s: float, now_ms: int) -> None:
+        """Start from the committed state, without any knowledge of workers."""
+        self.retire()
+        self.fence = term
+        for life in self.jobs.lives.values():
+            self._add_worker(life, now_s)
+        for job in self.jobs.jobs.values():
+            if job.status is state.JobStatus.ACTIVE:
+                self.index.add_job(job, now_s, now_ms)
+            else:
+                self._finished_at_s[job.spec.job_id] = now_s
+        self._is_plan_due = True
+
+    def retire(self) -> None:
+        """Forget everything that only a leader may act on."""
+        self.fence = 0
+        self.workers.clear()
+        self.index = WorkIndex()
+        self._orders.clear()
+        self._proposals.clear()
+        self._finished_at_s.clear()
+        self._retries.clear()
+
+    def step(self, now_s: float, now_ms: int) -> list[state.JobRecord]:
+        """Do what is due, and return the records to propose."""
+        if not self.is_leading:
+            return []
+        if self.index.add_due(self.jobs.jobs, now_s, now_ms):
+            self._is_plan_due = True
+        self._retry_orders(now_s)
+        if self._is_plan_due or now_s >= self._planned_at_s + PLAN_INTERVAL_S:
+            self._is_plan_due = False
+            self._planned_at_s = now_s
+            self._find_lapsed(now_s)
+            self._forget_finished(now_s)
+            self._plan(now_s)
+        proposals = self._proposals
+        self._proposals = []
+        return proposals
+
+    def take_orders(self) -> list[orders.Order]:
+        """Return the orders to carry out, once."""
+        taken = self._orders
+        self._orders = []
+        return taken
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the decisions to log, once."""
+        taken = self._decisions
+        self._decisions = []
+        return taken
+
+    def take_woken(self) -> set[str]:
+        """Return the lives whose next look may be due now, once."""
+        taken = self._woken
+        self._woken = set()
+        return taken
+
+    def note_applied(
+        self, record: state.JobRecord, now_s: float, now_ms: int
+    ) -> None:
+        """Follow a record that was folded into the state just now."""
+        if not self.is_leading:
+            return
+        self._is_plan_due = True
+        match record:
+            case state.JobAccepted():
+                job = self.jobs.jobs[record.spec.job_id]
+                if record.spec.job_id not in self.index.steps:
+                    self.index.add_job(job, now_s, now_ms)
+            case state.JobCancelled():
+                self._note_finished(record.job_id, now_s)
+            case state.LifeSeen():
+                life = self.jobs.lives.get(record.facts.key)
+                if life is not None and record.facts.key not in self.workers:
+                    self._add_worker(life, now_s)
+            case state.LifeDraining():
+                view = self.workers.get(record.life_key)
+                if view is not None:
+                    view.is_draining = True
+            case _:
+                self._note_runs_applied(record, now_s)
+
+    def note_report(
+        self, report: orders.WorkerReport, now_s: float
+    ) -> state.JobRecord | None:
+        """Take a worker's report.
+
+        Returns:
+            A record to commit before the report is acknowledged, or None.
+        """
+        key = report.facts.key
+        view = self.workers.get(key)
+        if view is None:
+            if self._is_outdated(report.facts):
+                return None
+            return state.LifeSeen(report.facts)
+        if report.sequence <= view.sequence:
+            return None
+        view.sequence = report.sequence
+        view.note_clock(report.clock_ms, now_s)
+        view.heard_at_s = now_s
+        if view.suspect_since_s is not None:
+            self._woken.add(key)
+        if report.is_draining and not self.jobs.lives[key].is_draining:
+            view.is_draining = True
+            return state.LifeDraining(key)
+        return None
+
+    def note_left(self, worker_id: str, now_s: float) -> None:
+        """A worker ends now; its lists are read once more if they can be."""
+        for view in self.workers.values():
+            if view.facts.worker_id == worker_id:
+                view.is_draining = True
+                view.suspect_since_s = view.suspect_since_s or now_s
+                self._decide('worker_left', life=view.key)
+                if not view.runs:
+                    self._end_life(view, 'left')
+
+    def next_look(
+        self, life_key: str, now_s: float
+    ) -> orders.LookOrder | None:
+        """Return the next look at a worker, or None while none is needed.
+
+        A look that waits grants nothing: unanswered, it would leave open
+        until when the worker may go on.
+        """
+        view = self.workers.get(life_key)
+        life = self.jobs.lives.get(life_key)
+        if view is None or life is None or not self.is_leading:
+            return None
+        if view.proposed_end > life.noted_end:
+            return None
+        if view.is_read and not view.runs and view.suspect_since_s is None:
+            return None
+        until_ms = 0
+        clock_ms = view.clock_ms(now_s)
+        is_sound = view.is_read and view.suspect_since_s is None
+        is_grant_due = (
+            now_s >= view.granted_at_s + worker_view.GRANT_INTERVAL_S
+        )
+        if is_sound and is_grant_due and clock_ms is not None:
+            until_ms = clock_ms + _to_ms(worker_view.LEASE_S)
+        wait_ms = 0
+        if is_sound and not until_ms:
+            wait_ms = _to_ms(worker_view.LOOK_WAIT_S)
+        return orders.LookOrder(
+            view.facts, self.fence, life.noted_end, until_ms, wait_ms
+        )
+
+    def begin_look(self, order: orders.LookOrder, now_s: float) -> int:
+        """Note that a look is on its way; return the number of its grant."""
+        view = self.workers.get(order.life.key)
+        if view is None or not order.until_ms:
+            return 0
+        return view.begin_grant(now_s)
+
+    def note_look(
+        self,
+        order: orders.LookOrder,
+        grant: int,
+        answer: orders.LookAnswer,
+        sent_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Take a worker's lists, or the lack of them."""
+        view = self.workers.get(order.life.key)
+        if view is None or order.fence != self.fence:
+            return
+        is_read = answer.outcome is orders.OrderOutcome.DONE
+        if grant and answer.outcome is not orders.OrderOutcome.NO_ANSWER:
+            view.settle_grant(grant, now_s, is_carried_out=is_read)
+        if not is_read:
+            self._note_unread(view, answer, now_s)
+            return
+        if answer.born_ms not in (None, view.facts.born_ms):
+            self._note_other_life(view, now_s)
+            return
+        if view.suspect_since_s is not None:
+            self._decide('worker_regained', life=view.key)
+        is_first = not view.is_read
+        view.note_clock(answer.clock_ms, now_s)
+        view.note_read(now_s)
+        if is_first:
+            self._decide(
+                'worker_read',
+                life=view.key,
+                service=view.facts.service,
+                running=len(answer.running),
+                ended=len(answer.ended),
+            )
+        self._take_ends(view, answer, now_s)
+        self._match_runs(view, answer, sent_at_s, now_s)
+        self._is_plan_due = True
+
+    def note_order(
+        self,
+        order: orders.Order,
+        grant: int,
+        answer: orders.OrderAnswer,
+        now_s: float,
+    ) -> None:
+        """Take a worker's answer to an order, or the lack of one."""
+        view = self.workers.get(order.life.key)
+        if view is None or order.fence != self.fence:
+            return
+        outcome = answer.outcome
+        if outcome is not orders.OrderOutcome.NO_ANSWER:
+            view.note_clock(answer.clock_ms, now_s)
+        run = view.runs.get(order.key.name)
+        if isinstance(order, orders.StartOrder):
+            is_granted = outcome in _GRANTING
+            if grant and outcome is not orders.OrderOutcome.NO_ANSWER:
+                view.settle_grant(grant, now_s, is_carried_out=is_granted)
+            if run is not None:
+                self._note_start(view, run, outcome, now_s)
+        elif isinstance(order, orders.StopOrder):
+            self._note_stop(view, order, run, outcome, now_s)
+        if outcome is orders.OrderOutcome.NO_ANSWER:
+            self._suspect(view, now_s, 'order')
+
+    def _note_stop(
+        self,
+        view: WorkerView,
+        order: orders.StopOrder,
+        run: RunView | None,
+        outcome: orders.OrderOutcome,
+        now_s: float,
+    ) -> None:
+        is_done = outcome is orders.OrderOutcome.DONE
+        if is_done:
+            view.poisons.pop(order.key.name, None)
+        if run is None:
+            return
+        if is_done:
+            run.phase = RunPhase.STOPPED
+            run.phase_at_s = now_s
+            self._woken.add(view.key)
+        else:
+            self._retry_later(view, run, now_s)
+
+    def begin_start(self, order: orders.StartOrder, now_s: float) -> int:
+        """Note that an order to start is on its way."""
+        view = self.workers.get(order.life.key)
+        return view.begin_grant(now_s) if view is not None else 0
+
+    def is_wave_done(self, wave: state.WaveState) -> bool:
+        """Tell whether every machine of a wave has begun its upkeep."""
+        return set(wave.begun) >= set(wave.wave.machines)
+
+    def count_pending(self, queue: state.Queue) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self.jobs.jobs.values()
+            if job.status is state.JobStatus.ACTIVE
+            and not job.has_started
+            and job.queue.host == queue.host
+            and job.queue.path_prefix == queue.path_prefix
+        )
+
+    def service_of(self, job: state.Job) -> str:
+        """Return the service that runs a job by the plan in force."""
+        plan = self.jobs.plan
+        if plan is not None:
+            for queue in plan.queues:
+                if (queue.host, queue.path_prefix) == (
+                    job.queue.host,
+                    job.queue.path_prefix,
+                ):
+                    return queue.service
+        return job.queue.service
+
+    def _add_worker(self, life: state.WorkerLife, now_s: float) -> None:
+        view = WorkerView(life.facts, now_s)
+        view.is_draining = life.is_draining
+        view.proposed_end = life.noted_end
+        self.workers[view.key] = view
+        self._woken.add(view.key)
+        for key in life.runs.values():
+            step = self._step_of(key)
+            if step is not None:
+                view.add_run(RunView(key, step, RunPhase.UNCERTAIN, now_s))
+        for other in self.workers.values():
+            if other is view or other.successor or other.is_over:
+                continue
+            is_reborn = other.facts.worker_id == view.facts.worker_id
+            is_replaced = other.facts.address == view.facts.address
+            if not (is_reborn or is_replaced):
+                continue
+            older, newer = sorted((other, view), key=lambda v: v.facts.born_ms)
+            older.successor = newer.key
+            if not is_reborn:
+                # Orders name the worker, and the newer one refuses them.
+                self._end_life(older, 'address reused')
+
+    def _is_outdated(self, facts: state.WorkerFacts) -> bool:
+        """Tell whether a later life is known under this name or address."""
+        return any(
+            view.facts.born_ms > facts.born_ms
+            for view in self.workers.values()
+            if facts.worker_id == view.facts.worker_id
+            or facts.address == view.facts.address
+        )
+
+    def _step_of(self, key: state.RunKey) -> state.StepSpec | None:
+        job = self.jobs.jobs.get(key.job_id)
+        return job.spec.steps[key.step_number] if job is not None else None
+
+    def _note_finished(self, job_id: str, now_s: float) -> None:
+        """Stop what still runs for a job that has ended."""
+        job = self.jobs.jobs.get(job_id)
+        if job is None or job.status is state.JobStatus.ACTIVE:
+            return
+        if job_id in self._finished_at_s:
+            return
+        self._finished_at_s[job_id] = now_s
+        self.index.remove_job(job_id)
+        self._decide('job_finished', job=job_id, status=str(job.status))
+        for task in job.tasks.values():
+            for life_key in task.live_runs.values():
+                view = self.workers.get(life_key)
+                if view is None:
+                    continue
+                for run in view.runs.values():
+                    if run.key.job_id == job_id:
+                        self._stop(view, run, now_s)
+
+    def _note_runs_applied(
+        self, record: state.JobRecord, now_s: float
+    ) -> None:
+        match record:
+            case state.RunsAllotted():
+                for key, life_key in zip(
+                    record.runs, record.life_keys, strict=True
+                ):
+                    self._note_allotted(key, life_key, now_s)
+            case state.RunsVoided():
+                for key in record.runs:
+                    self._drop_run(key)
+            case state.EndsNoted():
+                for end in record.ends:
+                    self._note_end_applied(end, now_s)
+                self._woken.add(record.life_key)
+            case state.LifeOver():
+                view = self.workers.pop(record.life_key, None)
+                if view is not None:
+                    for run in view.runs.values():
+                        self.index.note_task(run.key)
+
+    def _note_allotted(
+        self, key: state.RunKey, life_key: str, now_s: float
+    ) -> None:
+        """Send the order for a run that is committed now."""
+        view = self.workers.get(life_key)
+        job = self.jobs.jobs.get(key.job_id)
+        run = view.runs.get(key.name) if view is not None else None
+        if view is None or run is None or job is None:
+            return
+        if run.phase is not RunPhase.ORDERED:
+            return
+        if job.status is not state.JobStatus.ACTIVE:
+            self._void(run)
+            return
+        self._order_start(view, run, now_s)
+
+    def _order_start(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> None:
+        job = self.jobs.jobs[run.key.job_id]
+        clock_ms = view.clock_ms(now_s)
+        if clock_ms is None:
+            self._retry_later(view, run, now_s)
+            return
+        task = job.tasks[run.key.task]
+        self._orders.append(
+            orders.StartOrder(
+                life=view.facts,
+                key=run.key,
+                text=job.spec.text,
+                until_ms=clock_ms + _to_ms(worker_view.LEASE_S),
+                fence=self.fence,
+                saved=task.saved if run.step.saves_progress else '',
+            )
+        )
+        self._woken.add(view.key)
+
+    def _note_start(
+        self,
+        view: WorkerView,
+        run: RunView,
+        outcome: orders.OrderOutcome,
+        now_s: float,
+    ) -> None:
+        kinds = orders.OrderOutcome
+        if outcome is kinds.DONE:
+            if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
+                run.phase = RunPhase.RUNNING
+                run.phase_at_s = now_s
+                run.started_at_s = now_s
+            view.note_heard(now_s)
+            return
+        self._decide(
+            'start_refused',
+            run=run.key.name,
+            life=view.key,
+            outcome=str(outcome),
+        )
+        if outcome in (kinds.NO_ROOM, kinds.UNHEALTHY, kinds.NO_PERMIT):
+            # The worker has done nothing, and the run number is not used
+            # again.
+            view.note_failure(now_s)
+            view.blocked_until_s = now_s + REFUSAL_PAUSE_S
+            self._void(run)
+        elif outcome is kinds.INVALID:
+            view.note_failure(now_s)
+            self._void(run)
+        elif outcome in (kinds.OLD_RUN, kinds.OTHER_LIFE):
+            run.phase = RunPhase.STOPPED
+            run.phase_at_s = now_s
+            self._woken.add(view.key)
+        elif outcome is not kinds.FENCED:
+            run.tries += 1
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.UNCERTAIN
+                run.phase_at_s = now_s
+            self._retry_later(view, run, now_s)
+
+    def _retry_later(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> None:
+        self._retries.append((now_s + ORDER_RETRY_S, run, view))
+
+    def _retry_orders(self, now_s: float) -> None:
+        if not self._retries:
+            return
+        due = [item for item in self._retries if item[0] <= now_s]
+        self._retries = [item for item in self._retries if item[0] > now_s]
+        for _, run, view in due:
+            if view.runs.get(run.key.name) is not run:
+                continue
+            if view.suspect_since_s is not None:
+                self._retry_later(view, run, now_s)
+                continue
+            self._retry_order(view, run, now_s)
+
+    def _retry_order(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> None:
+        if run.phase is RunPhase.STOPPING:
+            self._order_stop(view, run)
+        elif run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
+            job = self.jobs.jobs.get(run.key.job_id)
+            is_active = (
+                job is not None and job.status is state.JobStatus.ACTIVE
+            )
+            if not is_active or run.tries >= MAX_START_TRIES:
+                self._stop(view, run, now_s)
+            else:
+                self._order_start(view, run, now_s)
+
+    def _stop(self, view: WorkerView, run: RunView, now_s: float) -> None:
+        if run.phase in (RunPhase.STOPPING, RunPhase.STOPPED):
+            return
+        run.phase = RunPhase.STOPPING
+        run.phase_at_s = now_s
+        self._order_stop(view, run)
+
+    def _order_stop(self, view: WorkerView, run: RunView) -> None:
+        self._orders.append(orders.StopOrder(view.facts, run.key, self.fence))
+
+    def _void(self, run: RunView) -> None:
+        self._proposals.append(state.RunsVoided((run.key,)))
+        run.phase = RunPhase.STOPPED
+        run.phase_at_s = math.inf
+
+    def _drop_run(self, key: state.RunKey) -> None:
+        for view in self.workers.values():
+            view.remove_run(key.name)
+        self.index.note_task(key)
+
+    def _note_end_applied(self, end: state.RunEnd, now_s: float) -> None:
+        self.index.note_task(end.key)
+        job = self.jobs.jobs.get(end.key.job_id)
+        if job is None:
+            return
+        if job.status is not state.JobStatus.ACTIVE:
+            self._note_finished(end.key.job_id, now_s)
+        elif end.ending is state.RunEnding.DONE:
+            step = job.spec.steps[end.key.step_number]
+            if step.is_gang:
+                for index in range(step.task_count):
+                    task = f'{end.key.step_key}.{index}'
+                    self.index.note_task(
+                        dataclasses.replace(end.key, task=task)
+                    )
+            self.index.note_progress(end.key)
+
+    def _note_unread(
+        self, view: WorkerView, answer: orders.LookAnswer, now_s: float
+    ) -> None:
+        kinds = orders.OrderOutcome
+        if answer.outcome is kinds.OTHER_LIFE:
+            self._note_other_life(view, now_s)
+        elif answer.outcome is kinds.FENCED:
+            self._decide('fenced', life=view.key, fence=self.fence)
+            view.note_missed(now_s)
+        else:
+            self._suspect(view, now_s, 'look')
+
+    def _suspect(self, view: WorkerView, now_s: float, cause: str) -> None:
+        if view.suspect_since_s is None:
+            self._decide(
+                'worker_silent',
+                life=view.key,
+                cause=cause,
+                runs=len(view.runs),
+                heard_s_ago=round(now_s - view.heard_at_s, 3),
+            )
+        view.note_missed(now_s)
+        self._woken.add(view.key)
+
+    def _note_other_life(self, view: WorkerView, now_s: float) -> None:
+        """Another life answers where this one was."""
+        self._suspect(view, now_s, 'other life')
+        successor = self.workers.get(view.successor)
+        if successor is not None:
+            self._end_after(view, successor, now_s)
+
+    def _end_after(
+        self, view: WorkerView, successor: WorkerView, now_s: float
+    ) -> None:
+        """End a life once its successor holds none of its runs.
+
+        Orders name the worker, and a later life under the same name may take
+        them, so the later one must have been read, and have refused the runs
+        whose orders are still open.
+        """
+        if not successor.is_read:
+            return
+        if not view.is_poisoned:
+            view.is_poisoned = True
+            for run in view.runs.values():
+                if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
+                    successor.poisons[run.key.name] = run.key
+        if successor.poisons.keys() & view.runs.keys():
+            self._order_poisons(successor, now_s)
+        elif not successor.strays & view.runs.keys():
+            self._end_life(view, 'reborn')
+
+    def _order_poisons(self, successor: WorkerView, now_s: float) -> None:
+        if now_s < successor.poisoned_at_s + ORDER_RETRY_S:
+            return
+        successor.poisoned_at_s = now_s
+        for key in successor.poisons.values():
+            self._orders.append(
+                orders.StopOrder(successor.facts, key, self.fence)
+            )
+
+    def _end_life(self, view: WorkerView, cause: str) -> None:
+        if view.is_over:
+            return
+        view.is_over = True
+        self._proposals.append(state.LifeOver(view.key, cause))
+        self._decide(
+            'life_over', life=view.key, cause=cause, runs=len(view.runs)
+        )
+
+    def _find_lapsed(self, now_s: float) -> None:
+        for view in list(self.workers.values()):
+            if view.is_over:
+                continue
+            successor = self.workers.get(view.successor)
+            if successor is not None:
+                self._end_after(view, successor, now_s)
+                continue
+            is_silent = view.suspect_since_s is not None or (
+                now_s >= view.heard_at_s + worker_view.SILENCE_S
+            )
+            if not is_silent:
+                continue
+            if view.suspect_since_s is None and view.runs:
+                continue
+            if now_s >= view.lapse_at_s():
+                self._end_life(view, 'lease lapsed')
+
+    def _take_ends(
+        self, view: WorkerView, answer: orders.LookAnswer, now_s: float
+    ) -> None:
+        fresh = [e for e in answer.ended if e.number > view.proposed_end]
+        if not fresh:
+            return
+        view.proposed_end = fresh[-1].number
+        self._proposals.append(state.EndsNoted(view.key, tuple(fresh)))
+        for end in fresh:
+            # The worker lists an end once its room is free.
+            run = view.remove_run(end.key.name)
+            self._note_ending(view, run, end, now_s)
+
+    def _note_ending(
+        self,
+        view: WorkerView,
+        run: RunView | None,
+        end: state.RunEnd,
+        now_s: float,
+    ) -> None:
+        if end.ending is state.RunEnding.DONE:
+            view.note_success(now_s)
+            return
+        self._decide(
+            'run_ended',
+            run=end.key.name,
+            life=view.key,
+            ending=str(end.ending),
+            ran_s=round(now_s - run.started_at_s, 3) if run else None,
+        )
+        if end.ending is state.RunEnding.FAILED:
+            view.note_failure(now_s)
+            work = self.index.find(end.key)
+            if work is not None:
+                index = int(end.key.task.rpartition('.')[2])
+                work.failed_at.setdefault(index, set()).add(view.key)
+
+    def _match_runs(
+        self,
+        view: WorkerView,
+        answer: orders.LookAnswer,
+        sent_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Compare what runs with what was allotted."""
+        listed = {item.key.name: item for item in answer.running}
+        view.strays = frozenset(listed.keys() - view.runs.keys())
+        for name, item in listed.items():
+            run = view.runs.get(name)
+            if run is None:
+                self._stop_stray(view, item)
+                continue
+            run.percent = item.percent
+            run.figure = item.figure
+            run.saved = item.saved
+            if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
+                run.phase = RunPhase.RUNNING
+                run.phase_at_s = now_s
+                run.started_at_s = now_s
+                self._stop_if_unwanted(view, run, now_s)
+        if not answer.is_complete:
+            return
+        for run in list(view.runs.values()):
+            grace_s = STOP_GRACE_S if run.phase is RunPhase.STOPPED else 0.0
+            if run.key.name in listed or run.phase_at_s + grace_s >= sent_at_s:
+                continue
+            is_settled = run.phase in (RunPhase.RUNNING, RunPhase.STOPPED)
+            is_of_former_leader = (
+                run.phase is RunPhase.UNCERTAIN and run.tries == 0
+            )
+            if is_settled or is_of_former_leader:
+                # Neither runs nor ended, and can't begin any more.
+                self._decide('run_absent', run=run.key.name, life=view.key)
+                self._void(run)
+
+    def _stop_stray(self, view: WorkerView, item: orders.ListedRun) -> None:
+        self._decide('run_stray', run=item.key.name, life=view.key)
+        self._orders.append(orders.StopOrder(view.facts, item.key, self.fence))
+
+    def _stop_if_unwanted(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> None:
+        job = self.jobs.jobs.get(run.key.job_id)
+        if job is None or job.status is not state.JobStatus.ACTIVE:
+            self._stop(view, run, now_s)
+
+    def _forget_finished(self, now_s: float) -> None:
+        old = [
+            job_id
+            for job_id, at_s in self._finished_at_s.items()
+            if now_s >= at_s + KEEP_FINISHED_S
+        ]
+        if old:
+            for job_id in old:
+                del self._finished_at_s[job_id]
+            self._proposals.append(state.JobsForgotten(tuple(old)))
+
+    def _plan(self, now_s: float) -> None:
+        """Allot waiting tasks to workers with room."""
+        pools: dict[str, list[WorkerView]] = {}
+        for view in self.workers.values():
+            if view.is_usable(now_s):
+                pools.setdefault(view.facts.service, []).append(view)
+        if not pools:
+            return
+        works = [
+            work
+            for steps in self.index.steps.values()
+            for work in steps.values()
+            if work.waiting
+        ]
+        works.sort(key=lambda work: _rank(work, now_s))
+        runs: list[state.RunKey] = []
+        life_keys: list[str] = []
+        for work in works:
+            workers = pools.get(self.service_of(work.job))
+            if workers is None:
+                continue
+            for placement in _placement.place_step(work, workers, now_s):
+                key = self._reserve(work, placement, now_s)
+                runs.append(key)
+                life_keys.append(placement.worker.key)
+        for first in range(0, len(runs), MAX_RUNS_PER_RECORD):
+            last = first + MAX_RUNS_PER_RECORD
+            self._proposals.append(
+                state.RunsAllotted(
+                    tuple(runs[first:last]), tuple(life_keys[first:last])
+                )
+            )
+
+    def _reserve(
+        self, work: StepWork, placement: _placement.Placement, now_s: float
+    ) -> state.RunKey:
+        job = work.job
+        task_key = f'{work.step_key}.{placement.index}'
+        run_number = _next_run(work, placement.index)
+        key = state.RunKey(job.spec.job_id, task_key, run_number)
+        work.waiting.discard(placement.index)
+        placement.worker.add_run(
+            RunView(key, work.step, RunPhase.ORDERED, now_s)
+        )
+        return key
+
+    def _decide(self, event: str, **fields: object) -> None:
+        self._decisions.append(Decision(event, fields))
+
+
+_GRANTING = (
+    orders.OrderOutcome.DONE,
+    orders.OrderOutcome.OLD_RUN,
+    orders.OrderOutcome.NO_ROOM,
+)
+"""Answers of a worker that took the lease of an order to start."""
+
+
+def _next_run(work: StepWork, index: int) -> int:
+    """Return a run number above all of the task's; one for a whole gang."""
+    indexes = [index]
+    if work.step.is_gang:
+        indexes = list(range(work.step.task_count))
+    runs = [0]
+    for member in indexes:
+        task = work.job.tasks.get(f'{work.step_key}.{member}')
+        if task is not None:
+            runs.append(task.run)
+    return max(runs) + 1
+
+
+def _rank(work: StepWork, now_s: float) -> tuple[float, ...]:
+    """Order steps: what earns most for waiting least comes first."""
+    is_worthless = now_s >= work.worthless_at_s and not work.step.is_lasting
+    return (is_worthless, work.job.queue.priority, work.due_at_s)
+
+
+def _to_ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- /dev/null
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -0,0 +1,234 @@
+"""An entry's side of jobs: finds the leader and passes calls on to it."""
+
+import dataclasses
+
+from greengagering.coordination.jobs import _job_messages as messages
+from greengagering import state
+
+PROBE_INTERVAL_S = 0.5
+"""Time between two probes of a known leader."""
+
+SEARCH_INTERVAL_S = 0.15
+"""Time between two rounds of probes while no leader is known."""
+
+LEADER_SILENCE_S = 1.2
+"""Silence after which the leader is searched for: two missed probes."""
+
+RESEND_S = 0.4
+"""Silence after which a call is sent again, perhaps to another leader; ten
+times the usual answer time."""
+
+SEARCH_PATIENCE_S = 1.0
+"""How long a call waits for a leader to be found; elections take less."""
+
+MAX_OPEN_CALLS = 2000
+"""Calls that wait for the leader at one entry."""
+
+RETRY_AFTER_S = 0.5
+"""When a caller should come back after a refusal: an election's length."""
+
+
+@dataclasses.dataclass(slots=True)
+class OpenCall:
+    """A call that waits for its answer.
+
+    Attributes:
+        call: the call.
+        received_at_s: when it came in.
+        deadline_s: when the caller gives up.
+        sent_at_s: when it was last passed on, or None.
+    """
+
+    call: messages.JobCall
+    received_at_s: float
+    deadline_s: float
+    sent_at_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayOutgoing:
+    """A message for a control process."""
+
+    address: str
+    message: messages.JobCall | messages.ControlProbe
+
+
+class JobGateway:
+    """Passes callers' calls to the leader and their answers back.
+
+    The caller of this class passes in calls, messages and time, and collects
+    messages and answers.
+    """
+
+    def __init__(
+        self, entry_id: str, address: str, seeds: tuple[str, ...]
+    ) -> None:
+        self.entry_id = entry_id
+        self.address = address
+        self.leader_address = ''
+        self.leader_id = ''
+        self.max_body_bytes = 0
+        self.open_calls: dict[int, OpenCall] = {}
+        self._seeds = seeds
+        self._members: tuple[str, ...] = ()
+        self._heard_at_s = float('-inf')
+        self._probed_at_s = float('-inf')
+        self._next_id = 1
+        self._outbox: list[GatewayOutgoing] = []
+        self._answers: list[messages.JobAnswer] = []
+
+    def is_ready(self, now_s: float) -> bool:
+        """Tell whether calls reach a leader that has a plan."""
+        return self.has_leader(now_s) and self.max_body_bytes > 0
+
+    def has_leader(self, now_s: float) -> bool:
+        """Tell whether a leader was heard just now."""
+        is_recent = now_s < self._heard_at_s + LEADER_SILENCE_S
+        return bool(self.leader_address) and is_recent
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other first addresses to ask."""
+        self._seeds = seeds
+
+    def submit(
+        self,
+        kind: messages.CallKind,
+        host: str,
+        path: str,
+        spec: state.JobSpec | None,
+        deadline_s: float,
+        now_s: float,
+    ) -> int:
+        """Pass a call on; its answer comes from take_answers.
+
+        Returns:
+            The call's number.
+        """
+        call_id = self._next_id
+        self._next_id += 1
+        call = messages.JobCall(
+            call_id, self.entry_id, self.address, kind, host, path, spec
+        )
+        if len(self.open_calls) >= MAX_OPEN_CALLS:
+            self._answers.append(
+                messages.JobAnswer(
+                    call_id,
+                    messages.JobOutcome.OVERLOADED,
+                    retry_after_s=RETRY_AFTER_S,
+                    detail=f'{MAX_OPEN_CALLS} calls wait for control already',
+                )
+            )
+            return call_id
+        opened = OpenCall(call, now_s, deadline_s)
+        self.open_calls[call_id] = opened
+        if self.has_leader(now_s):
+            self._send(opened, now_s)
+        return call_id
+
+    def forget(self, call_id: int) -> None:
+        """Drop a call whose caller has gone."""
+        self.open_calls.pop(call_id, None)
+
+    def receive(
+        self,
+        message: messages.JobAnswer | messages.ControlStatus,
+        now_s: float,
+    ) -> None:
+        """Take a message of a control process."""
+        if isinstance(message, messages.ControlStatus):
+            self._note_status(message, now_s)
+            return
+        opened = self.open_calls.get(message.call_id)
+        if opened is None:
+            return
+        if message.outcome is messages.JobOutcome.UNAVAILABLE:
+            # That process doesn't lead; the search finds who does.
+            self.leader_address = ''
+            return
+        del self.open_calls[message.call_id]
+        self._answers.append(message)
+
+    def step(self, now_s: float) -> None:
+        """Probe, send again, and give up what can't be answered in time."""
+        self._probe(now_s)
+        has_leader = self.has_leader(now_s)
+        for opened in list(self.open_calls.values()):
+            if now_s >= opened.deadline_s:
+                self._give_up(opened)
+            elif has_leader:
+                is_due = (
+                    opened.sent_at_s is None
+                    or now_s >= opened.sent_at_s + RESEND_S
+                )
+                if is_due:
+                    self._send(opened, now_s)
+            elif opened.sent_at_s is None and (
+                now_s >= opened.received_at_s + SEARCH_PATIENCE_S
+            ):
+                self._give_up(opened)
+
+    def take_outbox(self) -> list[GatewayOutgoing]:
+        """Return the messages to send, once."""
+        taken = self._outbox
+        self._outbox = []
+        return taken
+
+    def take_answers(self) -> list[messages.JobAnswer]:
+        """Return the answers to hand to callers, once."""
+        taken = self._answers
+        self._answers = []
+        return taken
+
+    def _note_status(
+        self, status: messages.ControlStatus, now_s: float
+    ) -> None:
+        if status.members:
+            self._members = status.members
+        if status.is_leader:
+            self.leader_address = status.address
+            self.leader_id = status.replica_id
+            self.max_body_bytes = status.max_body_bytes
+            self._heard_at_s = now_s
+        elif status.leader_address and not self.has_leader(now_s):
+            self._send_probe(status.leader_address)
+
+    def _probe(self, now_s: float) -> None:
+        has_leader = self.has_leader(now_s)
+        interval_s = PROBE_INTERVAL_S if has_leader else SEARCH_INTERVAL_S
+        if now_s < self._probed_at_s + interval_s:
+            return
+        self._probed_at_s = now_s
+        if has_leader:
+            self._send_probe(self.leader_address)
+            return
+        for address in dict.fromkeys((*self._members, *self._seeds)):
+            self._send_probe(address)
+
+    def _send_probe(self, address: str) -> None:
+        probe = messages.ControlProbe(self.entry_id, self.address)
+        self._outbox.append(GatewayOutgoing(address, probe))
+
+    def _send(self, opened: OpenCall, now_s: float) -> None:
+        opened.sent_at_s = now_s
+        self._outbox.append(GatewayOutgoing(self.leader_address, opened.call))
+
+    def _give_up(self, opened: OpenCall) -> None:
+        """Answer at the deadline, or when no leader is found.
+
+        A call that was passed on may have been carried out.
+        """
+        del self.open_calls[opened.call.call_id]
+        if opened.sent_at_s is None:
+            outcome = messages.JobOutcome.UNAVAILABLE
+            detail = 'no control process leads'
+        else:
+            outcome = messages.JobOutcome.UNKNOWN
+            detail = 'control did not answer in time'
+        self._answers.append(
+            messages.JobAnswer(
+                opened.call.call_id,
+                outcome,
+                retry_after_s=RETRY_AFTER_S,
+                detail=detail,
+            )
+        )
--- /dev/null
+++ b/greengagering/coordination/jobs/_placement.py
@@ -0,0 +1,140 @@
+"""Chooses workers for the waiting tasks of one step."""
+
+import dataclasses
+
+from greengagering.coordination.jobs._work_index import StepWork
+from greengagering.coordination.jobs import _worker_view as worker_view
+from greengagering.coordination.jobs._worker_view import WorkerView
+
+AVOID_SCORE = worker_view.AVOID_SCORE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """A task and the worker chosen for it."""
+
+    index: int
+    worker: WorkerView
+
+
+def place_step(
+    work: StepWork, workers: list[WorkerView], now_s: float
+) -> list[Placement]:
+    """Choose workers for as many waiting tasks as have room.
+
+    Args:
+        work: the step.
+        workers: usable workers of the queue's service.
+        now_s: the leader's clock.
+
+    Returns:
+        Placements; for a gang all of its tasks or none. Room is not taken.
+    """
+    step = work.step
+    fitting = [
+        worker
+        for worker in workers
+        if not step.required_label
+        or step.required_label in worker.facts.labels
+    ]
+    budget = _Budget(work, fitting)
+    chosen = []
+    for index in sorted(work.waiting):
+        worker = budget.choose(index, now_s)
+        if worker is None:
+            if step.is_gang:
+                return []
+            if not work.failed_at:
+                break
+            continue
+        chosen.append(Placement(index, worker))
+    if step.is_gang and len(chosen) < step.task_count:
+        return []
+    return chosen
+
+
+class _Budget:
+    """Room of the workers, less what this step was given already."""
+
+    def __init__(self, work: StepWork, workers: list[WorkerView]) -> None:
+        self._work = work
+        self._step = work.step
+        self._taken: dict[str, int] = {}
+        self._workers = workers
+        self._rack_counts: dict[str, int] = {}
+        self._counts: dict[str, int] = {}
+        step = self._step
+        if step.max_per_worker or step.is_lasting or step.is_rack_local:
+            for worker in workers:
+                count = worker.count_step(work.job.spec.job_id, work.step_key)
+                if count:
+                    self._counts[worker.key] = count
+                    rack = worker.facts.rack
+                    self._rack_counts[rack] = (
+                        self._rack_counts.get(rack, 0) + count
+                    )
+
+    def choose(self, index: int, now_s: float) -> WorkerView | None:
+        """Return the best worker with room for a task, and take it."""
+        avoided = self._work.failed_at.get(index, ())
+        best: WorkerView | None = None
+        best_rank: tuple[float, ...] = ()
+        for worker in self._workers:
+            if not self._has_room(worker):
+                continue
+            rank = self._rank(worker, worker.key in avoided, now_s)
+            if best is None or rank < best_rank:
+                best, best_rank = worker, rank
+        if best is not None:
+            self._take(best)
+        return best
+
+    def _has_room(self, worker: WorkerView) -> bool:
+        step = self._step
+        taken = self._taken.get(worker.key, 0) + 1
+        cpu = 0 if step.fills else step.room.cpu_millicores
+        if (
+            cpu * taken > worker.free_cpu
+            or step.room.memory_mb * taken > worker.free_memory
+            or step.room.gpu_count * taken > worker.free_gpu
+        ):
+            return False
+        if not step.max_per_worker:
+            return True
+        return self._counts.get(worker.key, 0) < step.max_per_worker
+
+    def _rank(
+        self, worker: WorkerView, is_avoided: bool, now_s: float
+    ) -> tuple[float, ...]:
+        """Order workers; the lowest is the best.
+
+        Lasting tasks spread over racks and workers, so that a failure costs
+        few of them. Others go where the least room is left, which keeps wide
+        room free for large tasks.
+        """
+        step = self._step
+        is_failing = worker.failure_score(now_s) >= AVOID_SCORE
+        rack = worker.facts.rack
+        is_far = bool(step.data_rack) and rack != step.data_rack
+        room = worker.free_cpu - step.room.cpu_millicores * self._taken.get(
+            worker.key, 0
+        )
+        if step.is_lasting:
+            return (
+                is_failing,
+                is_avoided,
+                is_far,
+                self._counts.get(worker.key, 0),
+                self._rack_counts.get(rack, 0),
+                -room,
+            )
+        rack_rank = 0
+        if step.is_rack_local:
+            rack_rank = -self._rack_counts.get(rack, 0)
+        return (is_failing, is_avoided, is_far, rack_rank, room)
+
+    def _take(self, worker: WorkerView) -> None:
+        key, rack = worker.key, worker.facts.rack
+        self._taken[key] = self._taken.get(key, 0) + 1
+        self._counts[key] = self._counts.get(key, 0) + 1
+        self._rack_counts[rack] = self._rack_counts.get(rack, 0) + 1
--- /dev/null
+++ b/greengagering/coordination/jobs/_routing.py
@@ -0,0 +1,28 @@
+"""Finds the queue that a caller's path belongs to."""
+
+import dataclasses
+
+from greengagering import state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutedPath:
+    """A queue, and the part of the path that follows its prefix."""
+
+    queue: state.Queue
+    rest: str
+
+
+def find_queue(
+    plan: state.RoutePlan, host: str, path: str
+) -> RoutedPath | None:
+    """Return the queue of the host with the longest matching prefix."""
+    best: state.Queue | None = None
+    for queue in plan.queues:
+        if queue.host != host or not path.startswith(queue.path_prefix):
+            continue
+        if best is None or len(queue.path_prefix) > len(best.path_prefix):
+            best = queue
+    if best is None:
+        return None
+    return RoutedPath(best, path[len(best.path_prefix) :])
--- /dev/null
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -0,0 +1,167 @@
+"""Which tasks wait for a worker, derived from the committed jobs."""
+
+import dataclasses
+import heapq
+
+from greengagering import state
+
+LATE_RATIO = 3.0
+"""Multiple of its objective after which a job earns its caller nothing."""
+
+
+@dataclasses.dataclass(slots=True)
+class StepWork:
+    """The tasks of one step of one occurrence whose turn has come.
+
+    Attributes:
+        job: its job.
+        occurrence: which of the job's occurrences.
+        number: number of the step.
+        waiting: indexes of tasks that wait for a worker.
+        due_at_s: when the occurrence's objective ends.
+        worthless_at_s: from then on the job earns nothing.
+        failed_at: workers at which a task failed, by index.
+    """
+
+    job: state.Job
+    occurrence: int
+    number: int
+    waiting: set[int]
+    due_at_s: float
+    worthless_at_s: float
+    failed_at: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+
+    @property
+    def step(self) -> state.StepSpec:
+        """What the tasks are."""
+        return self.job.spec.steps[self.number]
+
+    @property
+    def step_key(self) -> str:
+        """Occurrence and step, as 'occurrence.step'."""
+        return f'{self.occurrence}.{self.number}'
+
+
+class WorkIndex:
+    """Keeps the steps whose turn has come, by job."""
+
+    def __init__(self) -> None:
+        self.steps: dict[str, dict[str, StepWork]] = {}
+        self._timed: list[tuple[int, str, int]] = []
+
+    def add_job(self, job: state.Job, now_s: float, now_ms: int) -> None:
+        """Add a job and its occurrences, due or not."""
+        spec = job.spec
+        self.steps.setdefault(spec.job_id, {})
+        for occurrence in range(spec.occurrence_count):
+            due_ms = spec.first_due_ms + occurrence * spec.interval_ms
+            if spec.first_due_ms and due_ms > now_ms:
+                heapq.heappush(self._timed, (due_ms, spec.job_id, occurrence))
+            else:
+                since_ms = due_ms if spec.first_due_ms else job.accepted_at_ms
+                age_s = max(0.0, (now_ms - since_ms) / 1000)
+                self._add_occurrence(job, occurrence, now_s - age_s)
+
+    def add_due(
+        self, jobs: dict[str, state.Job], now_s: float, now_ms: int
+    ) -> bool:
+        """Add occurrences whose time has come; return whether any has."""
+        is_added = False
+        while self._timed and self._timed[0][0] <= now_ms:
+            _, job_id, occurrence = heapq.heappop(self._timed)
+            job = jobs.get(job_id)
+            if job is not None and job.status is state.JobStatus.ACTIVE:
+                self._add_occurrence(job, occurrence, now_s)
+                is_added = True
+        return is_added
+
+    def remove_job(self, job_id: str) -> None:
+        """Forget the waiting tasks of a job."""
+        self.steps.pop(job_id, None)
+
+    def find(self, key: state.RunKey) -> StepWork | None:
+        """Return the step of a run, once its turn has come."""
+        return self.steps.get(key.job_id, {}).get(key.step_key)
+
+    def note_task(self, key: state.RunKey) -> None:
+        """Let a task wait again, or no more, by its committed state."""
+        work = self.find(key)
+        if work is None:
+            return
+        index = int(key.task.rpartition('.')[2])
+        task = work.job.tasks.get(key.task)
+        is_waiting = task is None or not (task.is_done or task.live_runs)
+        if is_waiting:
+            work.waiting.add(index)
+        else:
+            work.waiting.discard(index)
+
+    def note_progress(self, key: state.RunKey) -> None:
+        """Add the steps that a finished step has held up."""
+        work = self.find(key)
+        if work is None:
+            return
+        job = work.job
+        if job.done_counts.get(work.step_key, 0) < work.step.task_count:
+            return
+        for number, step in enumerate(job.spec.steps):
+            if work.number in step.after:
+                self._add_step(
+                    job, work.occurrence, number, _Window.of_work(work)
+                )
+
+    def _add_occurrence(
+        self, job: state.Job, occurrence: int, since_s: float
+    ) -> None:
+        objective_s = find_objective_s(job)
+        window = _Window(
+            since_s + objective_s, since_s + LATE_RATIO * objective_s
+        )
+        for number in range(len(job.spec.steps)):
+            self._add_step(job, occurrence, number, window)
+
+    def _add_step(
+        self, job: state.Job, occurrence: int, number: int, window: '_Window'
+    ) -> None:
+        steps = self.steps.get(job.spec.job_id)
+        key = f'{occurrence}.{number}'
+        if steps is None or key in steps:
+            return
+        step = job.spec.steps[number]
+        for earlier in step.after:
+            done = job.done_counts.get(f'{occurrence}.{earlier}', 0)
+            if done < job.spec.steps[earlier].task_count:
+                return
+        waiting = set()
+        for index in range(step.task_count):
+            task = job.tasks.get(f'{key}.{index}')
+            if task is None or not (task.is_done or task.live_runs):
+                waiting.add(index)
+        steps[key] = StepWork(
+            job,
+            occurrence,
+            number,
+            waiting,
+            window.due_at_s,
+            window.worthless_at_s,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Window:
+    due_at_s: float
+    worthless_at_s: float
+
+    @staticmethod
+    def of_work(work: StepWork) -> '_Window':
+        return _Window(work.due_at_s, work.worthless_at_s)
+
+
+def find_objective_s(job: state.Job) -> float:
+    """Return the time that a job's queue promises for it."""
+    chain_s: list[float] = []
+    for step in job.spec.steps:
+        before_s = max((chain_s[n] for n in step.after), default=0.0)
+        chain_s.append(before_s + step.estimate_s)
+    longest_s = max(chain_s, default=0.0)
+    return job.queue.stretch * longest_s + job.queue.target_s
--- /dev/null
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -0,0 +1,259 @@
+"""What the leader knows of one life of a worker."""
+
+import dataclasses
+import enum
+
+from greengagering import state
+
+LEASE_S = 4.0
+"""Lease that an order grants: outlasts an election and the rereading of all
+workers (under 2 s), and bounds how long the tasks of a lost worker wait."""
+
+GRANT_INTERVAL_S = 1.2
+"""Age of the newest grant after which a look grants again; with a long look
+in between, at least a third of a lease is left whenever the leader stops."""
+
+LOOK_WAIT_S = 1.5
+"""How long a look waits for an end; the worker allows at most 2 s."""
+
+LATE_ORDER_S = 12.0
+"""Longest time after which an unanswered order may still be carried out, by
+the users' list of disturbances."""
+
+WORKER_CLOCK_RATIO = 0.98
+"""A worker's clock runs at this speed at least, by the worker's interface."""
+
+SILENCE_S = 4.0
+"""Time without a word after which a worker gets no new run: two missed
+reports."""
+
+FAILURE_HALF_LIFE_S = 3.0
+"""Time in which the score of a worker's failures halves; a few run times."""
+
+AVOID_SCORE = 2.5
+"""Failure score from which a worker is used only when no other has room."""
+
+
+class RunPhase(enum.Enum):
+    """How far the order to start a run has come."""
+
+    ORDERED = enum.auto()
+    UNCERTAIN = enum.auto()
+    RUNNING = enum.auto()
+    STOPPING = enum.auto()
+    STOPPED = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class RunView:
+    """One run at a worker.
+
+    Attributes:
+        key: the run.
+        step: its step.
+        phase: how far its order has come.
+        phase_at_s: when the phase began.
+        started_at_s: when the worker confirmed the start, or 0.
+        percent: share of full speed that it works at, as listed.
+        figure: newest figure that the worker listed for it.
+        saved: newest progress that the worker listed.
+        tries: orders to start it that got no answer.
+    """
+
+    key: state.RunKey
+    step: state.StepSpec
+    phase: RunPhase
+    phase_at_s: float
+    started_at_s: float = 0.0
+    percent: int = 100
+    figure: int | None = None
+    saved: str = ''
+    tries: int = 0
+
+
+class WorkerView:
+    """Room, clock, leases and runs of one life, as far as the leader knows.
+
+    Attributes:
+        facts: what the worker said of itself.
+        runs: runs allotted to it, by run name.
+        free_cpu: millicores that no run holds.
+        free_memory: megabytes that no run holds.
+        free_gpu: accelerators that no run holds.
+        is_read: its lists were read under this leader's fence.
+        is_draining: it takes no new run.
+        is_reserved: its machine is being emptied for upkeep or a move.
+        heard_at_s: when it last answered or reported.
+        suspect_since_s: when it first failed to answer, or None.
+        sequence: number of its newest report.
+        successor: key of a later life under the same name, or ''.
+        proposed_end: highest number of its ends that was proposed.
+        granted_at_s: when the newest grant was sent.
+        is_over: its end was proposed.
+        blocked_until_s: it gets no new run before, after a refusal.
+        strays: runs that it lists and that were not allotted to it.
+        poisons: runs of its predecessor that it must refuse from now on,
+            and has not confirmed yet, by run name.
+        is_poisoned: its successor was told which runs to refuse.
+        poisoned_at_s: when this life was last told to refuse runs.
+    """
+
+    def __init__(self, facts: state.WorkerFacts, now_s: float) -> None:
+        self.facts = facts
+        self.runs: dict[str, RunView] = {}
+        self.free_cpu = facts.room.cpu_millicores
+        self.free_memory = facts.room.memory_mb
+        self.free_gpu = facts.room.gpu_count
+        self.is_read = False
+        self.is_draining = False
+        self.is_reserved = False
+        self.heard_at_s = now_s
+        self.suspect_since_s: float | None = None
+        self.sequence = -1
+        self.successor = ''
+        self.proposed_end = 0
+        self.granted_at_s = float('-inf')
+        self.is_over = False
+        self.blocked_until_s = float('-inf')
+        self.strays: frozenset[str] = frozenset()
+        self.poisons: dict[str, state.RunKey] = {}
+        self.is_poisoned = False
+        self.poisoned_at_s = float('-inf')
+        self._grant_number = 0
+        self._open_grants: dict[int, float] = {}
+        self._settled_at_s = float('-inf')
+        # Grants of earlier leaders may be on their way since just now.
+        self._unknown_since_s: float | None = now_s
+        self._clock_offset_ms: float | None = None
+        self._failures = 0.0
+        self._failures_at_s = now_s
+
+    @property
+    def key(self) -> str:
+        """Name of this life."""
+        return self.facts.key
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether new runs may be allotted here."""
+        return (
+            self.is_read
+            and not self.is_draining
+            and not self.is_reserved
+            and not self.is_over
+            and self.suspect_since_s is None
+            and not self.successor
+            and now_s < self.heard_at_s + SILENCE_S
+            and now_s >= self.blocked_until_s
+        )
+
+    def fits(self, step: state.StepSpec) -> bool:
+        """Tell whether a task has room."""
+        cpu = 0 if step.fills else step.room.cpu_millicores
+        return (
+            cpu <= self.free_cpu
+            and step.room.memory_mb <= self.free_memory
+            and step.room.gpu_count <= self.free_gpu
+        )
+
+    def add_run(self, run: RunView) -> None:
+        """Take room for a run."""
+        if run.key.name not in self.runs:
+            self.runs[run.key.name] = run
+            self._take(run.step, 1)
+
+    def remove_run(self, name: str) -> RunView | None:
+        """Give a run's room back."""
+        run = self.runs.pop(name, None)
+        if run is not None:
+            self._take(run.step, -1)
+        return run
+
+    def note_clock(self, clock_ms: int | None, received_at_s: float) -> None:
+        """Take a reading of the worker's clock.
+
+        The reading is older than its receipt, so the estimate is never ahead
+        of the worker by more than the clocks drift apart.
+        """
+        if clock_ms is not None:
+            self._clock_offset_ms = clock_ms - received_at_s * 1000
+
+    def clock_ms(self, now_s: float) -> int | None:
+        """Return the worker's clock, or None before its first reading."""
+        if self._clock_offset_ms is None:
+            return None
+        return int(now_s * 1000 + self._clock_offset_ms)
+
+    def begin_grant(self, now_s: float) -> int:
+        """Note that a grant is on its way; return its number."""
+        self.granted_at_s = now_s
+        self._grant_number += 1
+        self._open_grants[self._grant_number] = now_s
+        return self._grant_number
+
+    def settle_grant(
+        self, number: int, now_s: float, *, is_carried_out: bool
+    ) -> None:
+        """Take the answer to a grant."""
+        if self._open_grants.pop(number, None) is None:
+            return
+        if is_carried_out:
+            self._settled_at_s = now_s
+
+    def note_read(self, now_s: float) -> None:
+        """Take lists that were read under the leader's own fence.
+
+        From now on the worker refuses whatever an earlier leader still has
+        on its way.
+        """
+        self.is_read = True
+        self._unknown_since_s = None
+        self.note_heard(now_s)
+
+    def lapse_at_s(self) -> float:
+        """Return when the lease of this life has run out for certain."""
+        lease_s = LEASE_S / WORKER_CLOCK_RATIO
+        ends = [self._settled_at_s + lease_s]
+        opened = list(self._open_grants.values())
+        if self._unknown_since_s is not None:
+            opened.append(self._unknown_since_s)
+        ends += [sent_s + LATE_ORDER_S + lease_s for sent_s in opened]
+        return max(ends)
+
+    def note_heard(self, now_s: float) -> None:
+        """The worker answered or reported."""
+        self.heard_at_s = max(self.heard_at_s, now_s)
+        self.suspect_since_s = None
+
+    def note_missed(self, now_s: float) -> None:
+        """The worker did not answer."""
+        if self.suspect_since_s is None:
+            self.suspect_since_s = now_s
+
+    def note_failure(self, now_s: float) -> None:
+        """A run failed here."""
+        self._failures = self.failure_score(now_s) + 1
+        self._failures_at_s = now_s
+
+    def note_success(self, now_s: float) -> None:
+        """A run succeeded here."""
+        self._failures = self.failure_score(now_s) * 0.5
+        self._failures_at_s = now_s
+
+    def failure_score(self, now_s: float) -> float:
+        """Return the decayed number of recent failures."""
+        age_s = now_s - self._failures_at_s
+        return self._failures * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def count_step(self, job_id: str, step_key: str) -> int:
+        """Return how many runs of a step are here."""
+        return sum(
+            1
+            for run in self.runs.values()
+            if run.key.job_id == job_id and run.key.step_key == step_key
+        )
+
+    def _take(self, step: state.StepSpec, sign: int) -> None:
+        if not step.fills:
+            self.free_cpu -= sign * step.room.cpu_millicores
+        self.free_memory -= sign * step.room.memory_mb
+        self.free_gpu -= sign * step.room.gpu_count
--- /dev/null
+++ b/greengagering/platform/__main__.py
@@ -0,0 +1,28 @@
+"""Programs on the platform: python3 -m greengagering.platform ROLE."""
+
+from greengagering import logs
+from greengagering.platform import _services
+from greengagering.platform import _settings
+from greengagering.programs import _run
+
+
+class PlatformCommands:
+    """Programs that run under the platform's settings file."""
+
+    def control(self) -> None:
+        """Run a control replica until SIGTERM."""
+        host = _settings.load(_settings.ControlHost)
+        logs.configure_logs(host.log_level)
+        service = _services.ControlService(host.to_settings())
+        _run.run_services(service, reload=service.reload)
+
+    def entry(self) -> None:
+        """Run an entry until SIGTERM."""
+        host = _settings.load(_settings.EntryHost)
+        logs.configure_logs(host.log_level)
+        service = _services.EntryService(host.to_settings())
+        _run.run_services(service, reload=service.reload)
+
+
+if __name__ == '__main__':
+    _run.dispatch(PlatformCommands, 'greengagering-platform')
--- /dev/null
+++ b/greengagering/platform/_front_app.py
@@ -0,0 +1,144 @@
+"""The platform's interface for callers and its balancer."""
+
+from aiohttp import web
+
+from greengagering import coordination
+from greengagering import logs
+from greengagering.platform import _formats
+from greengagering.platform import _jobs
+from greengagering.protocol import errors as protocol_errors
+from greengagering import state
+from greengagering.transport import gateway
+
+DEADLINE_HEADER = 'Deadline-Ms'
+ANSWER_MARGIN_S = 0.05
+"""Time that an answer needs to reach the caller before its deadline."""
+
+_KINDS = {
+    'POST': coordination.CallKind.SUBMIT,
+    'GET': coordination.CallKind.SHOW,
+    'DELETE': coordination.CallKind.CANCEL,
+}
+
+
+class FrontApp:
+    """Handlers for callers."""
+
+    def __init__(self, node: gateway.GatewayNode) -> None:
+        self._node = node
+
+    def create_app(self) -> web.Application:
+        """Return the application for callers."""
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', self.handle)
+        return app
+
+    def create_ready_app(self) -> web.Application:
+        """Return the application for the balancer."""
+        app = web.Application()
+        app.router.add_get('/ready', self.check_readiness)
+        return app
+
+    async def check_readiness(self, request: web.Request) -> web.Response:
+        """Answer 200 while new connections are welcome."""
+        status = 200 if self._node.is_ready() else 503
+        return web.Response(status=status)
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one call of a caller."""
+        self._node.open_requests += 1
+        try:
+            response = await self._handle(request)
+        finally:
+            self._node.open_requests -= 1
+        if self._node.is_stopping:
+            response.force_close()
+        return response
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        kind = _KINDS.get(request.method)
+        if kind is None:
+            return _error(405, f'method {request.method} is not served')
+        job_id = _jobs.find_job_id(request.path)
+        spec = None
+        if kind is coordination.CallKind.SUBMIT:
+            parsed = await self._read_job(request, job_id)
+            if isinstance(parsed, web.Response):
+                return parsed
+            spec = parsed
+        elif not job_id:
+            if kind is coordination.CallKind.CANCEL:
+                return _error(404, 'the path names no job')
+            kind = coordination.CallKind.COUNT
+        host = request.host.partition(':')[0]
+        answer = await self._node.call(
+            kind, host, request.path, self._find_deadline_s(request), spec
+        )
+        return self._respond(kind, job_id, answer)
+
+    async def _read_job(
+        self, request: web.Request, job_id: str
+    ) -> state.JobSpec | web.Response:
+        settings = self._node.settings
+        limit = self._node.core.max_body_bytes or settings.max_body_bytes
+        body = await gateway.read_body(request, limit, settings.body_timeout_s)
+        if isinstance(body, web.Response):
+            return body
+        if not job_id:
+            return _error(404, 'the path names no job')
+        try:
+            return _jobs.parse_job(job_id, body)
+        except protocol_errors.InvalidInputError as error:
+            logs.info('job_invalid', job=job_id, cause=str(error))
+            return _error(400, str(error))
+
+    def _find_deadline_s(self, request: web.Request) -> float:
+        settings = self._node.settings
+        text = request.headers.get(DEADLINE_HEADER, '')
+        if not text.isdigit():
+            return settings.default_deadline_s
+        wanted_s = int(text) / 1000 - ANSWER_MARGIN_S
+        return min(max(wanted_s, 0.0), settings.max_deadline_s)
+
+    def _respond(
+        self,
+        kind: coordination.CallKind,
+        job_id: str,
+        answer: coordination.JobAnswer,
+    ) -> web.Response:
+        status = _jobs.STATUS_CODES[answer.outcome]
+        if answer.outcome is not coordination.JobOutcome.DONE:
+            logs.info(
+                'call_refused',
+                job=job_id,
+                kind=kind,
+                outcome=answer.outcome,
+                detail=answer.detail,
+                leader_id=self._node.core.leader_id,
+            )
+            return _error(
+                status, answer.detail or answer.outcome, answer.retry_after_s
+            )
+        if kind is coordination.CallKind.SHOW:
+            return _json({'state': answer.job_state})
+        if kind is coordination.CallKind.COUNT:
+            return _json({'pending': answer.pending_count})
+        return _json({})
+
+
+def _json(body: dict[str, object], status: int = 200) -> web.Response:
+    return web.Response(
+        status=status,
+        body=_formats.write_body(body),
+        content_type=_formats.JSON_TYPE,
+    )
+
+
+def _error(
+    status: int, message: str, retry_after_s: float = 0.0
+) -> web.Response:
+    response = _json({'error': message}, status)
+    if retry_after_s > 0:
+        # The header's unit is whole seconds, so a shorter time rounds up.
+        response.headers['Retry-After'] = str(int(retry_after_s + 0.999))
+    return response
--- /dev/null
+++ b/greengagering/platform/_plans.py
@@ -0,0 +1,146 @@
+"""The operator's configuration, as a plan."""
+
+import msgspec
+
+from greengagering.platform import _formats
+from greengagering import state
+
+SOURCE = 'configuration'
+DEFAULT_MAX_BODY_BYTES = 262_144
+MS_PER_S = 1000
+
+
+class _Advice(_formats.WireModel):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    validity_ms: float = 0.0
+
+
+class _Route(_formats.WireModel):
+    """A queue.
+
+    Attributes:
+        target_duration_ms: time that the objective adds to the stretched
+            work, and not the objective itself.
+        timeout_ms: only checked; callers say how long they wait.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float
+    target_duration_ms: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(_formats.WireModel):
+    """A pool of workers.
+
+    Attributes:
+        admission_control: workers refuse what doesn't fit.
+    """
+
+    name: str
+    max_conns: int = 64
+    admission_control: bool = False
+    standby: bool = False
+
+
+class _Limits(_formats.WireModel):
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+class _Configuration(_formats.WireModel):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def parse_plan(body: bytes) -> state.RoutePlan:
+    """Return the plan that a configuration describes.
+
+    Raises:
+        InvalidInputError: it can't be read or contradicts itself.
+    """
+    wire = _formats.read_body(body, _Configuration, SOURCE)
+    _check(wire)
+    return state.RoutePlan(
+        number=wire.version,
+        queues=tuple(_queue(route) for route in wire.routes),
+        services=tuple(_service(service) for service in wire.services),
+        max_body_bytes=wire.limits.max_body_bytes,
+        source=body,
+    )
+
+
+def _check(wire: _Configuration) -> None:
+    if wire.version < 1:
+        raise _formats.invalid(
+            SOURCE, 'version', 'must be positive', wire.version
+        )
+    services = [service.name for service in wire.services]
+    _check_unique('services', services)
+    _check_unique('routes', [f'{r.host}{r.path_prefix}' for r in wire.routes])
+    for number, route in enumerate(wire.routes):
+        field = f'routes.{number}'
+        if route.service not in services:
+            raise _formats.invalid(
+                SOURCE, f'{field}.service', 'unknown service', route.service
+            )
+        if route.timeout_ms <= 0:
+            raise _formats.invalid(
+                SOURCE,
+                f'{field}.timeoutMs',
+                'must be positive',
+                route.timeout_ms,
+            )
+        if not route.path_prefix.startswith('/'):
+            raise _formats.invalid(
+                SOURCE,
+                f'{field}.pathPrefix',
+                'must begin with /',
+                route.path_prefix,
+            )
+
+
+def _check_unique(field: str, values: list[str]) -> None:
+    seen = set()
+    for value in values:
+        if value in seen:
+            raise _formats.invalid(SOURCE, field, 'named twice', value)
+        seen.add(value)
+
+
+def _queue(route: _Route) -> state.Queue:
+    advice = None
+    if route.advice is not None:
+        advice = state.AdvicePolicy(
+            decide_s=route.advice.decide_ms / MS_PER_S,
+            each_s=route.advice.each_ms / MS_PER_S,
+            validity_s=route.advice.validity_ms / MS_PER_S,
+        )
+    return state.Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        attempt_limit=max(route.attempts, 1),
+        stretch=route.stretch,
+        target_s=route.target_duration_ms / MS_PER_S,
+        advice=advice,
+    )
+
+
+def _service(service: _Service) -> state.WorkerService:
+    return state.WorkerService(
+        name=service.name,
+        is_standby=service.standby,
+        guards_capacity=service.admission_control,
+        connection_limit=service.max_conns,
+    )
--- /dev/null
+++ b/greengagering/platform/_reports.py
@@ -0,0 +1,69 @@
+"""Workers' heartbeats."""
+
+from greengagering import coordination
+from greengagering.platform import _formats
+from greengagering import state
+
+SOURCE = 'heartbeat'
+STATES = ('ready', 'draining')
+
+
+class _Capacity(_formats.WireModel):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Heartbeat(_formats.WireModel):
+    """What a worker says of itself.
+
+    Attributes:
+        labels: its kind, then its rack.
+        wall_clock_ms: the worker's own steady clock, and no time of day.
+        born: Unix time of its start in milliseconds.
+    """
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    seq: int
+    labels: tuple[str, ...] = ()
+    wall_clock_ms: int | None = None
+    born: int = 0
+
+
+def parse_heartbeat(worker_id: str, body: bytes) -> coordination.WorkerReport:
+    """Return what a heartbeat says.
+
+    Raises:
+        InvalidInputError: it is of another writer and names no worker.
+    """
+    wire = _formats.read_body(body, _Heartbeat, SOURCE)
+    if wire.state not in STATES:
+        raise _formats.invalid(SOURCE, 'state', 'unknown', wire.state)
+    host, separator, port = wire.address.rpartition(':')
+    if not (separator and host and port.isdigit()):
+        raise _formats.invalid(SOURCE, 'address', 'not host:port')
+    if min(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu) < 0:
+        raise _formats.invalid(SOURCE, 'capacity', 'must not be negative')
+    rack = wire.labels[-1] if len(wire.labels) > 1 else ''
+    facts = state.WorkerFacts(
+        worker_id=worker_id,
+        born_ms=wire.born,
+        service=wire.service,
+        address=wire.address,
+        data_centre=wire.zone,
+        rack=rack,
+        labels=wire.labels,
+        room=state.Room(
+            wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu
+        ),
+    )
+    return coordination.WorkerReport(
+        facts=facts,
+        sequence=wire.seq,
+        clock_ms=wire.wall_clock_ms,
+        is_draining=wire.state == 'draining',
+    )
--- /dev/null
+++ b/greengagering/platform/_services.py
@@ -0,0 +1,95 @@
+"""The product's nodes with the platform's interfaces around them."""
+
+from typing import Any
+
+import aiomisc
+
+from greengagering import logs
+from greengagering.platform import _settings
+from greengagering import protocol
+from greengagering.protocol import errors as protocol_errors
+
+
+class ControlService(aiomisc.Service):
+    """A control replica that workers and the operator reach."""
+
+    def __init__(self, settings: protocol.ControlSettings) -> None:
+        super().__init__()
+        from greengagering.platform import _control_app
+        from greengagering.platform import _worker_calls
+        from greengagering.transport import control
+
+        self._node = control.create_control_node(
+            settings, _worker_calls.WorkerCalls()
+        )
+        app = control.ControlApi(self._node).create_app()
+        _control_app.ControlApp(self._node).add_routes(app)
+        self._server = control.HttpServer(
+            app, settings.http_address, 'http_address'
+        )
+
+    async def start(self) -> None:
+        """Take part in agreement, then answer."""
+        await self._node.start()
+        await self._server.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Hand over the lead, answer who waits, and close."""
+        await self._node.stop()
+        await self._server.close()
+
+    def reload(self) -> None:
+        """Take what may change of the settings while this runs."""
+        try:
+            host = _settings.load(_settings.ControlHost)
+        except protocol_errors.InvalidInputError as error:
+            logs.error('settings_kept', cause=str(error))
+            return
+        self._node.set_seeds(host.to_settings().seeds)
+        logs.info('settings_reloaded', seeds=','.join(self._node.seeds))
+
+
+class EntryService(aiomisc.Service):
+    """An entry that callers and the balancer reach."""
+
+    def __init__(self, settings: protocol.GatewaySettings) -> None:
+        super().__init__()
+        from greengagering.platform import _front_app
+        from greengagering.transport import gateway
+
+        self._node = gateway.GatewayNode(settings)
+        front = _front_app.FrontApp(self._node)
+        self._servers = [
+            gateway.HttpServer(
+                front.create_app(), settings.http_address, 'http_address'
+            ),
+            gateway.HttpServer(
+                front.create_ready_app(),
+                settings.ready_address,
+                'ready_address',
+            ),
+        ]
+
+    async def start(self) -> None:
+        """Look for the leader, then answer callers."""
+        await self._node.start()
+        for server in self._servers:
+            await server.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """End the calls in flight, then close."""
+        await self._node.drain()
+        for server in self._servers:
+            await server.close()
+        await self._node.stop()
+
+    def reload(self) -> None:
+        """Take what may change of the settings while this runs."""
+        try:
+            host = _settings.load(_settings.EntryHost)
+        except protocol_errors.InvalidInputError as error:
+            logs.error('settings_kept', cause=str(error))
+            return
+        seeds = host.to_settings().seeds
+        self._node.set_seeds(seeds)
+        logs.info('settings_reloaded', seeds=','.join(seeds))
--- /dev/null
+++ b/greengagering/platform/_settings.py
@@ -0,0 +1,114 @@
+"""Settings that the platform renders into the product's own names."""
+
+import os
+import pathlib
+from typing import TypeVar
+
+
+from greengagering.protocol import BorderModel
+from greengagering.protocol import ControlSettings
+from greengagering.protocol import GatewaySettings
+from greengagering.protocol import load_settings
+
+PATH_VARIABLE = 'GREENGAGERING_CONFIG'
+
+Rendered = TypeVar('Rendered', bound=BorderModel)
+
+
+class ControlHost(BorderModel):
+    """A control machine's settings, as deploy/control.json renders them.
+
+    Attributes:
+        host: this machine's address.
+        link_port: port for links, the same on every machine.
+        seed_addresses: where the operator reaches the first replicas; their
+            links listen on the same hosts.
+        tolerated_losses: machines that may be lost at once.
+    """
+
+    host: str
+    data_centre: str
+    data_folder: str
+    http_address: str
+    link_port: int
+    seed_addresses: tuple[str, ...]
+    is_first_start: bool
+    tolerated_losses: int
+    machine_service_address: str
+    log_level: str = 'info'
+
+    def to_settings(self) -> ControlSettings:
+        """Return the product's settings."""
+        return ControlSettings(
+            cluster_id='greengagering',
+            data_centre=self.data_centre,
+            data_folder=self.data_folder,
+            link_address=f'{self.host}:{self.link_port}',
+            http_address=self.http_address,
+            seeds=_link_addresses(self.seed_addresses, self.link_port),
+            is_first_start=self.is_first_start,
+            voter_count=2 * self.tolerated_losses + 1,
+            platform_url=f'http://{self.machine_service_address}',
+            log_level=self.log_level,
+        )
+
+
+class EntryHost(BorderModel):
+    """An entry machine's settings, as deploy/entry.json renders them.
+
+    Attributes:
+        host: this machine's address.
+        link_port: port for links, the same on every machine.
+        seed_addresses: where the operator reaches some control replicas.
+        grace_s: time from SIGTERM to the end of the process.
+    """
+
+    entry_id: str
+    host: str
+    data_centre: str
+    http_address: str
+    ready_address: str
+    link_port: int
+    seed_addresses: tuple[str, ...]
+    grace_s: float
+    log_level: str = 'info'
+
+    def to_settings(self) -> GatewaySettings:
+        """Return the product's settings."""
+        return GatewaySettings(
+            cluster_id='greengagering',
+            entry_id=self.entry_id,
+            data_centre=self.data_centre,
+            link_address=f'{self.host}:{self.link_port}',
+            http_address=self.http_address,
+            ready_address=self.ready_address,
+            seeds=_link_addresses(self.seed_addresses, self.link_port),
+            stop_timeout_s=self.grace_s * STOP_SHARE,
+            log_level=self.log_level,
+        )
+
+
+STOP_SHARE = 0.8
+"""Share of the grace period after which a stopping process gives up what is
+still in flight, so that it can close in order."""
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform put the settings file."""
+    return pathlib.Path(os.environ[PATH_VARIABLE])
+
+
+def load(kind: type[Rendered]) -> Rendered:
+    """Read and validate the settings file.
+
+    Raises:
+        InvalidInputError: the file can't be read or a field is wrong.
+    """
+    return load_settings(kind, str(settings_path()))
+
+
+def _link_addresses(
+    addresses: tuple[str, ...], link_port: int
+) -> tuple[str, ...]:
+    hosts = [address.rpartition(':')[0] for address in addresses]
+    return tuple(f'{host}:{link_port}' for host in hosts)
--- /dev/null
+++ b/greengagering/platform/_worker_calls.py
@@ -0,0 +1,262 @@
+"""Orders to workers, over HTTP."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from greengagering import coordination
+from greengagering import logs
+from greengagering.platform import _formats
+from greengagering.platform import _jobs
+from greengagering import state
+
+CONNECT_TIMEOUT_S = 0.4
+"""Longest time to open a connection; a few round trips."""
+
+ORDER_TIMEOUT_S = 0.5
+"""Longest time for an answer; workers answer within milliseconds."""
+
+KEEPALIVE_S = 60.0
+"""How long an idle connection is kept; new ones cost the users."""
+
+CONNECTIONS_PER_WORKER = 8
+"""Connections to one worker: orders at once, looks, and a spare."""
+
+ENDS_PER_LIST = 500
+"""Ends that a worker returns at a time; a full list may go on."""
+
+INSTANCE_HEADER = 'Expect-Instance'
+MISDIRECTED = 421
+
+_outcomes = coordination.OrderOutcome
+
+_REASONS = {
+    'fence': _outcomes.FENCED,
+    'old': _outcomes.OLD_RUN,
+    'late': _outcomes.LATE,
+    'room': _outcomes.NO_ROOM,
+    'ticket': _outcomes.NO_PERMIT,
+}
+_STATUSES = {
+    200: _outcomes.DONE,
+    400: _outcomes.INVALID,
+    MISDIRECTED: _outcomes.OTHER_LIFE,
+    429: _outcomes.UNHEALTHY,
+    503: _outcomes.UNHEALTHY,
+}
+_ENDINGS = {
+    'done': state.RunEnding.DONE,
+    'failed': state.RunEnding.FAILED,
+    'stopped': state.RunEnding.STOPPED,
+    'lapsed': state.RunEnding.LAPSED,
+    'broken': state.RunEnding.BROKEN,
+    'alone': state.RunEnding.ALONE,
+}
+
+
+class _Answer(_formats.WireModel):
+    """An answer to an order.
+
+    Attributes:
+        wall_clock_ms: the worker's own steady clock, and no time of day.
+    """
+
+    wall_clock_ms: int | None = None
+    reason: str = ''
+
+
+class _Lists(_formats.WireModel):
+    """A worker's lists, each entry an array of fields by position.
+
+    Attributes:
+        running: task, run, saved, percent and, where given, a figure.
+        ended: number, task, run, how, saved.
+    """
+
+    running: tuple[tuple[Any, ...], ...]
+    ended: tuple[tuple[int, str, int, str, str], ...]
+    wall_clock_ms: int | None = None
+    born: int | None = None
+
+
+class WorkerCalls:
+    """Client towards workers; see transport's WorkerClient."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(
+        self, order: coordination.StartOrder
+    ) -> coordination.OrderAnswer:
+        """Start a run."""
+        body: dict[str, Any] = {
+            'task': order.key.task_name,
+            'run': order.key.run,
+            'spec': order.text,
+            'untilMs': order.until_ms,
+            'fence': order.fence,
+        }
+        if order.saved:
+            body['saved'] = order.saved
+        if order.permit:
+            body['ticket'] = order.permit
+        return await self._order('/run-start', order.life, body)
+
+    async def stop(
+        self, order: coordination.StopOrder
+    ) -> coordination.OrderAnswer:
+        """Stop a run."""
+        body = {
+            'task': order.key.task_name,
+            'run': order.key.run,
+            'fence': order.fence,
+        }
+        return await self._order('/run-stop', order.life, body)
+
+    async def pace(
+        self, order: coordination.PaceOrder
+    ) -> coordination.OrderAnswer:
+        """Change the share of full speed at which a run works."""
+        body = {
+            'task': order.key.task_name,
+            'run': order.key.run,
+            'percent': order.percent,
+            'fence': order.fence,
+        }
+        return await self._order('/pace', order.life, body)
+
+    async def look(
+        self, order: coordination.LookOrder
+    ) -> coordination.LookAnswer:
+        """Return a worker's lists."""
+        body = {'fence': order.fence, 'ackCursor': order.noted_end}
+        if order.until_ms:
+            body['untilMs'] = order.until_ms
+        if order.wait_ms:
+            body['waitMs'] = order.wait_ms
+        timeout_s = ORDER_TIMEOUT_S + order.wait_ms / 1000
+        response = await self._post('/hold', order.life, body, timeout_s)
+        if response is None:
+            return coordination.LookAnswer(_outcomes.NO_ANSWER)
+        status, data = response
+        if status != 200:
+            answer = _read_answer(status, data)
+            return coordination.LookAnswer(answer.outcome, answer.clock_ms)
+        try:
+            return _read_lists(msgspec.json.decode(data, type=_Lists))
+        except (msgspec.MsgspecError, ValueError, KeyError) as error:
+            logs.warning(
+                'lists_unreadable', life=order.life.key, cause=str(error)
+            )
+            return coordination.LookAnswer(_outcomes.NO_ANSWER)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _order(
+        self, path: str, life: state.WorkerFacts, body: dict[str, Any]
+    ) -> coordination.OrderAnswer:
+        response = await self._post(path, life, body, ORDER_TIMEOUT_S)
+        if response is None:
+            return coordination.OrderAnswer(_outcomes.NO_ANSWER)
+        return _read_answer(*response)
+
+    async def _post(
+        self,
+        path: str,
+        life: state.WorkerFacts,
+        body: dict[str, Any],
+        timeout_s: float,
+    ) -> tuple[int, bytes] | None:
+        """Return status and body, or None where no answer came.
+
+        An order may be sent twice, as every order of the protocol may.
+        """
+        if self._session is None:
+            self._session = _create_session()
+        data = _formats.write_body(body)
+        headers = {
+            'Content-Type': _formats.JSON_TYPE,
+            INSTANCE_HEADER: life.worker_id,
+        }
+        url = f'http://{life.address}{path}'
+        try:
+            async with asyncio.timeout(timeout_s):
+                for _ in range(2):
+                    try:
+                        async with self._session.post(
+                            url, data=data, headers=headers
+                        ) as response:
+                            return response.status, await response.read()
+                    except aiohttp.ServerDisconnectedError:
+                        # The worker closed an idle connection.
+                        continue
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            logs.debug(
+                'worker_no_answer',
+                life=life.key,
+                path=path,
+                cause=repr(error),
+            )
+        return None
+
+
+def _create_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=CONNECTIONS_PER_WORKER,
+        keepalive_timeout=KEEPALIVE_S,
+    )
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def _read_answer(status: int, data: bytes) -> coordination.OrderAnswer:
+    answer = _Answer()
+    try:
+        answer = msgspec.json.decode(data, type=_Answer)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        # The status alone tells what became of the order.
+        logs.debug('answer_without_body', status=status)
+    if status == 409:
+        outcome = _REASONS.get(answer.reason, _outcomes.INVALID)
+    else:
+        outcome = _STATUSES.get(status, _outcomes.INVALID)
+    return coordination.OrderAnswer(outcome, answer.wall_clock_ms)
+
+
+def _read_lists(lists: _Lists) -> coordination.LookAnswer:
+    running = tuple(
+        coordination.ListedRun(
+            key=_jobs.parse_task_name(row[0], row[1]),
+            saved=row[2],
+            percent=int(row[3]),
+            figure=int(row[4]) if len(row) > 4 else None,
+        )
+        for row in lists.running
+    )
+    ended = tuple(
+        state.RunEnd(
+            number=number,
+            key=_jobs.parse_task_name(task, run),
+            ending=_ENDINGS[how],
+            saved=saved,
+        )
+        for number, task, run, how, saved in lists.ended
+    )
+    return coordination.LookAnswer(
+        outcome=_outcomes.DONE,
+        clock_ms=lists.wall_clock_ms,
+        born_ms=lists.born,
+        running=running,
+        ended=ended,
+        is_complete=len(ended) < ENDS_PER_LIST,
+    )
--- a/greengagering/programs/_run.py
+++ b/greengagering/programs/_run.py
@@ -1,6 +1,7 @@
 """Runs services until a signal asks for a graceful shutdown."""
 
 import asyncio
+from collections.abc import Callable
 import signal
 import sys
 from typing import NoReturn
@@ -25,8 +26,15 @@
 )
 
 
-def run_services(*services: aiomisc.Service) -> None:
-    """Start services, wait for SIGTERM or SIGINT, and stop them."""
+def run_services(
+    *services: aiomisc.Service, reload: Callable[[], None] | None = None
+) -> None:
+    """Start services, wait for SIGTERM or SIGINT, and stop them.
+
+    Args:
+        services: what to run.
+        reload: called on SIGHUP, which ends nothing where this is given.
+    """
     with aiomisc.entrypoint(
         *services,
         log_config=False,
@@ -34,7 +42,7 @@
         pool_size=1,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     ) as loop:
-        loop.run_until_complete(_wait_for_signal())
+        loop.run_until_complete(_wait_for_signal(reload))
 
 
 def dispatch(commands: type[object], name: str) -> None:
@@ -62,8 +70,10 @@
     sys.exit(code)
 
 
-async def _wait_for_signal() -> None:
+async def _wait_for_signal(reload: Callable[[], None] | None) -> None:
     loop = asyncio.get_running_loop()
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
--- a/greengagering/programs/control.py
+++ b/greengagering/programs/control.py
@@ -32,6 +32,9 @@
             settings: path of the JSON settings file.
         """
         loaded = protocol.load_settings(protocol.ControlSettings, settings)
+        if loaded.replica_id is None:
+            print('nothing to format: with seeds, the first run does it')
+            return
         identity = state.format_folder(
             pathlib.Path(loaded.data_folder),
             loaded.cluster_id,
--- a/greengagering/protocol/__init__.py
+++ b/greengagering/protocol/__init__.py
@@ -10,16 +10,20 @@
 from greengagering.protocol._headers import CallOutcome
 from greengagering.protocol._settings import ControlSettings
 from greengagering.protocol._settings import EntrySettings
+from greengagering.protocol._settings import GatewaySettings
 from greengagering.protocol._settings import load_settings
 from greengagering.protocol._ticket_model import parse_ticket
 from greengagering.protocol._ticket_model import TicketModel
+from greengagering.protocol._validation import BorderModel
 from greengagering.protocol._validation import shorten
 
 __all__ = [
     'AnnouncementModel',
+    'BorderModel',
     'CallOutcome',
     'ControlSettings',
     'EntrySettings',
+    'GatewaySettings',
     'TicketModel',
     'headers',
     'load_settings',
--- a/greengagering/protocol/_link_codec.py
+++ b/greengagering/protocol/_link_codec.py
@@ -16,6 +16,7 @@
     | coordination.ClaimResponse
     | coordination.OutcomeRequest
     | coordination.OutcomeResponse
+    | coordination.JobMessage
 )
 
 _KINDS: dict[str, type[Any]] = {
@@ -39,6 +40,10 @@
         coordination.ClaimResponse,
         coordination.OutcomeRequest,
         coordination.OutcomeResponse,
+        coordination.JobCall,
+        coordination.JobAnswer,
+        coordination.ControlProbe,
+        coordination.ControlStatus,
     )
 }
 
--- a/greengagering/protocol/_settings.py
+++ b/greengagering/protocol/_settings.py
@@ -46,11 +46,18 @@
     Attributes:
         cluster_id: name shared by every process of the system.
         replica_id: name of this replica; never reused after a lost disk.
+            Left out where seeds are given: it comes from the data folder.
         data_centre: where this process runs.
         data_folder: folder for the log and snapshots.
         link_address: where other processes of the system connect.
         http_address: where operators connect.
-        members: link address of each first voter, by replica_id.
+        members: link address of each first voter, by replica_id; left out
+            where seeds are given.
+        seeds: link addresses of the first voters, of whom some still run;
+            lost replicas are then replaced without a ticket.
+        is_first_start: the whole system starts for the first time, so that
+            the seeds form a new group.
+        voter_count: voters wanted, where seeds are given.
         joins_as_learner: start without a vote, to be added by a ticket.
         platform_url: base URL of the platform that reboots VMs.
         heartbeat_s: longest silence of a leader.
@@ -63,12 +70,15 @@
     """
 
     cluster_id: Name
-    replica_id: Name
+    replica_id: Name | None = None
     data_centre: Name
     data_folder: str
     link_address: Address
     http_address: Address
-    members: dict[Name, Address]
+    members: dict[Name, Address] = pydantic.Field(default_factory=dict)
+    seeds: tuple[Address, ...] = ()
+    is_first_start: bool = False
+    voter_count: Annotated[int, pydantic.Field(ge=1, le=9)] = 3
     joins_as_learner: bool = False
     platform_url: Url
     heartbeat_s: Seconds = 0.08
@@ -86,7 +96,12 @@
 
     @pydantic.model_validator(mode='after')
     def _consistent(self) -> 'ControlSettings':
-        if self.replica_id not in self.members and not self.joins_as_learner:
+        if not self.seeds and self.replica_id is None:
+            raise ValueError(
+                'either replica_id and members or seeds is needed'
+            )
+        is_named = self.seeds or self.replica_id in self.members
+        if not is_named and not self.joins_as_learner:
             raise ValueError(
                 f'replica_id {self.replica_id} is not among members '
                 f'{sorted(self.members)}; set joins_as_learner for a replica '
@@ -105,6 +120,52 @@
         return self
 
 
+class GatewaySettings(_validation.BorderModel):
+    """Settings of an entry that passes jobs on to control.
+
+    Attributes:
+        cluster_id: name shared by every process of the system.
+        entry_id: name of this entry.
+        data_centre: where this process runs.
+        link_address: where other processes of the system connect.
+        http_address: where callers connect.
+        ready_address: where the balancer asks for readiness.
+        seeds: link addresses of some control replicas.
+        max_body_bytes: largest body of a call.
+        default_deadline_s: deadline of a call that names none.
+        max_deadline_s: longest deadline that a caller may name.
+        body_timeout_s: time in which a caller must have sent its body.
+        stop_timeout_s: longest graceful shutdown.
+        log_level: debug, info, warning or error.
+    """
+
+    cluster_id: Name
+    entry_id: Name
+    data_centre: Name
+    link_address: Address
+    http_address: Address
+    ready_address: Address
+    seeds: tuple[Address, ...]
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1, le=2**28)] = 2**18
+    default_deadline_s: Seconds = 3.0
+    max_deadline_s: Seconds = 60.0
+    body_timeout_s: Seconds = 3.0
+    stop_timeout_s: Seconds = 4.0
+    log_level: str = 'info'
+
+    @pydantic.field_validator('log_level')
+    @classmethod
+    def _known_level(cls, value: str) -> str:
+        return check_log_level(value)
+
+    @pydantic.field_validator('seeds')
+    @classmethod
+    def _some_seed(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        if not value:
+            raise ValueError('at least one control replica is needed')
+        return value
+
+
 class EntrySettings(_validation.BorderModel):
     """Settings of an entry process.
 
--- a/greengagering/state/__init__.py
+++ b/greengagering/state/__init__.py
@@ -23,8 +23,42 @@
 from greengagering.state._folder import DataFolder
 from greengagering.state._folder import FolderIdentity
 from greengagering.state._folder import format_folder
+from greengagering.state._folder import is_formatted
 from greengagering.state._folder import open_folder
 from greengagering.state._folder import read_identity
+from greengagering.state._jobs_fold import apply_to_jobs
+from greengagering.state._jobs_model import AdvicePolicy
+from greengagering.state._jobs_model import EndsNoted
+from greengagering.state._jobs_model import Job
+from greengagering.state._jobs_model import JOB_RECORD_TYPES
+from greengagering.state._jobs_model import JobAccepted
+from greengagering.state._jobs_model import JobCancelled
+from greengagering.state._jobs_model import JobRecord
+from greengagering.state._jobs_model import JobsForgotten
+from greengagering.state._jobs_model import JobSpec
+from greengagering.state._jobs_model import JobsState
+from greengagering.state._jobs_model import JobStatus
+from greengagering.state._jobs_model import LifeDraining
+from greengagering.state._jobs_model import LifeOver
+from greengagering.state._jobs_model import LifeSeen
+from greengagering.state._jobs_model import PlanReplaced
+from greengagering.state._jobs_model import Queue
+from greengagering.state._jobs_model import Room
+from greengagering.state._jobs_model import RoutePlan
+from greengagering.state._jobs_model import RunEnd
+from greengagering.state._jobs_model import RunEnding
+from greengagering.state._jobs_model import RunKey
+from greengagering.state._jobs_model import RunsAllotted
+from greengagering.state._jobs_model import RunsVoided
+from greengagering.state._jobs_model import StepSpec
+from greengagering.state._jobs_model import Task
+from greengagering.state._jobs_model import UpkeepBegun
+from greengagering.state._jobs_model import UpkeepWave
+from greengagering.state._jobs_model import WaveAccepted
+from greengagering.state._jobs_model import WaveState
+from greengagering.state._jobs_model import WorkerFacts
+from greengagering.state._jobs_model import WorkerLife
+from greengagering.state._jobs_model import WorkerService
 from greengagering.state._log_model import EntryKind
 from greengagering.state._log_model import LogEntry
 from greengagering.state._log_model import LogStorage
@@ -55,6 +89,39 @@
 from greengagering.state._model import WaveStopped
 
 __all__ = [
+    'AdvicePolicy',
+    'EndsNoted',
+    'Job',
+    'JOB_RECORD_TYPES',
+    'JobAccepted',
+    'JobCancelled',
+    'JobRecord',
+    'JobsForgotten',
+    'JobSpec',
+    'JobsState',
+    'JobStatus',
+    'LifeDraining',
+    'LifeOver',
+    'LifeSeen',
+    'PlanReplaced',
+    'Queue',
+    'Room',
+    'RoutePlan',
+    'RunEnd',
+    'RunEnding',
+    'RunKey',
+    'RunsAllotted',
+    'RunsVoided',
+    'StepSpec',
+    'Task',
+    'UpkeepBegun',
+    'UpkeepWave',
+    'WaveAccepted',
+    'WaveState',
+    'WorkerFacts',
+    'WorkerLife',
+    'WorkerService',
+    'apply_to_jobs',
     'Claim',
     'ClaimAnswer',
     'ClaimAsk',
@@ -105,6 +172,7 @@
     'encode',
     'encode_record',
     'format_folder',
+    'is_formatted',
     'open_folder',
     'read_identity',
     'ticket_digest',
--- a/greengagering/state/_fold.py
+++ b/greengagering/state/_fold.py
@@ -8,6 +8,8 @@
 
 from greengagering.state import _admission
 from greengagering.state import _claims
+from greengagering.state import _jobs_fold
+from greengagering.state import _jobs_model
 from greengagering.state import _model
 
 
@@ -53,6 +55,10 @@
     if isinstance(record, _claims.ClaimsAsked | _claims.ClaimsPurged):
         state.fleet.revision = revision
         return Ok(_apply_claims(state, record))
+    if isinstance(record, _jobs_model.JOB_RECORD_TYPES):
+        state.fleet.revision = revision
+        _jobs_fold.apply_to_jobs(state.jobs, record)
+        return Ok(Applied(record))
     _record_account(state, revision, record)
     apply_to_fleet(state.fleet, revision, record)
     return Ok(Applied(record))
--- a/greengagering/state/_folder.py
+++ b/greengagering/state/_folder.py
@@ -82,6 +82,11 @@
     return identity
 
 
+def is_formatted(path: pathlib.Path) -> bool:
+    """Tell whether a folder has an identity."""
+    return (path / IDENTITY_NAME).exists()
+
+
 def read_identity(path: pathlib.Path) -> FolderIdentity:
     """Return the identity of a formatted folder.
 
--- /dev/null
+++ b/greengagering/state/_jobs_fold.py
@@ -0,0 +1,209 @@
+"""The deterministic fold of committed records into jobs and workers."""
+
+from greengagering.state import _jobs_model as model
+
+
+def apply_to_jobs(state: model.JobsState, record: model.JobRecord) -> None:
+    """Fold one committed record.
+
+    Args:
+        state: state that is changed in place.
+        record: the record; one that no longer applies changes nothing.
+    """
+    match record:
+        case model.PlanReplaced():
+            _replace_plan(state, record.plan)
+        case model.JobAccepted():
+            _accept_job(state, record)
+        case model.JobCancelled():
+            _cancel_job(state, record.job_id)
+        case model.JobsForgotten():
+            for job_id in record.job_ids:
+                state.jobs.pop(job_id, None)
+        case model.WaveAccepted():
+            state.waves.setdefault(
+                record.wave.number, model.WaveState(record.wave, record.at_ms)
+            )
+        case model.UpkeepBegun():
+            _note_upkeep(state, record)
+        case _:
+            _apply_to_runs(state, record)
+
+
+def _apply_to_runs(state: model.JobsState, record: model.JobRecord) -> None:
+    match record:
+        case model.LifeSeen():
+            life = model.WorkerLife(record.facts)
+            state.lives.setdefault(record.facts.key, life)
+        case model.LifeDraining():
+            if record.life_key in state.lives:
+                state.lives[record.life_key].is_draining = True
+        case model.LifeOver():
+            _end_life(state, record.life_key)
+        case model.RunsAllotted():
+            _allot_runs(state, record)
+        case model.RunsVoided():
+            for key in record.runs:
+                _drop_live(state, key)
+        case model.EndsNoted():
+            _note_ends(state, record)
+
+
+def _cancel_job(state: model.JobsState, job_id: str) -> None:
+    job = state.jobs.get(job_id)
+    if job is not None and job.status is model.JobStatus.ACTIVE:
+        job.status = model.JobStatus.CANCELLED
+
+
+def _note_upkeep(state: model.JobsState, record: model.UpkeepBegun) -> None:
+    wave = state.waves.get(record.wave_number)
+    if wave is not None and record.machine not in wave.begun:
+        wave.begun.append(record.machine)
+
+
+def _allot_runs(state: model.JobsState, record: model.RunsAllotted) -> None:
+    for key, life_key in zip(record.runs, record.life_keys, strict=True):
+        _allot(state, key, life_key)
+
+
+def _replace_plan(state: model.JobsState, plan: model.RoutePlan) -> None:
+    if state.plan is None or plan.number > state.plan.number:
+        state.plan = plan
+
+
+def _accept_job(state: model.JobsState, record: model.JobAccepted) -> None:
+    state.jobs.setdefault(
+        record.spec.job_id,
+        model.Job(record.spec, record.queue, record.at_ms),
+    )
+
+
+def _end_life(state: model.JobsState, life_key: str) -> None:
+    life = state.lives.pop(life_key, None)
+    if life is None:
+        return
+    for key in life.runs.values():
+        task = _find_task(state, key)
+        if task is not None:
+            task.live_runs.pop(key.run, None)
+
+
+def _find_task(state: model.JobsState, key: model.RunKey) -> model.Task | None:
+    job = state.jobs.get(key.job_id)
+    return job.tasks.get(key.task) if job is not None else None
+
+
+def _allot(state: model.JobsState, key: model.RunKey, life_key: str) -> None:
+    job = state.jobs.get(key.job_id)
+    life = state.lives.get(life_key)
+    if job is None or life is None:
+        return
+    job.has_started = True
+    task = job.tasks.setdefault(key.task, model.Task())
+    task.run = max(task.run, key.run)
+    task.live_runs[key.run] = life_key
+    life.runs[key.name] = key
+
+
+def _drop_live(state: model.JobsState, key: model.RunKey) -> None:
+    task = _find_task(state, key)
+    if task is None:
+        return
+    life = state.lives.get(task.live_runs.pop(key.run, ''))
+    if life is not None:
+        life.runs.pop(key.name, None)
+
+
+def _note_ends(state: model.JobsState, record: model.EndsNoted) -> None:
+    life = state.lives.get(record.life_key)
+    if life is None:
+        return
+    for end in record.ends:
+        if end.number > life.noted_end:
+            life.noted_end = end.number
+            life.runs.pop(end.key.name, None)
+            _note_end(state, end)
+
+
+def _note_end(state: model.JobsState, end: model.RunEnd) -> None:
+    job = state.jobs.get(end.key.job_id)
+    task = job.tasks.get(end.key.task) if job is not None else None
+    if job is None or task is None:
+        return
+    task.live_runs.pop(end.key.run, None)
+    step_key = end.key.step_key
+    step = job.spec.steps[end.key.step_number]
+    if end.saved:
+        _save_progress(job, step, step_key, task, end.saved)
+    if step.is_lasting:
+        return
+    if end.ending is model.RunEnding.DONE:
+        _finish_tasks(job, step, step_key, end)
+    elif end.ending is model.RunEnding.FAILED:
+        _count_failure(job, step, step_key, task)
+
+
+def _save_progress(
+    job: model.Job,
+    step: model.StepSpec,
+    step_key: str,
+    task: model.Task,
+    saved: str,
+) -> None:
+    if not step.is_gang:
+        task.saved = saved
+        return
+    for member in _step_tasks(job, step, step_key):
+        member.saved = saved
+
+
+def _step_tasks(
+    job: model.Job, step: model.StepSpec, step_key: str
+) -> list[model.Task]:
+    return [
+        job.tasks.setdefault(f'{step_key}.{index}', model.Task())
+        for index in range(step.task_count)
+    ]
+
+
+def _finish_tasks(
+    job: model.Job, step: model.StepSpec, step_key: str, end: model.RunEnd
+) -> None:
+    if step.is_gang:
+        # One end stands for every member of the run.
+        finished = _step_tasks(job, step, step_key)
+    else:
+        finished = [job.tasks[end.key.task]]
+    for task in finished:
+        if not task.is_done:
+            task.is_done = True
+            done = job.done_counts.get(step_key, 0) + 1
+            job.done_counts[step_key] = done
+    if job.status is model.JobStatus.ACTIVE and _is_complete(job):
+        job.status = model.JobStatus.SUCCEEDED
+
+
+def _is_complete(job: model.Job) -> bool:
+    if len(job.done_counts) < len(job.spec.steps) * job.spec.occurrence_count:
+        return False
+    return all(
+        job.done_counts.get(f'{occurrence}.{number}', 0) >= step.task_count
+        for occurrence in range(job.spec.occurrence_count)
+        for number, step in enumerate(job.spec.steps)
+    )
+
+
+def _count_failure(
+    job: model.Job, step: model.StepSpec, step_key: str, task: model.Task
+) -> None:
+    if task.is_done:
+        return
+    task.failed_runs += 1
+    failed_runs = task.failed_runs
+    if step.is_gang:
+        # The members end together, and one of them ends by its own fault.
+        members = _step_tasks(job, step, step_key)
+        failed_runs = sum(member.failed_runs for member in members)
+    is_over = failed_runs >= job.queue.attempt_limit
+    if is_over and job.status is model.JobStatus.ACTIVE:
+        job.status = model.JobStatus.FAILED
--- a/greengagering/state/_model.py
+++ b/greengagering/state/_model.py
@@ -4,6 +4,7 @@
 import enum
 
 from greengagering.state import _claims
+from greengagering.state import _jobs_model
 
 
 class VmPhase(enum.StrEnum):
@@ -286,6 +287,7 @@
     | InForceMarked
     | _claims.ClaimsAsked
     | _claims.ClaimsPurged
+    | _jobs_model.JobRecord
 )
 
 RECORD_TYPES: dict[str, type[Record]] = {
@@ -299,6 +301,7 @@
         InForceMarked,
         _claims.ClaimsAsked,
         _claims.ClaimsPurged,
+        *_jobs_model.JOB_RECORD_TYPES,
     )
 }
 """Record types by the name under which the log stores them."""
@@ -351,3 +354,6 @@
         default_factory=dict
     )
     claims: dict[str, _claims.Claim] = dataclasses.field(default_factory=dict)
+    jobs: _jobs_model.JobsState = dataclasses.field(
+        default_factory=_jobs_model.JobsState
+    )
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -4,26 +4,39 @@
 import contextlib
 import pathlib
 import random
-import time
+import secrets
 
 from result import Err
 from result import Ok
 from result import Result
 
+from greengagering import clock
 from greengagering import coordination
 from greengagering.coordination import errors as coordination_errors
 from greengagering import logs
 from greengagering import protocol
 from greengagering.protocol import links
 from greengagering import state
+from greengagering.transport import _addresses
+from greengagering.transport._job_desk import CommitResult
+from greengagering.transport._job_desk import JobDesk
 from greengagering.transport._mesh import LinkSender
 from greengagering.transport._mesh import Mesh
 from greengagering.transport import _metrics
+from greengagering.transport._order_runner import OrderRunner
 from greengagering.transport._peer_link import LinkIdentity
 from greengagering.transport._platform_client import PlatformClient
 from greengagering.transport._step_loop import StepLoop
+from greengagering.transport._worker_client import WorkerClient
 
 TRANSFER_POLL_S = 0.05
+NEWCOMER_ID_BYTES = 4
+
+JOIN_PROBE_INTERVAL_S = 0.3
+"""Time between two questions who leads, while no leader is heard."""
+
+LEADER_SILENCE_S = 0.6
+"""Silence of the leader after which a replica asks around who leads."""
 
 TicketResult = Result[
     state.TicketEntry, state.Refusal | coordination_errors.CoordinationError
@@ -38,13 +51,18 @@
     """
 
     def __init__(
-        self, settings: protocol.ControlSettings, folder: state.DataFolder
+        self,
+        settings: protocol.ControlSettings,
+        folder: state.DataFolder,
+        workers: WorkerClient | None = None,
     ) -> None:
         self.settings = settings
         self.folder = folder
+        self.replica_id = folder.identity.replica_id
+        self.seeds = settings.seeds
         self.metrics = _metrics.create_control_metrics()
         self.is_stopping = False
-        now_s = time.monotonic()
+        now_s = clock.steady_s()
         options = coordination.ReplicaOptions(
             heartbeat_s=settings.heartbeat_s,
             election_min_s=settings.election_min_s,
@@ -53,9 +71,9 @@
         )
         self.replica = coordination.Replica(
             coordination.ReplicaIdentity(
-                settings.replica_id, folder.identity.incarnation
+                self.replica_id, folder.identity.incarnation
             ),
-            _initial_membership(settings),
+            _initial_membership(settings, self.replica_id),
             folder,
             random.Random(),
             now_s,
@@ -65,11 +83,16 @@
             duration_s=settings.entry_lease_s,
             clock_drift_ratio=settings.clock_drift_ratio,
         )
-        self.core = coordination.ControlCore(self.replica, leases, now_s)
+        healing = None
+        if settings.seeds:
+            healing = coordination.MemberHealing(settings.voter_count)
+        self.core = coordination.ControlCore(
+            self.replica, leases, now_s, healing
+        )
         self.mesh = Mesh(
             LinkIdentity(
                 settings.cluster_id,
-                settings.replica_id,
+                self.replica_id,
                 folder.identity.incarnation,
             ),
             settings.link_address,
@@ -80,6 +103,17 @@
         self._waiters: dict[
             coordination.ProposedTicket, asyncio.Future[TicketResult]
         ] = {}
+        self._commits: dict[
+            coordination.ProposedTicket, asyncio.Future[CommitResult]
+        ] = {}
+        self.jobs = JobDesk(self.core, self.commit, self.now_ms)
+        self._runner: OrderRunner | None = None
+        if workers is not None:
+            self._runner = OrderRunner(
+                self.core.jobs, workers, self.has_lease, self._loop.schedule
+            )
+        self._calls: set[asyncio.Task[None]] = set()
+        self._probed_at_s = float('-inf')
         self._known_role = coordination.Role.FOLLOWER
         self._known_fault = ''
 
@@ -93,7 +127,7 @@
         self._loop.start()
         logs.info(
             'control_started',
-            replica_id=self.settings.replica_id,
+            replica_id=self.replica_id,
             link_address=self.settings.link_address,
             last_index=self.replica.log.last_index,
             snapshot_index=self.replica.log.snapshot_index,
@@ -105,11 +139,13 @@
         await self._hand_over()
         self._fail_waiters()
         await self._loop.stop()
+        if self._runner is not None:
+            await self._runner.close()
         self._send_outbox()
         await self._platform.close()
         await self.mesh.close()
         self.folder.close()
-        logs.info('control_stopped', replica_id=self.settings.replica_id)
+        logs.info('control_stopped', replica_id=self.replica_id)
 
     async def submit(self, ticket: state.Ticket) -> TicketResult:
         """Propose a ticket and wait until its outcome is final.
@@ -119,7 +155,7 @@
             OverloadedError. After NotLeaderError the ticket may still be
             accepted; sending it again is safe and tells.
         """
-        proposed = self.core.submit(ticket, self.now_ms(), time.monotonic())
+        proposed = self.core.submit(ticket, self.now_ms(), clock.steady_s())
         if isinstance(proposed, Err):
             return proposed
         place = proposed.ok_value
@@ -132,22 +168,66 @@
         self._loop.schedule()
         return await waiter
 
+    async def commit(self, record: state.JobRecord) -> CommitResult:
+        """Propose a record and wait until it is committed and folded in.
+
+        Returns:
+            Ok, or NotLeaderError or OverloadedError. After NotLeaderError
+            the record may still be committed.
+        """
+        proposed = self.core.propose_job_record(record, self.now_s())
+        if isinstance(proposed, Err):
+            return proposed
+        waiter: asyncio.Future[CommitResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._commits[proposed.ok_value] = waiter
+        self._loop.schedule()
+        return await waiter
+
+    def has_lease(self) -> bool:
+        """Tell whether this replica leads and nobody else can."""
+        is_established = self.core.jobs.is_leading
+        return is_established and self.replica.has_lease(self.now_s())
+
+    def leader_address(self) -> str:
+        """Return where the leader listens, or '' where it is unknown."""
+        if self.replica.is_leader:
+            return self.settings.link_address
+        is_silent = not self.replica.hears_leader(self.now_s())
+        if is_silent or not self.replica.leader_id:
+            return ''
+        return self.address_of(self.replica.leader_id)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the seeds of changed settings."""
+        self.seeds = seeds
+
     def now_s(self) -> float:
         """Return the clock that leases are measured by."""
-        return time.monotonic()
+        return clock.steady_s()
 
     def now_ms(self) -> int:
         """Return the Unix time that records are stamped with."""
-        return time.time_ns() // 1_000_000
+        return clock.unix_ms()
 
     def _on_message(
         self, sender: LinkSender, message: links.LinkMessage
     ) -> None:
-        now_s = time.monotonic()
+        now_s = clock.steady_s()
         if isinstance(message, coordination.EntryReport):
             self.core.note_entry_report(message, now_s)
         elif isinstance(message, coordination.ClaimRequest):
             self.core.note_claim_request(message, now_s, self.now_ms())
+        elif isinstance(message, coordination.JobCall):
+            self._begin_call(message)
+            return
+        elif isinstance(message, coordination.ControlProbe):
+            self._answer_probe(message, now_s)
+            return
+        elif isinstance(message, coordination.ControlStatus):
+            self._note_status(message)
+            return
         elif isinstance(message, _REPLICA_MESSAGES):
             identity = coordination.ReplicaIdentity(
                 sender.sender_id, sender.incarnation
@@ -162,8 +242,77 @@
             return
         self._loop.schedule()
 
+    def _begin_call(self, call: coordination.JobCall) -> None:
+        task = asyncio.ensure_future(self._answer_call(call))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _answer_call(self, call: coordination.JobCall) -> None:
+        if self.has_lease():
+            answer = await self.jobs.answer(call)
+        else:
+            answer = coordination.JobAnswer(
+                call.call_id, coordination.JobOutcome.UNAVAILABLE
+            )
+        if not self.has_lease() and (
+            answer.outcome is not coordination.JobOutcome.UNAVAILABLE
+        ):
+            # What was read may be older than what another leader decided.
+            answer = coordination.JobAnswer(
+                call.call_id, coordination.JobOutcome.UNAVAILABLE
+            )
+        self.mesh.send(call.address, call.address, answer)
+
+    def _answer_probe(
+        self, probe: coordination.ControlProbe, now_s: float
+    ) -> None:
+        is_leader = self.has_lease()
+        if is_leader and probe.joining_id and self.core.healing is not None:
+            self.core.healing.note_candidate(
+                probe.joining_id, probe.address, now_s
+            )
+        plan = self.core.state.jobs.plan
+        status = coordination.ControlStatus(
+            replica_id=self.replica_id,
+            address=self.settings.link_address,
+            leader_id=self.replica.leader_id,
+            leader_address=self.leader_address(),
+            is_leader=is_leader,
+            members=tuple(self._addresses().values()),
+            max_body_bytes=plan.max_body_bytes if plan else 0,
+            number=probe.number,
+        )
+        self.mesh.send(probe.address, probe.address, status)
+
+    def _note_status(self, status: coordination.ControlStatus) -> None:
+        address = status.leader_address
+        is_other = address not in ('', self.settings.link_address)
+        if is_other and not self.replica.hears_leader(self.now_s()):
+            self._send_probe(address)
+
+    def _seek_leader(self, now_s: float) -> None:
+        """Ask around while no leader is heard; it may have to add this one."""
+        if not self.seeds or self.replica.is_leader:
+            return
+        if now_s < self._probed_at_s + JOIN_PROBE_INTERVAL_S:
+            return
+        if now_s < self.replica.leader_heard_s + LEADER_SILENCE_S:
+            return
+        self._probed_at_s = now_s
+        known = dict.fromkeys((*self._addresses().values(), *self.seeds))
+        for address in known:
+            if address != self.settings.link_address:
+                self._send_probe(address)
+
+    def _send_probe(self, address: str) -> None:
+        probe = coordination.ControlProbe(
+            self.replica_id, self.settings.link_address, self.replica_id
+        )
+        self.mesh.send(address, address, probe)
+
     def _step(self) -> None:
-        now_s = time.monotonic()
+        now_s = clock.steady_s()
+        self._seek_leader(now_s)
         self.core.step(now_s, self.now_ms())
         if self.core.is_compaction_due():
             self.core.compact(now_s)
@@ -171,6 +320,10 @@
         self._settle_outcomes()
         if self.replica.has_lease(now_s):
             self._platform.order(self.core.decisions.reboots, now_s)
+        if self._runner is not None:
+            self._runner.step()
+        for decision in self.core.jobs.take_decisions():
+            logs.info(decision.event, **decision.fields)
         self._note_role()
 
     def _send_outbox(self) -> None:
@@ -199,7 +352,12 @@
             waiter = self._waiters.pop(place, None)
             if waiter is not None and not waiter.done():
                 waiter.set_result(outcome.result)
-        if self._waiters and not self.replica.is_leader:
+        for place in self.core.take_applied():
+            commit = self._commits.pop(place, None)
+            if commit is not None and not commit.done():
+                commit.set_result(Ok(None))
+        is_waited_for = self._waiters or self._commits
+        if is_waited_for and not self.replica.is_leader:
             self._fail_waiters()
 
     def _fail_waiters(self) -> None:
@@ -208,7 +366,11 @@
         for waiter in self._waiters.values():
             if not waiter.done():
                 waiter.set_result(Err(error))
+        for commit in self._commits.values():
+            if not commit.done():
+                commit.set_result(Err(error))
         self._waiters.clear()
+        self._commits.clear()
 
     def _note_role(self) -> None:
         if self.replica.role is not self._known_role:
@@ -227,11 +389,11 @@
                 logs.info('storage_recovered')
 
     async def _hand_over(self) -> None:
-        ends_s = time.monotonic() + self.settings.election_max_s
-        while self.replica.is_leader and time.monotonic() < ends_s:
+        ends_s = clock.steady_s() + self.settings.election_max_s
+        while self.replica.is_leader and clock.steady_s() < ends_s:
             if len(self.replica.membership.voters) == 1:
                 return
-            if self.replica.transfer_leadership(time.monotonic()):
+            if self.replica.transfer_leadership(clock.steady_s()):
                 self._step()
                 await asyncio.sleep(TRANSFER_POLL_S)
                 return
@@ -240,7 +402,7 @@
     def _set_metrics(self) -> None:
         live = 0
         if self.core.sessions is not None:
-            live = len(self.core.sessions.live(time.monotonic()))
+            live = len(self.core.sessions.live(clock.steady_s()))
         metrics = self.metrics
         metrics.is_leader.set({}, int(self.replica.is_leader))
         metrics.term.set({}, self.replica.term)
@@ -262,31 +424,61 @@
 )
 
 
-def create_control_node(settings: protocol.ControlSettings) -> ControlNode:
+def create_control_node(
+    settings: protocol.ControlSettings, workers: WorkerClient | None = None
+) -> ControlNode:
     """Open the data folder and return a node that is ready to start.
 
+    Args:
+        settings: the node's settings.
+        workers: client towards workers, or None where no jobs are run.
+
     Raises:
         StorageError: the folder isn't this replica's, or is damaged.
     """
-    folder = state.open_folder(
-        pathlib.Path(settings.data_folder),
-        settings.cluster_id,
-        settings.replica_id,
-    )
+    path = pathlib.Path(settings.data_folder)
+    if settings.seeds and not state.is_formatted(path):
+        state.format_folder(path, settings.cluster_id, _new_id(settings))
+    replica_id = settings.replica_id
+    if replica_id is None:
+        replica_id = state.read_identity(path).replica_id
+    folder = state.open_folder(path, settings.cluster_id, replica_id)
     try:
-        return ControlNode(settings, folder)
+        return ControlNode(settings, folder, workers)
     except BaseException:
         with contextlib.suppress(OSError):
             folder.close()
         raise
 
 
+def _new_id(settings: protocol.ControlSettings) -> str:
+    """Name a replica whose folder is empty.
+
+    The first voters are known to each other by address alone. A later one
+    may stand at the address of a replica that lost its disk, and must not be
+    taken for it.
+    """
+    address = _id_of_address(settings.link_address)
+    if settings.is_first_start and settings.link_address in settings.seeds:
+        return address
+    return f'{address}-{secrets.token_hex(NEWCOMER_ID_BYTES)}'
+
+
+def _id_of_address(address: str) -> str:
+    endpoint = _addresses.parse_address(address)
+    return f'{endpoint.host}-{endpoint.port}'
+
+
 def _initial_membership(
-    settings: protocol.ControlSettings,
+    settings: protocol.ControlSettings, replica_id: str
 ) -> state.Membership:
     members = dict(settings.members)
+    if settings.seeds:
+        members = {_id_of_address(a): a for a in settings.seeds}
+        if replica_id not in members:
+            members = {}
     if settings.joins_as_learner:
-        members.pop(settings.replica_id, None)
+        members.pop(replica_id, None)
     return state.Membership(
         voters=tuple(sorted(members)), addresses=dict(members)
     )
--- /dev/null
+++ b/greengagering/transport/_gateway_node.py
@@ -0,0 +1,158 @@
+"""Runs an entry that passes jobs on to control."""
+
+import asyncio
+import secrets
+
+from greengagering import clock
+from greengagering import coordination
+from greengagering import logs
+from greengagering import protocol
+from greengagering.protocol import links
+from greengagering import state
+from greengagering.transport._mesh import LinkSender
+from greengagering.transport._mesh import Mesh
+from greengagering.transport._peer_link import LinkIdentity
+from greengagering.transport._step_loop import StepLoop
+
+BOOT_ID_BYTES = 8
+STOP_POLL_S = 0.02
+BALANCER_NOTICE_S = 2.2
+"""How long a stopping entry takes calls while its readiness check fails; the
+balancer asks once a second and needs two misses."""
+
+
+class GatewayNode:
+    """Passes calls, messages and time to a JobGateway."""
+
+    def __init__(self, settings: protocol.GatewaySettings) -> None:
+        self.settings = settings
+        self.is_stopping = False
+        self.open_requests = 0
+        boot_id = secrets.token_hex(BOOT_ID_BYTES)
+        self.core = coordination.JobGateway(
+            settings.entry_id, settings.link_address, settings.seeds
+        )
+        self.mesh = Mesh(
+            LinkIdentity(settings.cluster_id, settings.entry_id, boot_id),
+            settings.link_address,
+            self._on_message,
+        )
+        self._loop = StepLoop(self._step, _no_metrics)
+        self._waiters: dict[int, asyncio.Future[coordination.JobAnswer]] = {}
+        self._had_leader = ''
+
+    async def start(self) -> None:
+        """Listen for control's answers and look for the leader.
+
+        Raises:
+            ListenError: the link address can't be listened on.
+        """
+        await self.mesh.start()
+        self._loop.start()
+        logs.info(
+            'entry_started',
+            entry_id=self.settings.entry_id,
+            link_address=self.settings.link_address,
+            http_address=self.settings.http_address,
+            seeds=','.join(self.settings.seeds),
+        )
+
+    async def drain(self) -> None:
+        """Fail readiness, and end what is in flight."""
+        self.is_stopping = True
+        ends_s = clock.steady_s() + self.settings.stop_timeout_s
+        await asyncio.sleep(BALANCER_NOTICE_S)
+        while self.open_requests and clock.steady_s() < ends_s:
+            await asyncio.sleep(STOP_POLL_S)
+        if self.open_requests:
+            logs.warning('calls_cut', count=self.open_requests)
+
+    async def stop(self) -> None:
+        """Close every link."""
+        await self._loop.stop()
+        await self.mesh.close()
+        logs.info('entry_stopped', entry_id=self.settings.entry_id)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send new connections here."""
+        return not self.is_stopping and self.core.is_ready(clock.steady_s())
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the seeds of changed settings."""
+        self.core.set_seeds(seeds)
+
+    async def call(
+        self,
+        kind: coordination.CallKind,
+        host: str,
+        path: str,
+        deadline_s: float,
+        spec: state.JobSpec | None = None,
+    ) -> coordination.JobAnswer:
+        """Pass a call on and wait for its answer.
+
+        Args:
+            kind: what is asked.
+            host: host name that the caller used.
+            path: path that the caller used.
+            deadline_s: time left to answer.
+            spec: the job, where one is handed in.
+        """
+        now_s = clock.steady_s()
+        call_id = self.core.submit(
+            kind, host, path, spec, now_s + deadline_s, now_s
+        )
+        waiter: asyncio.Future[coordination.JobAnswer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters[call_id] = waiter
+        self._loop.schedule()
+        try:
+            return await waiter
+        finally:
+            self._waiters.pop(call_id, None)
+            self.core.forget(call_id)
+
+    def _on_message(
+        self, sender: LinkSender, message: links.LinkMessage
+    ) -> None:
+        if not isinstance(
+            message, coordination.JobAnswer | coordination.ControlStatus
+        ):
+            logs.warning(
+                'message_unexpected',
+                peer=sender.sender_id,
+                kind=type(message).__name__,
+            )
+            return
+        self.core.receive(message, clock.steady_s())
+        self._loop.schedule()
+
+    def _step(self) -> None:
+        now_s = clock.steady_s()
+        self.core.step(now_s)
+        for outgoing in self.core.take_outbox():
+            self.mesh.send(
+                outgoing.address, outgoing.address, outgoing.message
+            )
+        for answer in self.core.take_answers():
+            waiter = self._waiters.get(answer.call_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(answer)
+        self._note_leader(now_s)
+
+    def _note_leader(self, now_s: float) -> None:
+        leader = ''
+        if self.core.has_leader(now_s):
+            leader = self.core.leader_id
+        if leader == self._had_leader:
+            return
+        if leader:
+            logs.info('leader_found', leader_id=leader)
+        else:
+            logs.warning('leader_lost', leader_id=self._had_leader)
+        self._had_leader = leader
+
+
+def _no_metrics() -> None:
+    """An entry's metrics are set where calls are answered."""
--- a/greengagering/transport/control.py
+++ b/greengagering/transport/control.py
@@ -4,5 +4,12 @@
 from greengagering.transport._control_node import ControlNode
 from greengagering.transport._control_node import create_control_node
 from greengagering.transport._http import HttpServer
+from greengagering.transport._http import read_body
 
-__all__ = ['ControlApi', 'ControlNode', 'HttpServer', 'create_control_node']
+__all__ = [
+    'ControlApi',
+    'ControlNode',
+    'HttpServer',
+    'create_control_node',
+    'read_body',
+]
