Carry out upkeep waves and move machines with the demand

Change: a keeper that empties machines within what lasting tasks may miss, commits each duty before it is sent, and finishes a former leader's; a pool plan that moves idle machines to standby and back to the pool that waits.

--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -82,6 +82,13 @@
 from greengagering.coordination.jobs._job_messages import JobCall
 from greengagering.coordination.jobs._job_messages import JobMessage
 from greengagering.coordination.jobs._job_messages import JobOutcome
+from greengagering.coordination.jobs._keeper import MachineKeeper
+from greengagering.coordination.jobs._machines import DutyOrder
+from greengagering.coordination.jobs._machines import DutyOutcome
+from greengagering.coordination.jobs._machines import ListMachines
+from greengagering.coordination.jobs._machines import Machine
+from greengagering.coordination.jobs._machines import MachineCall
+from greengagering.coordination.jobs._machines import MachineState
 from greengagering.coordination.jobs._orders import ListedRun
 from greengagering.coordination.jobs._orders import LookAnswer
 from greengagering.coordination.jobs._orders import LookOrder
@@ -96,6 +103,13 @@
 from greengagering.coordination.jobs._routing import RoutedPath
 
 __all__ = [
+    'MachineKeeper',
+    'DutyOrder',
+    'DutyOutcome',
+    'ListMachines',
+    'Machine',
+    'MachineCall',
+    'MachineState',
     'MemberHealing',
     'Decision',
     'JobDirector',
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -18,6 +18,7 @@
 from greengagering.coordination import errors
 from greengagering.coordination.fleet import _waves
 from greengagering.coordination.jobs._director import JobDirector
+from greengagering.coordination.jobs._keeper import MachineKeeper
 from greengagering import state
 
 SNAPSHOT_EVERY_ENTRIES = 1000
@@ -85,6 +86,7 @@
         self.lease_options = lease_options
         self.state = state.ControlState()
         self.jobs = JobDirector(self.state.jobs)
+        self.keeper = MachineKeeper(self.jobs, replica.identity.replica_id)
         self.feed = Feed()
         self.sessions: EntrySessions | None = None
         self.statuses: dict[str, entry_msgs.UpstreamStatus] = {}
@@ -236,7 +238,10 @@
         """Propose what the director decides, while nobody else may lead."""
         if not self.jobs.is_leading or not self.replica.has_lease(self._now_s):
             return
-        for record in self.jobs.step(self._now_s, self._now_ms):
+        records = self.jobs.step(self._now_s, self._now_ms)
+        records += self.keeper.step(self._now_s)
+        records += self.jobs.take_proposals()
+        for record in records:
             proposed = self.replica.propose(state.encode_record(record))
             if isinstance(proposed, Err):
                 # What was decided is lost, so it starts from the state again.
@@ -358,6 +363,7 @@
             self._answer_claims(record, outcome)
         if isinstance(record, state.JOB_RECORD_TYPES):
             self.jobs.note_applied(record, self._now_s, self._now_ms)
+            self.keeper.note_applied(record, self._now_s)
 
     def _answer_claims(
         self, record: state.ClaimsAsked, outcome: state.Outcome
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -44,6 +44,30 @@
     fields: dict[str, object]
 
 
+@dataclasses.dataclass(slots=True)
+class PoolNeed:
+    """Room that the work at hand of a service needs.
+
+    Attributes:
+        cpu_millicores: processor room.
+        memory_mb: memory.
+        least_workers: workers needed however large they are.
+    """
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    least_workers: int = 0
+
+    def add(self, step: state.StepSpec, task_count: int) -> None:
+        """Add tasks of a step."""
+        if not step.fills:
+            self.cpu_millicores += step.room.cpu_millicores * task_count
+        self.memory_mb += step.room.memory_mb * task_count
+        if step.max_per_worker:
+            least = math.ceil(step.task_count / step.max_per_worker)
+            self.least_workers = max(self.least_workers, least)
+
+
 class JobDirector:
     """Decides what runs where, while its replica leads.
 
@@ -65,6 +89,10 @@
         self._planned_at_s = float('-inf')
         self._finished_at_s: dict[str, float] = {}
         self._retries: list[tuple[float, RunView, WorkerView]] = []
+        self._now_s = 0.0
+        self._newest: dict[str, WorkerView] = {}
+        self._routed_plan: state.RoutePlan | None = None
+        self._services: dict[tuple[str, str], str] = {}
 
     @property
     def is_leading(self) -> bool:
@@ -88,6 +116,7 @@
         """Forget everything that only a leader may act on."""
         self.fence = 0
         self.workers.clear()
+        self._newest.clear()
         self.index = WorkIndex()
         self._orders.clear()
         self._proposals.clear()
@@ -96,6 +125,7 @@
 
     def step(self, now_s: float, now_ms: int) -> list[state.JobRecord]:
         """Do what is due, and return the records to propose."""
+        self._now_s = now_s
         if not self.is_leading:
             return []
         if self.index.add_due(self.jobs.jobs, now_s, now_ms):
@@ -107,6 +137,10 @@
             self._find_lapsed(now_s)
             self._forget_finished(now_s)
             self._plan(now_s)
+        return self.take_proposals()
+
+    def take_proposals(self) -> list[state.JobRecord]:
+        """Return the records to propose, once."""
         proposals = self._proposals
         self._proposals = []
         return proposals
@@ -186,9 +220,9 @@
             if view.facts.worker_id == worker_id:
                 view.is_draining = True
                 view.suspect_since_s = view.suspect_since_s or now_s
-                self._decide('worker_left', life=view.key)
+                self.decide('worker_left', life=view.key)
                 if not view.runs:
-                    self._end_life(view, 'left')
+                    self.end_life(view, 'left')
 
     def next_look(
         self, life_key: str, now_s: float
@@ -250,12 +284,12 @@
             self._note_other_life(view, now_s)
             return
         if view.suspect_since_s is not None:
-            self._decide('worker_regained', life=view.key)
+            self.decide('worker_regained', life=view.key)
         is_first = not view.is_read
         view.note_clock(answer.clock_ms, now_s)
         view.note_read(now_s)
         if is_first:
-            self._decide(
+            self.decide(
                 'worker_read',
                 life=view.key,
                 service=view.facts.service,
@@ -321,6 +355,35 @@
         """Tell whether every machine of a wave has begun its upkeep."""
         return set(wave.begun) >= set(wave.wave.machines)
 
+    def newest_life(self, worker_id: str) -> WorkerView | None:
+        """Return the view of a worker's latest life, or None."""
+        view = self._newest.get(worker_id)
+        return view if view is not None and not view.is_over else None
+
+    def usable_workers(self, job: state.Job) -> list[WorkerView]:
+        """Return the workers that a job's tasks may be allotted to."""
+        service = self.service_of(job)
+        return [
+            view
+            for view in self.workers.values()
+            if view.facts.service == service and view.is_usable(self._now_s)
+        ]
+
+    def find_needs(self) -> dict[str, PoolNeed]:
+        """Return what the work at hand of each service needs."""
+        needs: dict[str, PoolNeed] = {}
+        for steps in self.index.steps.values():
+            for work in steps.values():
+                if work.waiting:
+                    service = self.service_of(work.job)
+                    need = needs.setdefault(service, PoolNeed())
+                    need.add(work.step, len(work.waiting))
+        for view in self.workers.values():
+            need = needs.setdefault(view.facts.service, PoolNeed())
+            for run in view.runs.values():
+                need.add(run.step, 1)
+        return needs
+
     def count_pending(self, queue: state.Queue) -> int:
         """Return how many accepted jobs of a queue have not begun."""
         return sum(
@@ -335,20 +398,24 @@
     def service_of(self, job: state.Job) -> str:
         """Return the service that runs a job by the plan in force."""
         plan = self.jobs.plan
-        if plan is not None:
-            for queue in plan.queues:
-                if (queue.host, queue.path_prefix) == (
-                    job.queue.host,
-                    job.queue.path_prefix,
-                ):
-                    return queue.service
-        return job.queue.service
+        if plan is not self._routed_plan:
+            self._routed_plan = plan
+            queues = plan.queues if plan is not None else ()
+            self._services = {
+                (queue.host, queue.path_prefix): queue.service
+                for queue in queues
+            }
+        place = (job.queue.host, job.queue.path_prefix)
+        return self._services.get(place, job.queue.service)
 
     def _add_worker(self, life: state.WorkerLife, now_s: float) -> None:
         view = WorkerView(life.facts, now_s)
         view.is_draining = life.is_draining
         view.proposed_end = life.noted_end
         self.workers[view.key] = view
+        newest = self._newest.get(life.facts.worker_id)
+        if newest is None or newest.facts.born_ms < life.facts.born_ms:
+            self._newest[life.facts.worker_id] = view
         self._woken.add(view.key)
         for key in life.runs.values():
             step = self._step_of(key)
@@ -365,7 +432,7 @@
             older.successor = newer.key
             if not is_reborn:
                 # Orders name the worker, and the newer one refuses them.
-                self._end_life(older, 'address reused')
+                self.end_life(older, 'address reused')
 
     def _is_outdated(self, facts: state.WorkerFacts) -> bool:
         """Tell whether a later life is known under this name or address."""
@@ -389,7 +456,7 @@
             return
         self._finished_at_s[job_id] = now_s
         self.index.remove_job(job_id)
-        self._decide('job_finished', job=job_id, status=str(job.status))
+        self.decide('job_finished', job=job_id, status=str(job.status))
         for task in job.tasks.values():
             for life_key in task.live_runs.values():
                 view = self.workers.get(life_key)
@@ -397,7 +464,7 @@
                     continue
                 for run in view.runs.values():
                     if run.key.job_id == job_id:
-                        self._stop(view, run, now_s)
+                        self.stop_run(view, run, now_s)
 
     def _note_runs_applied(
         self, record: state.JobRecord, now_s: float
@@ -418,8 +485,13 @@
             case state.LifeOver():
                 view = self.workers.pop(record.life_key, None)
                 if view is not None:
-                    for run in view.runs.values():
-                        self.index.note_task(run.key)
+                    self._forget_worker(view)
+
+    def _forget_worker(self, view: WorkerView) -> None:
+        if self._newest.get(view.facts.worker_id) is view:
+            del self._newest[view.facts.worker_id]
+        for run in view.runs.values():
+            self.index.note_task(run.key)
 
     def _note_allotted(
         self, key: state.RunKey, life_key: str, now_s: float
@@ -473,7 +545,7 @@
                 run.started_at_s = now_s
             view.note_heard(now_s)
             return
-        self._decide(
+        self.decide(
             'start_refused',
             run=run.key.name,
             life=view.key,
@@ -528,11 +600,12 @@
                 job is not None and job.status is state.JobStatus.ACTIVE
             )
             if not is_active or run.tries >= MAX_START_TRIES:
-                self._stop(view, run, now_s)
+                self.stop_run(view, run, now_s)
             else:
                 self._order_start(view, run, now_s)
 
-    def _stop(self, view: WorkerView, run: RunView, now_s: float) -> None:
+    def stop_run(self, view: WorkerView, run: RunView, now_s: float) -> None:
+        """Order a run to stop, unless it was ordered already."""
         if run.phase in (RunPhase.STOPPING, RunPhase.STOPPED):
             return
         run.phase = RunPhase.STOPPING
@@ -576,14 +649,14 @@
         if answer.outcome is kinds.OTHER_LIFE:
             self._note_other_life(view, now_s)
         elif answer.outcome is kinds.FENCED:
-            self._decide('fenced', life=view.key, fence=self.fence)
+            self.decide('fenced', life=view.key, fence=self.fence)
             view.note_missed(now_s)
         else:
             self._suspect(view, now_s, 'look')
 
     def _suspect(self, view: WorkerView, now_s: float, cause: str) -> None:
         if view.suspect_since_s is None:
-            self._decide(
+            self.decide(
                 'worker_silent',
                 life=view.key,
                 cause=cause,
@@ -619,7 +692,7 @@
         if successor.poisons.keys() & view.runs.keys():
             self._order_poisons(successor, now_s)
         elif not successor.strays & view.runs.keys():
-            self._end_life(view, 'reborn')
+            self.end_life(view, 'reborn')
 
     def _order_poisons(self, successor: WorkerView, now_s: float) -> None:
         if now_s < successor.poisoned_at_s + ORDER_RETRY_S:
@@ -630,12 +703,13 @@
                 orders.StopOrder(successor.facts, key, self.fence)
             )
 
-    def _end_life(self, view: WorkerView, cause: str) -> None:
+    def end_life(self, view: WorkerView, cause: str) -> None:
+        """Propose that nothing of a life runs any more, as proved."""
         if view.is_over:
             return
         view.is_over = True
         self._proposals.append(state.LifeOver(view.key, cause))
-        self._decide(
+        self.decide(
             'life_over', life=view.key, cause=cause, runs=len(view.runs)
         )
 
@@ -655,7 +729,7 @@
             if view.suspect_since_s is None and view.runs:
                 continue
             if now_s >= view.lapse_at_s():
-                self._end_life(view, 'lease lapsed')
+                self.end_life(view, 'lease lapsed')
 
     def _take_ends(
         self, view: WorkerView, answer: orders.LookAnswer, now_s: float
@@ -680,7 +754,7 @@
         if end.ending is state.RunEnding.DONE:
             view.note_success(now_s)
             return
-        self._decide(
+        self.decide(
             'run_ended',
             run=end.key.name,
             life=view.key,
@@ -709,6 +783,7 @@
             if run is None:
                 self._stop_stray(view, item)
                 continue
+            run.is_listed = True
             run.percent = item.percent
             run.figure = item.figure
             run.saved = item.saved
@@ -729,11 +804,11 @@
             )
             if is_settled or is_of_former_leader:
                 # Neither runs nor ended, and can't begin any more.
-                self._decide('run_absent', run=run.key.name, life=view.key)
+                self.decide('run_absent', run=run.key.name, life=view.key)
                 self._void(run)
 
     def _stop_stray(self, view: WorkerView, item: orders.ListedRun) -> None:
-        self._decide('run_stray', run=item.key.name, life=view.key)
+        self.decide('run_stray', run=item.key.name, life=view.key)
         self._orders.append(orders.StopOrder(view.facts, item.key, self.fence))
 
     def _stop_if_unwanted(
@@ -741,7 +816,7 @@
     ) -> None:
         job = self.jobs.jobs.get(run.key.job_id)
         if job is None or job.status is not state.JobStatus.ACTIVE:
-            self._stop(view, run, now_s)
+            self.stop_run(view, run, now_s)
 
     def _forget_finished(self, now_s: float) -> None:
         old = [
@@ -800,7 +875,8 @@
         )
         return key
 
-    def _decide(self, event: str, **fields: object) -> None:
+    def decide(self, event: str, **fields: object) -> None:
+        """Note a decision for the log."""
         self._decisions.append(Decision(event, fields))
 
 
--- a/greengagering/coordination/jobs/_placement.py
+++ b/greengagering/coordination/jobs/_placement.py
@@ -53,6 +53,20 @@
     return chosen
 
 
+def has_place(work: StepWork, workers: list[WorkerView]) -> bool:
+    """Tell whether one more task of a step would find a worker."""
+    step = work.step
+    for worker in workers:
+        if step.required_label not in ('', *worker.facts.labels):
+            continue
+        if not worker.fits(step):
+            continue
+        count = worker.count_step(work.job.spec.job_id, work.step_key)
+        if not step.max_per_worker or count < step.max_per_worker:
+            return True
+    return False
+
+
 class _Budget:
     """Room of the workers, less what this step was given already."""
 
--- /dev/null
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -0,0 +1,197 @@
+"""How many machines each pool of workers needs now."""
+
+from collections.abc import Collection
+import dataclasses
+import math
+
+from greengagering.coordination.jobs._director import JobDirector
+from greengagering.coordination.jobs import _machines as machines
+from greengagering.coordination.jobs._worker_view import WorkerView
+from greengagering import state
+
+PLAN_INTERVAL_S = 0.2
+"""Time between two plans; a fraction of the time that a move takes."""
+
+SPARE_SHARE = 0.25
+"""Room kept free above the work at hand, as a share of it, for what arrives
+while a machine is on its way."""
+
+IDLE_BEFORE_MOVE_S = 1.5
+"""How long a machine idles before it leaves its pool; about what a move
+costs in seconds of a machine."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Pool:
+    """A pool's machines and its need.
+
+    Attributes:
+        up: machines that serve, by name.
+        arriving: machines on their way to it.
+        wanted: machines that it needs.
+    """
+
+    up: list[machines.Machine] = dataclasses.field(default_factory=list)
+    arriving: int = 0
+    wanted: int = 0
+
+
+class PoolPlan:
+    """Chooses moves between pools, and to and from the standby pool."""
+
+    def __init__(self) -> None:
+        self._planned_at_s = float('-inf')
+        self._idle_since_s: dict[str, float] = {}
+
+    def find_moves(
+        self,
+        director: JobDirector,
+        known: dict[str, machines.Machine],
+        duties: Collection[state.Duty],
+        now_s: float,
+    ) -> list[state.Duty]:
+        """Return the moves to begin now.
+
+        Args:
+            director: the leader's view of work and workers.
+            known: machines by name.
+            duties: duties that are open.
+            now_s: the leader's clock.
+        """
+        plan = director.jobs.plan
+        if plan is None or now_s < self._planned_at_s + PLAN_INTERVAL_S:
+            return []
+        self._planned_at_s = now_s
+        standby = [s.name for s in plan.services if s.is_standby]
+        pools = {s.name: _Pool() for s in plan.services}
+        self._fill(pools, director, known, duties, now_s)
+        self._set_needs(pools, director, standby)
+        donors = self._find_donors(pools, standby, director, now_s)
+        moves: list[state.Duty] = []
+        short = sorted(
+            (name for name in pools if name not in standby),
+            key=lambda name: (
+                len(pools[name].up) + pools[name].arriving - pools[name].wanted
+            ),
+        )
+        for name in short:
+            pool = pools[name]
+            missing = pool.wanted - len(pool.up) - pool.arriving
+            for _ in range(max(missing, 0)):
+                donor = _take_donor(donors, name)
+                if donor is None:
+                    break
+                moves.append(state.Duty(donor.name, state.DutyKind.MOVE, name))
+        if standby:
+            moves += self._find_idle(donors, standby, now_s)
+        return moves
+
+    def _fill(
+        self,
+        pools: dict[str, _Pool],
+        director: JobDirector,
+        known: dict[str, machines.Machine],
+        duties: Collection[state.Duty],
+        now_s: float,
+    ) -> None:
+        busy = {duty.machine for duty in duties}
+        for duty in duties:
+            machine = known.get(duty.machine)
+            target = duty.pool or (machine.pool if machine else '')
+            if target in pools:
+                pools[target].arriving += 1
+        for machine in known.values():
+            pool = pools.get(machine.pool)
+            if pool is None or machine.name in busy:
+                self._idle_since_s.pop(machine.name, None)
+                continue
+            if machine.status is not machines.MachineState.UP:
+                self._idle_since_s.pop(machine.name, None)
+                continue
+            pool.up.append(machine)
+            view = director.newest_life(machine.worker_id)
+            if view is not None and view.runs:
+                self._idle_since_s.pop(machine.name, None)
+            else:
+                self._idle_since_s.setdefault(machine.name, now_s)
+
+    def _set_needs(
+        self,
+        pools: dict[str, _Pool],
+        director: JobDirector,
+        standby: list[str],
+    ) -> None:
+        needs = director.find_needs()
+        for name, pool in pools.items():
+            if name in standby:
+                continue
+            rooms = [machine.room for machine in pool.up]
+            if not rooms:
+                rooms = [
+                    machine.room
+                    for other in pools.values()
+                    for machine in other.up
+                ][:1]
+            pool.wanted = 1
+            if not rooms:
+                continue
+            need = needs.get(name)
+            if need is None:
+                continue
+            cpu = sum(r.cpu_millicores for r in rooms) / len(rooms)
+            memory = sum(r.memory_mb for r in rooms) / len(rooms)
+            share = max(
+                need.cpu_millicores / max(cpu, 1),
+                need.memory_mb / max(memory, 1),
+            )
+            pool.wanted = max(
+                math.ceil(share * (1 + SPARE_SHARE)), need.least_workers, 1
+            )
+
+    def _find_donors(
+        self,
+        pools: dict[str, _Pool],
+        standby: list[str],
+        director: JobDirector,
+        now_s: float,
+    ) -> list[machines.Machine]:
+        """Return machines that may leave their pool, the best first."""
+        donors = [m for name in standby for m in pools[name].up]
+        for name, pool in pools.items():
+            if name in standby:
+                continue
+            surplus = len(pool.up) - pool.wanted
+            idle = [
+                m
+                for m in pool.up
+                if now_s
+                >= self._idle_since_s.get(m.name, now_s) + IDLE_BEFORE_MOVE_S
+                and _is_idle(director.newest_life(m.worker_id))
+            ]
+            donors += idle[: max(surplus, 0)]
+        return donors
+
+    def _find_idle(
+        self,
+        donors: list[machines.Machine],
+        standby: list[str],
+        now_s: float,
+    ) -> list[state.Duty]:
+        return [
+            state.Duty(machine.name, state.DutyKind.MOVE, standby[0])
+            for machine in donors
+            if machine.pool not in standby
+        ]
+
+
+def _take_donor(
+    donors: list[machines.Machine], pool: str
+) -> machines.Machine | None:
+    for position, machine in enumerate(donors):
+        if machine.pool != pool:
+            return donors.pop(position)
+    return None
+
+
+def _is_idle(view: WorkerView | None) -> bool:
+    return view is not None and not view.runs
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -54,6 +54,7 @@
         phase: how far its order has come.
         phase_at_s: when the phase began.
         started_at_s: when the worker confirmed the start, or 0.
+        is_listed: whether the worker has listed it as running.
         percent: share of full speed that it works at, as listed.
         figure: newest figure that the worker listed for it.
         saved: newest progress that the worker listed.
@@ -65,6 +66,7 @@
     phase: RunPhase
     phase_at_s: float
     started_at_s: float = 0.0
+    is_listed: bool = False
     percent: int = 100
     figure: int | None = None
     saved: str = ''
--- /dev/null
+++ b/greengagering/platform/_machine_calls.py
@@ -0,0 +1,176 @@
+"""Calls to the platform about machines, over HTTP."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from greengagering import coordination
+from greengagering import logs
+from greengagering.platform import _formats
+from greengagering import state
+
+LIST_TIMEOUT_S = 3.0
+"""Longest time to read the whole list; the platform may be slow."""
+
+DUTY_TIMEOUT_S = 3.0
+"""Longest time to wait for a duty's answer."""
+
+MAX_PAGES = 1000
+"""Pages of a list; a list that goes on is taken as unreadable."""
+
+HOLDER_HEADER = 'Lease-Holder'
+FENCE_HEADER = 'Fence-Token'
+
+_outcomes = coordination.DutyOutcome
+_REASONS = {'fence': _outcomes.FENCED, 'busy': _outcomes.BUSY}
+_STATES = {
+    'up': coordination.MachineState.UP,
+    'moving': coordination.MachineState.MOVING,
+    'upkeep': coordination.MachineState.UPKEEP,
+    'down': coordination.MachineState.DOWN,
+}
+
+
+class _Capacity(_formats.WireModel):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Machine(_formats.WireModel):
+    """A machine.
+
+    Attributes:
+        labels: its kind, then its rack.
+        id: its worker.
+    """
+
+    machine: str
+    pool: str
+    state: str
+    labels: tuple[str, ...] = ()
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    id: str | None = None
+
+
+class _Page(_formats.WireModel):
+    machines: tuple[_Machine, ...]
+    next_token: Any = None
+
+
+class _Refusal(_formats.WireModel):
+    reason: str = ''
+
+
+class MachineCalls:
+    """Client of the platform; see transport's MachineClient."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}'
+        self._session: aiohttp.ClientSession | None = None
+
+    async def list_machines(self) -> tuple[coordination.Machine, ...] | None:
+        """Return every machine, or None where the list can't be had."""
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                listed = await self._read_pages()
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.MsgspecError,
+        ) as error:
+            logs.warning('machines_unreadable', cause=repr(error))
+            return None
+        return tuple(_machine(item) for item in listed)
+
+    async def carry_out(
+        self, order: coordination.DutyOrder
+    ) -> coordination.DutyOutcome:
+        """Have a machine moved or taken down for upkeep."""
+        duty = order.duty
+        body: dict[str, Any] = {'machine': duty.machine}
+        if duty.kind is state.DutyKind.MOVE:
+            path = '/machine-move'
+            body['pool'] = duty.pool
+        else:
+            path = '/machine-upkeep'
+            body['wave'] = duty.wave_number
+        headers = {
+            'Content-Type': _formats.JSON_TYPE,
+            HOLDER_HEADER: order.holder,
+            FENCE_HEADER: str(order.fence),
+        }
+        try:
+            async with asyncio.timeout(DUTY_TIMEOUT_S):
+                async with self._open().post(
+                    self._base + path,
+                    data=_formats.write_body(body),
+                    headers=headers,
+                ) as response:
+                    data = await response.read()
+                    return _read_outcome(response.status, data)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            logs.warning(
+                'duty_no_answer', machine=duty.machine, cause=repr(error)
+            )
+            return _outcomes.NO_ANSWER
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                cookie_jar=aiohttp.DummyCookieJar()
+            )
+        return self._session
+
+    async def _read_pages(self) -> list[_Machine]:
+        listed: list[_Machine] = []
+        token: Any = None
+        for _ in range(MAX_PAGES):
+            params = {} if token is None else {'pageToken': str(token)}
+            async with self._open().get(
+                f'{self._base}/machines', params=params
+            ) as response:
+                data = await response.read()
+                response.raise_for_status()
+            page = msgspec.json.decode(data, type=_Page)
+            listed += page.machines
+            token = page.next_token
+            if token in (None, ''):
+                return listed
+        raise aiohttp.ClientError(f'the list has over {MAX_PAGES} pages')
+
+
+def _machine(item: _Machine) -> coordination.Machine:
+    return coordination.Machine(
+        name=item.machine,
+        pool=item.pool,
+        status=_STATES.get(item.state, coordination.MachineState.DOWN),
+        worker_id=item.id or '',
+        rack=item.labels[-1] if len(item.labels) > 1 else '',
+        room=state.Room(
+            item.capacity.cpu, item.capacity.mem_mb, item.capacity.gpu
+        ),
+    )
+
+
+def _read_outcome(status: int, data: bytes) -> coordination.DutyOutcome:
+    if status == 200:
+        return _outcomes.DONE
+    if status == 400:
+        return _outcomes.REFUSED
+    if status == 409:
+        try:
+            refusal = msgspec.json.decode(data, type=_Refusal)
+        except msgspec.MsgspecError:
+            refusal = _Refusal()
+        # A machine that isn't of the wave never becomes one of it.
+        return _REASONS.get(refusal.reason, _outcomes.REFUSED)
+    return _outcomes.NOT_NOW
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -16,11 +16,16 @@
     def __init__(self, settings: protocol.ControlSettings) -> None:
         super().__init__()
         from greengagering.platform import _control_app
+        from greengagering.platform import _machine_calls
         from greengagering.platform import _worker_calls
         from greengagering.transport import control
 
         self._node = control.create_control_node(
-            settings, _worker_calls.WorkerCalls()
+            settings,
+            _worker_calls.WorkerCalls(),
+            _machine_calls.MachineCalls(
+                settings.platform_url.removeprefix('http://')
+            ),
         )
         app = control.ControlApi(self._node).create_app()
         _control_app.ControlApp(self._node).add_routes(app)
--- a/greengagering/state/__init__.py
+++ b/greengagering/state/__init__.py
@@ -28,6 +28,10 @@
 from greengagering.state._folder import read_identity
 from greengagering.state._jobs_fold import apply_to_jobs
 from greengagering.state._jobs_model import AdvicePolicy
+from greengagering.state._jobs_model import Duty
+from greengagering.state._jobs_model import DutyKind
+from greengagering.state._jobs_model import DutyOrdered
+from greengagering.state._jobs_model import DutySettled
 from greengagering.state._jobs_model import EndsNoted
 from greengagering.state._jobs_model import Job
 from greengagering.state._jobs_model import JOB_RECORD_TYPES
@@ -52,7 +56,6 @@
 from greengagering.state._jobs_model import RunsVoided
 from greengagering.state._jobs_model import StepSpec
 from greengagering.state._jobs_model import Task
-from greengagering.state._jobs_model import UpkeepBegun
 from greengagering.state._jobs_model import UpkeepWave
 from greengagering.state._jobs_model import WaveAccepted
 from greengagering.state._jobs_model import WaveState
@@ -90,6 +93,10 @@
 
 __all__ = [
     'AdvicePolicy',
+    'Duty',
+    'DutyKind',
+    'DutyOrdered',
+    'DutySettled',
     'EndsNoted',
     'Job',
     'JOB_RECORD_TYPES',
@@ -114,7 +121,6 @@
     'RunsVoided',
     'StepSpec',
     'Task',
-    'UpkeepBegun',
     'UpkeepWave',
     'WaveAccepted',
     'WaveState',
--- a/greengagering/state/_jobs_fold.py
+++ b/greengagering/state/_jobs_fold.py
@@ -24,8 +24,10 @@
             state.waves.setdefault(
                 record.wave.number, model.WaveState(record.wave, record.at_ms)
             )
-        case model.UpkeepBegun():
-            _note_upkeep(state, record)
+        case model.DutyOrdered():
+            state.duties[record.duty.machine] = record.duty
+        case model.DutySettled():
+            _settle_duty(state, record)
         case _:
             _apply_to_runs(state, record)
 
@@ -55,10 +57,14 @@
         job.status = model.JobStatus.CANCELLED
 
 
-def _note_upkeep(state: model.JobsState, record: model.UpkeepBegun) -> None:
-    wave = state.waves.get(record.wave_number)
-    if wave is not None and record.machine not in wave.begun:
-        wave.begun.append(record.machine)
+def _settle_duty(state: model.JobsState, record: model.DutySettled) -> None:
+    duty = record.duty
+    if state.duties.get(duty.machine) == duty:
+        del state.duties[duty.machine]
+    wave = state.waves.get(duty.wave_number)
+    is_upkeep = duty.kind is model.DutyKind.UPKEEP and record.is_done
+    if wave is not None and is_upkeep and duty.machine not in wave.begun:
+        wave.begun.append(duty.machine)
 
 
 def _allot_runs(state: model.JobsState, record: model.RunsAllotted) -> None:
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -335,7 +335,8 @@
     Attributes:
         wave: what was asked for.
         accepted_at_ms: Unix time of acceptance.
-        begun: machines whose upkeep the platform has confirmed.
+        begun: machines whose upkeep the platform has confirmed, or that
+            have left the fleet.
     """
 
     wave: UpkeepWave
@@ -436,17 +437,48 @@
     at_ms: int
 
 
+class DutyKind(enum.StrEnum):
+    """What is done with a machine; both end what runs on it."""
+
+    UPKEEP = 'upkeep'
+    MOVE = 'move'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class UpkeepBegun:
-    """The platform confirmed the upkeep of a machine.
+class Duty:
+    """An order to the platform about a machine.
 
     Attributes:
-        wave_number: the wave.
         machine: the machine.
+        kind: what is done.
+        pool: for a move, the pool that it goes to.
+        wave_number: for upkeep, the wave that asks for it.
     """
 
-    wave_number: int
     machine: str
+    kind: DutyKind
+    pool: str = ''
+    wave_number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyOrdered:
+    """A duty that may be sent to the platform from now on."""
+
+    duty: Duty
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutySettled:
+    """A duty that the platform has carried out, or never will.
+
+    Attributes:
+        duty: the duty.
+        is_done: whether it was carried out.
+    """
+
+    duty: Duty
+    is_done: bool
 
 
 JobRecord = (
@@ -461,7 +493,8 @@
     | RunsVoided
     | EndsNoted
     | WaveAccepted
-    | UpkeepBegun
+    | DutyOrdered
+    | DutySettled
 )
 
 JOB_RECORD_TYPES: tuple[type[JobRecord], ...] = (
@@ -476,7 +509,8 @@
     RunsVoided,
     EndsNoted,
     WaveAccepted,
-    UpkeepBegun,
+    DutyOrdered,
+    DutySettled,
 )
 
 
@@ -489,9 +523,11 @@
         jobs: jobs by id, in the order of acceptance.
         lives: lives of workers that may still run something.
         waves: upkeep waves by number.
+        duties: orders to the platform that are not settled, by machine.
     """
 
     plan: RoutePlan | None = None
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     lives: dict[str, WorkerLife] = dataclasses.field(default_factory=dict)
     waves: dict[int, WaveState] = dataclasses.field(default_factory=dict)
+    duties: dict[str, Duty] = dataclasses.field(default_factory=dict)
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -20,6 +20,8 @@
 from greengagering.transport import _addresses
 from greengagering.transport._job_desk import CommitResult
 from greengagering.transport._job_desk import JobDesk
+from greengagering.transport._machine_client import MachineClient
+from greengagering.transport._machine_runner import MachineRunner
 from greengagering.transport._mesh import LinkSender
 from greengagering.transport._mesh import Mesh
 from greengagering.transport import _metrics
@@ -55,6 +57,7 @@
         settings: protocol.ControlSettings,
         folder: state.DataFolder,
         workers: WorkerClient | None = None,
+        machines: MachineClient | None = None,
     ) -> None:
         self.settings = settings
         self.folder = folder
@@ -112,6 +115,11 @@
             self._runner = OrderRunner(
                 self.core.jobs, workers, self.has_lease, self._loop.schedule
             )
+        self._machines: MachineRunner | None = None
+        if machines is not None:
+            self._machines = MachineRunner(
+                self.core.keeper, machines, self.has_lease, self._propose
+            )
         self._calls: set[asyncio.Task[None]] = set()
         self._probed_at_s = float('-inf')
         self._known_role = coordination.Role.FOLLOWER
@@ -141,6 +149,8 @@
         await self._loop.stop()
         if self._runner is not None:
             await self._runner.close()
+        if self._machines is not None:
+            await self._machines.close()
         self._send_outbox()
         await self._platform.close()
         await self.mesh.close()
@@ -185,6 +195,11 @@
         self._loop.schedule()
         return await waiter
 
+    def _propose(self, records: list[state.JobRecord]) -> None:
+        for record in records:
+            self.core.propose_job_record(record, self.now_s())
+        self._loop.schedule()
+
     def has_lease(self) -> bool:
         """Tell whether this replica leads and nobody else can."""
         is_established = self.core.jobs.is_leading
@@ -322,6 +337,8 @@
             self._platform.order(self.core.decisions.reboots, now_s)
         if self._runner is not None:
             self._runner.step()
+        if self._machines is not None:
+            self._machines.step()
         for decision in self.core.jobs.take_decisions():
             logs.info(decision.event, **decision.fields)
         self._note_role()
@@ -425,13 +442,16 @@
 
 
 def create_control_node(
-    settings: protocol.ControlSettings, workers: WorkerClient | None = None
+    settings: protocol.ControlSettings,
+    workers: WorkerClient | None = None,
+    machines: MachineClient | None = None,
 ) -> ControlNode:
     """Open the data folder and return a node that is ready to start.
 
     Args:
         settings: the node's settings.
         workers: client towards workers, or None where no jobs are run.
+        machines: client of the platform, or None where no machine is moved.
 
     Raises:
         StorageError: the folder isn't this replica's, or is damaged.
@@ -444,7 +464,7 @@
         replica_id = state.read_identity(path).replica_id
     folder = state.open_folder(path, settings.cluster_id, replica_id)
     try:
-        return ControlNode(settings, folder, workers)
+        return ControlNode(settings, folder, workers, machines)
     except BaseException:
         with contextlib.suppress(OSError):
             folder.close()
