Search runs and worker leases for faults, and mend what it finds

Cause, each seen as a broken promise in the search: strays that a reborn worker lists took no room; a chain of lives under one name was never ended, so that its tasks waited for ever; ends of a later life were acknowledged by the number of an earlier one; a task whose next run was proposed was proposed again when an older end was committed; a new life was used while orders for the earlier one were on their way; and the lease of a young life was taken for shorter than an order to its predecessor may have made it. Change: one rule for each in the director; the search as a scenario.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -9,3 +9,8 @@
     When 300 schedules of the control search run from seed 0
     Then no schedule breaks a promise
     And the schedules exercised accepted, refused, in_force, reboots, calls, crashes and lease_gaps
+
+  Scenario: No task runs twice, too early, over its room or after its end, and no accepted job is lost
+    When 300 schedules of the job search run from seed 0
+    Then no schedule breaks a promise
+    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders and leaders
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -9,6 +9,7 @@
 import fire
 
 from features.search import control_search
+from features.search import job_search
 from features.search import replica_search
 
 WORKERS = 4
@@ -40,13 +41,24 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_job_seed(seed: int) -> job_search.JobResult | SeedFailure:
+    """Run one schedule over jobs, runs and worker leases."""
+    try:
+        return job_search.JobSearch(seed).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 SEARCHES: dict[str, Any] = {
     'replica': run_replica_seed,
     'control': run_control_seed,
+    'job': run_job_seed,
 }
 TOTALS: dict[str, Any] = {
     'replica': replica_search.SearchResult,
     'control': control_search.ControlResult,
+    'job': job_search.JobResult,
 }
 
 
@@ -74,7 +86,7 @@
     """Run a search and print what it did.
 
     Args:
-        name: replica or control.
+        name: replica, control or job.
         first_seed: first seed.
         count: number of schedules.
     """
--- /dev/null
+++ b/features/search/worker_fakes.py
@@ -0,0 +1,277 @@
+"""Fake workers that keep to the rules of the workers' interface."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from features.search.replica_search import InvariantError
+from greengagering import coordination
+from greengagering import state
+
+MAX_LEASE_MS = 10_000
+STOP_S = 0.3
+ROOM = state.Room(cpu_millicores=8000, memory_mb=16_000, gpu_count=0)
+
+
+@dataclasses.dataclass
+class FakeRun:
+    """A run on a worker."""
+
+    key: state.RunKey
+    until_ms: float
+    ends_s: float
+    ending: state.RunEnding
+    room: state.Room
+    is_stopping: bool = False
+
+
+def _ignore_end(worker_id: str, end: state.RunEnd) -> None:
+    """Stand in until a search wants to hear of ends."""
+
+
+class Ledger:
+    """What workers really did, over all of them.
+
+    Attributes:
+        running: worker by task, for every run on a worker that is up.
+        starts: times at which a task was started.
+        done: times at which a run of a task ended as done.
+        noted_done: time of the first noted end as done, by task.
+        failed: noted failed runs by task.
+    """
+
+    def __init__(self) -> None:
+        self.running: dict[str, FakeWorker] = {}
+        self.starts: dict[str, list[float]] = {}
+        self.noted_done: dict[str, float] = {}
+        self.failed: dict[str, int] = {}
+        self.specs: dict[str, state.JobSpec] = {}
+        self.done_tasks: set[str] = set()
+        self.attempt_limit = 0
+        self.start_count = 0
+        self.on_end: Callable[[str, state.RunEnd], None] = _ignore_end
+
+    def note_start(
+        self, worker: 'FakeWorker', key: state.RunKey, now_s: float
+    ) -> None:
+        """Check a start against everything that happened before."""
+        name = key.task_name
+        other = self.running.get(name)
+        if other is not None:
+            raise InvariantError(
+                f'{name} starts on {worker.worker_id} and runs on '
+                f'{other.worker_id}'
+            )
+        if name in self.noted_done:
+            raise InvariantError(f'{name} starts after a noted end as done')
+        if self.failed.get(name, 0) >= self.attempt_limit:
+            raise InvariantError(f'{name} starts after its last attempt')
+        spec = self.specs.get(key.job_id)
+        if spec is None:
+            raise InvariantError(f'{name} was never handed in')
+        step = spec.steps[key.step_number]
+        for earlier in step.after:
+            for index in range(spec.steps[earlier].task_count):
+                before = f'{key.job_id}.0.{earlier}.{index}'
+                if before not in self.done_tasks:
+                    raise InvariantError(f'{name} starts before {before}')
+        self.running[name] = worker
+        self.starts.setdefault(name, []).append(now_s)
+        self.start_count += 1
+
+    def note_stopped(self, worker: 'FakeWorker', key: state.RunKey) -> None:
+        """A run is over."""
+        if self.running.get(key.task_name) is worker:
+            del self.running[key.task_name]
+
+    def note_noted(
+        self, end: state.RunEnd, ended_s: float, has_lapsed: bool
+    ) -> None:
+        """The system took note of an end; nothing may have started after."""
+        name = end.key.task_name
+        step = self.specs[end.key.job_id].steps[end.key.step_number]
+        if end.ending is state.RunEnding.FAILED and not step.is_lasting:
+            self.failed[name] = self.failed.get(name, 0) + 1
+        if end.ending is not state.RunEnding.DONE or has_lapsed:
+            return
+        self.noted_done.setdefault(name, ended_s)
+        if any(start_s > ended_s for start_s in self.starts.get(name, ())):
+            raise InvariantError(f'{name} was started again after its end')
+
+
+class FakeWorker:
+    """One worker, over several lives."""
+
+    def __init__(
+        self, worker_id: str, rng: random.Random, ledger: Ledger
+    ) -> None:
+        self.worker_id = worker_id
+        self.rng = rng
+        self.ledger = ledger
+        self.born_ms = 0
+        self.is_up = False
+        self.sequence = 0
+        self.runs: dict[str, FakeRun] = {}
+        self.begin_life(0.0)
+
+    def begin_life(self, now_s: float) -> None:
+        """Start anew, knowing nothing."""
+        self.born_ms = int(now_s * 1000) + 1
+        self.is_up = True
+        self.sequence = 0
+        self.fence = 0
+        self.ended: list[tuple[state.RunEnd, float]] = []
+        self.end_count = 0
+        self.floors: dict[str, int] = {}
+        self.lease_ms = 0.0
+        self.lapsed_at_s = float('-inf')
+        self._clock_rate = self.rng.uniform(0.98, 1.0)
+        self._clock_base_s = now_s
+
+    def crash(self) -> None:
+        """End with everything that runs."""
+        for run in self.runs.values():
+            self.ledger.note_stopped(self, run.key)
+        self.runs.clear()
+        self.is_up = False
+
+    def clock_ms(self, now_s: float) -> float:
+        """Return this life's own clock."""
+        return (now_s - self._clock_base_s) * 1000 * self._clock_rate
+
+    def facts(self) -> state.WorkerFacts:
+        """Return what this life says of itself."""
+        return state.WorkerFacts(
+            self.worker_id,
+            self.born_ms,
+            'service-a',
+            f'{self.worker_id}:80',
+            'dc-1',
+            'rack-1',
+            (),
+            ROOM,
+        )
+
+    def report(self, now_s: float) -> coordination.WorkerReport:
+        """Return the next report."""
+        self.sequence += 1
+        return coordination.WorkerReport(
+            self.facts(), self.sequence, int(self.clock_ms(now_s)), False
+        )
+
+    def advance(self, now_s: float) -> None:
+        """End what is due to end."""
+        if not self.is_up:
+            return
+        clock_ms = self.clock_ms(now_s)
+        if clock_ms > self.lease_ms:
+            self.lapsed_at_s = now_s
+        for name, run in list(self.runs.items()):
+            if clock_ms > self.lease_ms:
+                self._end(name, state.RunEnding.LAPSED, now_s)
+            elif now_s >= run.ends_s:
+                self._end(name, run.ending, now_s)
+
+    def start(
+        self, order: coordination.StartOrder, now_s: float, extra_ms: float
+    ) -> coordination.OrderAnswer:
+        """Carry out an order to start."""
+        outcomes = coordination.OrderOutcome
+        if order.life.worker_id != self.worker_id:
+            return coordination.OrderAnswer(outcomes.OTHER_LIFE)
+        clock_ms = int(self.clock_ms(now_s))
+        if order.fence < self.fence:
+            return coordination.OrderAnswer(outcomes.FENCED, clock_ms)
+        self.fence = order.fence
+        name = order.key.task_name
+        present = self.runs.get(name)
+        if present is not None and present.key.run == order.key.run:
+            return coordination.OrderAnswer(outcomes.DONE, clock_ms)
+        if order.until_ms + extra_ms < clock_ms:
+            return coordination.OrderAnswer(outcomes.LATE, clock_ms)
+        self._extend(order.until_ms + extra_ms, clock_ms)
+        if order.key.run <= self.floors.get(name, 0) or present is not None:
+            return coordination.OrderAnswer(outcomes.OLD_RUN, clock_ms)
+        self._begin(order, now_s)
+        return coordination.OrderAnswer(outcomes.DONE, clock_ms)
+
+    def stop(
+        self, order: coordination.StopOrder, now_s: float
+    ) -> coordination.OrderAnswer:
+        """Carry out an order to stop."""
+        outcomes = coordination.OrderOutcome
+        clock_ms = int(self.clock_ms(now_s))
+        if order.fence < self.fence:
+            return coordination.OrderAnswer(outcomes.FENCED, clock_ms)
+        self.fence = order.fence
+        name = order.key.task_name
+        floor = self.floors.get(name, 0)
+        self.floors[name] = max(floor, order.key.run)
+        run = self.runs.get(name)
+        if run is not None and run.key.run <= order.key.run:
+            run.ends_s = min(run.ends_s, now_s + STOP_S)
+            run.ending = state.RunEnding.STOPPED
+        return coordination.OrderAnswer(outcomes.DONE, clock_ms)
+
+    def look(
+        self, order: coordination.LookOrder, now_s: float, extra_ms: float
+    ) -> coordination.LookAnswer:
+        """Return the lists, and take the grant."""
+        outcomes = coordination.OrderOutcome
+        clock_ms = int(self.clock_ms(now_s))
+        if order.fence < self.fence:
+            return coordination.LookAnswer(outcomes.FENCED, clock_ms)
+        self.fence = order.fence
+        if order.until_ms:
+            self._extend(order.until_ms + extra_ms, clock_ms)
+        for end, ended_s in self.ended:
+            if end.number <= order.noted_end:
+                has_lapsed = self.lapsed_at_s > ended_s
+                self.ledger.note_noted(end, ended_s, has_lapsed)
+        self.ended = [
+            item for item in self.ended if item[0].number > order.noted_end
+        ]
+        running = tuple(
+            coordination.ListedRun(run.key, '', 100, None)
+            for run in self.runs.values()
+        )
+        ended = tuple(end for end, _ in self.ended)
+        return coordination.LookAnswer(
+            outcomes.DONE, clock_ms, self.born_ms, running, ended
+        )
+
+    def _extend(self, until_ms: float, clock_ms: float) -> None:
+        bounded_ms = min(until_ms, clock_ms + MAX_LEASE_MS)
+        self.lease_ms = max(self.lease_ms, bounded_ms)
+
+    def _begin(self, order: coordination.StartOrder, now_s: float) -> None:
+        spec = self.ledger.specs.get(order.key.job_id)
+        room = state.Room()
+        is_lasting = False
+        if spec is not None:
+            step = spec.steps[order.key.step_number]
+            room, is_lasting = step.room, step.is_lasting
+        self.ledger.note_start(self, order.key, now_s)
+        run_s = self.rng.uniform(0.1, 1.2)
+        if is_lasting:
+            run_s = self.rng.choice((1000.0, 1000.0, 3.0))
+        ending = state.RunEnding.DONE
+        if is_lasting or self.rng.random() < 0.04:
+            ending = state.RunEnding.FAILED
+        self.runs[order.key.task_name] = FakeRun(
+            order.key, 0.0, now_s + run_s, ending, room
+        )
+        used = sum(r.room.cpu_millicores for r in self.runs.values())
+        if used > ROOM.cpu_millicores:
+            raise InvariantError(f'{self.worker_id} is over its room')
+
+    def _end(self, name: str, ending: state.RunEnding, now_s: float) -> None:
+        run = self.runs.pop(name)
+        self.ledger.note_stopped(self, run.key)
+        self.floors[name] = max(self.floors.get(name, 0), run.key.run)
+        self.end_count += 1
+        end = state.RunEnd(self.end_count, run.key, ending, '')
+        self.ended.append((end, now_s))
+        self.ledger.on_end(self.worker_id, end)
+        if ending is state.RunEnding.DONE:
+            self.ledger.done_tasks.add(name)
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -28,6 +28,10 @@
 MAX_RUNS_PER_RECORD = 400
 """Runs in one record, so that one write stays short."""
 
+REBIRTH_PAUSE_S = 0.6
+"""Time after which no order that was sent to an earlier life of a worker can
+reach the later one; just above the time-out of an order."""
+
 REFUSAL_PAUSE_S = 0.4
 """Time without new runs for a worker that refused one, for want of room or
 health; a third of a usual run time."""
@@ -236,9 +240,14 @@
         life = self.jobs.lives.get(life_key)
         if view is None or life is None or not self.is_leading:
             return None
+        if view.successor or view.is_over:
+            return None
+        if not view.is_read and now_s < view.blocked_until_s:
+            return None
         if view.proposed_end > life.noted_end:
             return None
-        if view.is_read and not view.runs and view.suspect_since_s is None:
+        is_idle = not (view.runs or view.strays)
+        if view.is_read and is_idle and view.suspect_since_s is None:
             return None
         until_ms = 0
         clock_ms = view.clock_ms(now_s)
@@ -251,8 +260,11 @@
         wait_ms = 0
         if is_sound and not until_ms:
             wait_ms = _to_ms(worker_view.LOOK_WAIT_S)
+        # A later life under the same name would take the number for one of
+        # its own ends, so it is sent only while this life answers.
+        noted_end = life.noted_end if is_sound else 0
         return orders.LookOrder(
-            view.facts, self.fence, life.noted_end, until_ms, wait_ms
+            view.facts, self.fence, noted_end, until_ms, wait_ms
         )
 
     def begin_look(self, order: orders.LookOrder, now_s: float) -> int:
@@ -312,9 +324,17 @@
         if view is None or order.fence != self.fence:
             return
         outcome = answer.outcome
+        run = view.runs.get(order.key.name)
+        if view.is_clock_of_other(answer.clock_ms, now_s):
+            view.note_other_life(now_s)
+            if run is not None and run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.UNCERTAIN
+                run.phase_at_s = now_s
+                run.tries += 1
+            self._note_other_life(view, now_s)
+            return
         if outcome is not orders.OrderOutcome.NO_ANSWER:
             view.note_clock(answer.clock_ms, now_s)
-        run = view.runs.get(order.key.name)
         if isinstance(order, orders.StartOrder):
             is_granted = outcome in _GRANTING
             if grant and outcome is not orders.OrderOutcome.NO_ANSWER:
@@ -349,7 +369,9 @@
     def begin_start(self, order: orders.StartOrder, now_s: float) -> int:
         """Note that an order to start is on its way."""
         view = self.workers.get(order.life.key)
-        return view.begin_grant(now_s) if view is not None else 0
+        if view is None:
+            return 0
+        return view.begin_grant(now_s, worker_view.LONGEST_LEASE_S)
 
     def is_wave_done(self, wave: state.WaveState) -> bool:
         """Tell whether every machine of a wave has begun its upkeep."""
@@ -430,6 +452,8 @@
                 continue
             older, newer = sorted((other, view), key=lambda v: v.facts.born_ms)
             older.successor = newer.key
+            if is_reborn and not newer.is_read:
+                newer.blocked_until_s = now_s + REBIRTH_PAUSE_S
             if not is_reborn:
                 # Orders name the worker, and the newer one refuses them.
                 self.end_life(older, 'address reused')
@@ -497,6 +521,7 @@
         self, key: state.RunKey, life_key: str, now_s: float
     ) -> None:
         """Send the order for a run that is committed now."""
+        self.index.note_allotted(key)
         view = self.workers.get(life_key)
         job = self.jobs.jobs.get(key.job_id)
         run = view.runs.get(key.name) if view is not None else None
@@ -514,6 +539,8 @@
     ) -> None:
         job = self.jobs.jobs[run.key.job_id]
         clock_ms = view.clock_ms(now_s)
+        if view.successor:
+            return
         if clock_ms is None:
             self._retry_later(view, run, now_s)
             return
@@ -673,6 +700,19 @@
         if successor is not None:
             self._end_after(view, successor, now_s)
 
+    def _end_replaced(self, view: WorkerView, now_s: float) -> None:
+        successor = self.workers.get(view.successor)
+        if successor is None or successor.is_over:
+            newest = self._newest.get(view.facts.worker_id)
+            if newest is None or newest is view or newest.is_over:
+                # Nothing of the successor runs any more either.
+                self.end_life(view, 'reborn')
+                return
+            view.successor = newest.key
+            view.is_poisoned = False
+            successor = newest
+        self._end_after(view, successor, now_s)
+
     def _end_after(
         self, view: WorkerView, successor: WorkerView, now_s: float
     ) -> None:
@@ -717,9 +757,8 @@
         for view in list(self.workers.values()):
             if view.is_over:
                 continue
-            successor = self.workers.get(view.successor)
-            if successor is not None:
-                self._end_after(view, successor, now_s)
+            if view.successor:
+                self._end_replaced(view, now_s)
                 continue
             is_silent = view.suspect_since_s is not None or (
                 now_s >= view.heard_at_s + worker_view.SILENCE_S
@@ -869,7 +908,7 @@
         task_key = f'{work.step_key}.{placement.index}'
         run_number = _next_run(work, placement.index)
         key = state.RunKey(job.spec.job_id, task_key, run_number)
-        work.waiting.discard(placement.index)
+        self.index.note_proposed(key)
         placement.worker.add_run(
             RunView(key, work.step, RunPhase.ORDERED, now_s)
         )
--- a/greengagering/coordination/jobs/_work_index.py
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -48,6 +48,8 @@
     def __init__(self) -> None:
         self.steps: dict[str, dict[str, StepWork]] = {}
         self._timed: list[tuple[int, str, int]] = []
+        # Tasks whose next run is proposed and not committed yet.
+        self._proposed: set[str] = set()
 
     def add_job(self, job: state.Job, now_s: float, now_ms: int) -> None:
         """Add a job and its occurrences, due or not."""
@@ -83,6 +85,17 @@
         """Return the step of a run, once its turn has come."""
         return self.steps.get(key.job_id, {}).get(key.step_key)
 
+    def note_proposed(self, key: state.RunKey) -> None:
+        """Let a task wait no more, as its next run is proposed."""
+        self._proposed.add(key.task_name)
+        work = self.find(key)
+        if work is not None:
+            work.waiting.discard(int(key.task.rpartition('.')[2]))
+
+    def note_allotted(self, key: state.RunKey) -> None:
+        """The run that was proposed is committed."""
+        self._proposed.discard(key.task_name)
+
     def note_task(self, key: state.RunKey) -> None:
         """Let a task wait again, or no more, by its committed state."""
         work = self.find(key)
@@ -91,7 +104,7 @@
         index = int(key.task.rpartition('.')[2])
         task = work.job.tasks.get(key.task)
         is_waiting = task is None or not (task.is_done or task.live_runs)
-        if is_waiting:
+        if is_waiting and key.task_name not in self._proposed:
             work.waiting.add(index)
         else:
             work.waiting.discard(index)
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -16,6 +16,14 @@
 LOOK_WAIT_S = 1.5
 """How long a look waits for an end; the worker allows at most 2 s."""
 
+LONGEST_LEASE_S = 10.0
+"""Longest lease that a worker grants, whatever an order asks for; one that
+was meant for an earlier life may ask for more than its clock can tell."""
+
+CLOCK_SLACK_MS = 1000
+"""Difference from the expected clock from which another life answers: a new
+life's clock starts anew."""
+
 LATE_ORDER_S = 12.0
 """Longest time after which an unanswered order may still be carried out, by
 the users' list of disturbances."""
@@ -124,6 +132,7 @@
         self._grant_number = 0
         self._open_grants: dict[int, float] = {}
         self._settled_at_s = float('-inf')
+        self._mixed_lapse_s = float('-inf')
         # Grants of earlier leaders may be on their way since just now.
         self._unknown_since_s: float | None = now_s
         self._clock_offset_ms: float | None = None
@@ -144,6 +153,7 @@
             and not self.is_over
             and self.suspect_since_s is None
             and not self.successor
+            and not self.strays
             and now_s < self.heard_at_s + SILENCE_S
             and now_s >= self.blocked_until_s
         )
@@ -185,13 +195,31 @@
             return None
         return int(now_s * 1000 + self._clock_offset_ms)
 
-    def begin_grant(self, now_s: float) -> int:
-        """Note that a grant is on its way; return its number."""
+    def is_clock_of_other(self, clock_ms: int | None, now_s: float) -> bool:
+        """Tell whether a clock reading can't be of this life."""
+        expected_ms = self.clock_ms(now_s)
+        if clock_ms is None or expected_ms is None:
+            return False
+        return clock_ms < expected_ms - CLOCK_SLACK_MS
+
+    def begin_grant(self, now_s: float, lease_s: float = LEASE_S) -> int:
+        """Note that a grant is on its way; return its number.
+
+        Args:
+            now_s: the leader's clock.
+            lease_s: lease that the order may get at most.
+        """
         self.granted_at_s = now_s
         self._grant_number += 1
-        self._open_grants[self._grant_number] = now_s
+        lapse_s = now_s + LATE_ORDER_S + lease_s / WORKER_CLOCK_RATIO
+        self._open_grants[self._grant_number] = lapse_s
         return self._grant_number
 
+    def note_other_life(self, now_s: float) -> None:
+        """Another life took an order that was meant for this one."""
+        lapse_s = now_s + LONGEST_LEASE_S / WORKER_CLOCK_RATIO
+        self._mixed_lapse_s = max(self._mixed_lapse_s, lapse_s)
+
     def settle_grant(
         self, number: int, now_s: float, *, is_carried_out: bool
     ) -> None:
@@ -205,8 +233,13 @@
         """Take lists that were read under the leader's own fence.
 
         From now on the worker refuses whatever an earlier leader still has
-        on its way.
+        on its way. A young life may have taken a lease by an order that was
+        meant for an earlier one under its name.
         """
+        clock_ms = self.clock_ms(now_s)
+        is_young = clock_ms is None or clock_ms < LONGEST_LEASE_S * 1000
+        if not self.is_read and is_young:
+            self.note_other_life(now_s)
         self.is_read = True
         self._unknown_since_s = None
         self.note_heard(now_s)
@@ -214,11 +247,10 @@
     def lapse_at_s(self) -> float:
         """Return when the lease of this life has run out for certain."""
         lease_s = LEASE_S / WORKER_CLOCK_RATIO
-        ends = [self._settled_at_s + lease_s]
-        opened = list(self._open_grants.values())
+        ends = [self._settled_at_s + lease_s, self._mixed_lapse_s]
+        ends += self._open_grants.values()
         if self._unknown_since_s is not None:
-            opened.append(self._unknown_since_s)
-        ends += [sent_s + LATE_ORDER_S + lease_s for sent_s in opened]
+            ends.append(self._unknown_since_s + LATE_ORDER_S + lease_s)
         return max(ends)
 
     def note_heard(self, now_s: float) -> None:
