Take failing, slow and stalled workers out, and replace machines in upkeep

Change: the pause holds for machines ordered just before; the pool plan does not count a machine that goes down; lasting tasks share workers; workers that fail or stall in a row get single runs as probes only.

--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -363,9 +363,12 @@
         self._settle(node, core)
         if not core.jobs.is_leading:
             core.jobs.take_orders()
-            return
-        if not core.replica.has_lease(now_s):
-            return
+        elif core.replica.has_lease(now_s):
+            self._give_orders(node, core, now_s)
+
+    def _give_orders(
+        self, node: ControlNode, core: coordination.ControlCore, now_s: float
+    ) -> None:
         self._terms.add(core.jobs.fence)
         for order in core.jobs.take_orders():
             grant = 0
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -239,7 +239,7 @@
         if not self.jobs.is_leading or not self.replica.has_lease(self._now_s):
             return
         records = self.jobs.step(self._now_s, self._now_ms)
-        records += self.keeper.step(self._now_s)
+        records += self.keeper.step(self._now_s, self._now_ms)
         records += self.jobs.take_proposals()
         for record in records:
             proposed = self.replica.propose(state.encode_record(record))
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -25,6 +25,23 @@
 KEEP_FINISHED_S = 240.0
 """How long a finished job is shown; callers are promised half of it."""
 
+WATCH_INTERVAL_S = 0.2
+"""Time between two searches for runs that stand still."""
+
+STALL_RATIO = 2.5
+"""Run time over estimate from which a run counts as standing still; distant
+data doubles it at most, and estimates are off by a fifth."""
+
+STALL_SLACK_S = 0.3
+"""Run time added to that, for the start and for short estimates."""
+
+MAX_STALLS = 2
+"""Workers that a task is taken from for standing still; a task that stands
+still everywhere is left alone."""
+
+EARLY_FAILURE_S = 1.0
+"""Run time of a lasting task below which its failure tells of the worker."""
+
 MAX_RUNS_PER_RECORD = 400
 """Runs in one record, so that one write stays short."""
 
@@ -91,6 +108,7 @@
         self._woken: set[str] = set()
         self._is_plan_due = False
         self._planned_at_s = float('-inf')
+        self._watched_at_s = float('-inf')
         self._finished_at_s: dict[str, float] = {}
         self._retries: list[tuple[float, RunView, WorkerView]] = []
         self._now_s = 0.0
@@ -135,6 +153,9 @@
         if self.index.add_due(self.jobs.jobs, now_s, now_ms):
             self._is_plan_due = True
         self._retry_orders(now_s)
+        if now_s >= self._watched_at_s + WATCH_INTERVAL_S:
+            self._watched_at_s = now_s
+            self._find_stalled(now_s)
         if self._is_plan_due or now_s >= self._planned_at_s + PLAN_INTERVAL_S:
             self._is_plan_due = False
             self._planned_at_s = now_s
@@ -790,18 +811,21 @@
         end: state.RunEnd,
         now_s: float,
     ) -> None:
+        ran_s = now_s - run.started_at_s if run and run.started_at_s else None
         if end.ending is state.RunEnding.DONE:
-            view.note_success(now_s)
+            view.note_success(_run_ratio(run, ran_s))
             return
         self.decide(
             'run_ended',
             run=end.key.name,
             life=view.key,
             ending=str(end.ending),
-            ran_s=round(now_s - run.started_at_s, 3) if run else None,
+            ran_s=round(ran_s, 3) if ran_s is not None else None,
         )
         if end.ending is state.RunEnding.FAILED:
-            view.note_failure(now_s)
+            is_early = ran_s is None or ran_s < EARLY_FAILURE_S
+            if run is None or is_early or not run.step.is_lasting:
+                view.note_failure(now_s)
             work = self.index.find(end.key)
             if work is not None:
                 index = int(end.key.task.rpartition('.')[2])
@@ -857,6 +881,53 @@
         if job is None or job.status is not state.JobStatus.ACTIVE:
             self.stop_run(view, run, now_s)
 
+    def _find_stalled(self, now_s: float) -> None:
+        """Stop finite runs that take far longer than estimated.
+
+        The worker stands still or is slow; the task is done sooner elsewhere,
+        if there is another worker with room for it.
+        """
+        for view in self.workers.values():
+            if view.suspect_since_s is not None:
+                continue
+            for run in list(view.runs.values()):
+                if run.phase is not RunPhase.RUNNING or run.step.is_lasting:
+                    continue
+                limit_s = STALL_RATIO * run.step.estimate_s + STALL_SLACK_S
+                ran_s = now_s - run.started_at_s
+                if run.step.estimate_s <= 0 or ran_s < limit_s:
+                    continue
+                if not self._has_better_place(view, run):
+                    continue
+                self.decide(
+                    'run_stalled',
+                    run=run.key.name,
+                    life=view.key,
+                    ran_s=round(ran_s, 3),
+                    estimate_s=run.step.estimate_s,
+                )
+                view.note_failure(now_s, worker_view.QUARANTINE_STREAK)
+                work = self.index.find(run.key)
+                if work is not None:
+                    index = int(run.key.task.rpartition('.')[2])
+                    work.failed_at.setdefault(index, set()).add(view.key)
+                self.stop_run(view, run, now_s)
+
+    def _has_better_place(self, view: WorkerView, run: RunView) -> bool:
+        work = self.index.find(run.key)
+        if work is None or run.step.is_gang:
+            return False
+        index = int(run.key.task.rpartition('.')[2])
+        tried = work.failed_at.get(index, set())
+        if len(tried) >= MAX_STALLS:
+            return False
+        others = [
+            worker
+            for worker in self.usable_workers(work.job)
+            if worker is not view and not worker.is_failing
+        ]
+        return _placement.has_place(work, others)
+
     def _forget_finished(self, now_s: float) -> None:
         old = [
             job_id
@@ -946,5 +1017,14 @@
     return (is_worthless, work.job.queue.priority, work.due_at_s)
 
 
+def _run_ratio(run: RunView | None, ran_s: float | None) -> float | None:
+    """Return run time over estimate; saved progress hides the rest."""
+    if run is None or ran_s is None or run.step.is_lasting:
+        return None
+    if run.step.estimate_s <= 0 or run.key.run > 1:
+        return None
+    return ran_s / run.step.estimate_s
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -25,8 +25,8 @@
 """Pause before an unanswered or postponed duty is sent again."""
 
 TAKEOVER_PAUSE_S = 3.2
-"""Time after an election without duties, so that two leaders never take
-turns at one machine within the platform's 3 s."""
+"""Time after an earlier leader's order for a machine without an order of this
+one, so that two leaders never take turns there within the platform's 3 s."""
 
 RETURN_TIMEOUT_S = 8.0
 """Time from a duty to the machine's next worker, after which the machine
@@ -81,7 +81,8 @@
         self.pool_plan = PoolPlan()
         self._director = director
         self._holder = holder
-        self._led_since_s = 0.0
+        self._now_ms = 0
+        self._own_orders: set[str] = set()
         self._fence = 0
         self._listed_at_s = float('-inf')
         self._is_listing = False
@@ -94,8 +95,9 @@
         """Committed state."""
         return self._director.jobs
 
-    def step(self, now_s: float) -> list[state.JobRecord]:
+    def step(self, now_s: float, now_ms: int) -> list[state.JobRecord]:
         """Do what is due, and return the records to propose."""
+        self._now_ms = now_ms
         if self._fence != self._director.fence:
             self._lead(now_s)
         if not self._director.is_leading or self.jobs.plan is None:
@@ -179,7 +181,7 @@
 
     def _lead(self, now_s: float) -> None:
         self._fence = self._director.fence
-        self._led_since_s = now_s
+        self._own_orders.clear()
         self._is_listing = False
         self._listed_once = False
         self._listed_at_s = float('-inf')
@@ -283,12 +285,11 @@
         if machine is not None and machine.worker_id != opened.worker_id:
             self._follow_worker(opened, machine)
         if opened.phase is DutyPhase.EMPTYING:
-            if now_s < self._led_since_s + TAKEOVER_PAUSE_S:
-                return []
-            if self._is_empty(opened, now_s):
+            if self._is_empty(opened, now_s) and self._may_order(opened):
                 opened.phase = DutyPhase.COMMITTING
                 opened.phase_at_s = now_s
-                return [state.DutyOrdered(opened.duty)]
+                self._own_orders.add(opened.duty.machine)
+                return [state.DutyOrdered(opened.duty, self._now_ms)]
         elif opened.phase is DutyPhase.SENDING:
             self._send(opened, now_s)
         return []
@@ -302,16 +303,24 @@
             view.is_reserved = True
 
     def _send(self, opened: OpenDuty, now_s: float) -> None:
-        is_early = now_s < self._led_since_s + TAKEOVER_PAUSE_S
-        if opened.is_asked or is_early or now_s < opened.retry_at_s:
+        if opened.is_asked or now_s < opened.retry_at_s:
             return
-        if not self._is_empty(opened, now_s):
+        if not (self._is_empty(opened, now_s) and self._may_order(opened)):
             return
         opened.is_asked = True
         self._calls.append(
             machines.DutyOrder(opened.duty, self._holder, self._fence)
         )
 
+    def _may_order(self, opened: OpenDuty) -> bool:
+        """Tell whether no earlier leader has just ordered this machine."""
+        machine = opened.duty.machine
+        ordered_at_ms = self.jobs.ordered_at_ms.get(machine)
+        if ordered_at_ms is None or machine in self._own_orders:
+            return True
+        age_s = abs(self._now_ms - ordered_at_ms) / 1000
+        return age_s >= TAKEOVER_PAUSE_S
+
     def _is_empty(self, opened: OpenDuty, now_s: float) -> bool:
         """Stop what may be stopped; tell whether nothing runs any more."""
         view = self._view_of(opened.worker_id)
@@ -367,8 +376,6 @@
         return False
 
     def _plan_moves(self, now_s: float) -> None:
-        if now_s < self._led_since_s + TAKEOVER_PAUSE_S:
-            return
         for duty in self.jobs.duties.values():
             # What an earlier leader left open is finished first.
             if duty.machine not in self.open and (
--- a/greengagering/coordination/jobs/_placement.py
+++ b/greengagering/coordination/jobs/_placement.py
@@ -6,7 +6,9 @@
 from greengagering.coordination.jobs import _worker_view as worker_view
 from greengagering.coordination.jobs._worker_view import WorkerView
 
-AVOID_SCORE = worker_view.AVOID_SCORE
+
+LASTING_PER_WORKER = 2
+"""Lasting tasks of one step on one worker; a lost worker costs no more."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,10 +39,10 @@
         if not step.required_label
         or step.required_label in worker.facts.labels
     ]
-    budget = _Budget(work, fitting)
+    budget = _Budget(work, _trusted(fitting, now_s))
     chosen = []
     for index in sorted(work.waiting):
-        worker = budget.choose(index, now_s)
+        worker = budget.choose(index)
         if worker is None:
             if step.is_gang:
                 return []
@@ -53,6 +55,18 @@
     return chosen
 
 
+def _trusted(workers: list[WorkerView], now_s: float) -> list[WorkerView]:
+    """Leave out workers that fail what they start, unless all of them do."""
+    trusted = [
+        worker
+        for worker in workers
+        if not worker.is_failing or worker.may_probe(now_s)
+    ]
+    if all(worker.is_failing for worker in workers):
+        return workers
+    return trusted
+
+
 def has_place(work: StepWork, workers: list[WorkerView]) -> bool:
     """Tell whether one more task of a step would find a worker."""
     step = work.step
@@ -75,6 +89,7 @@
         self._step = work.step
         self._taken: dict[str, int] = {}
         self._workers = workers
+        self._has_sound = any(not w.is_failing for w in workers)
         self._rack_counts: dict[str, int] = {}
         self._counts: dict[str, int] = {}
         step = self._step
@@ -88,7 +103,7 @@
                         self._rack_counts.get(rack, 0) + count
                     )
 
-    def choose(self, index: int, now_s: float) -> WorkerView | None:
+    def choose(self, index: int) -> WorkerView | None:
         """Return the best worker with room for a task, and take it."""
         avoided = self._work.failed_at.get(index, ())
         best: WorkerView | None = None
@@ -96,7 +111,7 @@
         for worker in self._workers:
             if not self._has_room(worker):
                 continue
-            rank = self._rank(worker, worker.key in avoided, now_s)
+            rank = self._rank(worker, worker.key in avoided)
             if best is None or rank < best_rank:
                 best, best_rank = worker, rank
         if best is not None:
@@ -106,6 +121,8 @@
     def _has_room(self, worker: WorkerView) -> bool:
         step = self._step
         taken = self._taken.get(worker.key, 0) + 1
+        if worker.is_failing and taken > 1 and self._has_sound:
+            return False
         cpu = 0 if step.fills else step.room.cpu_millicores
         if (
             cpu * taken > worker.free_cpu
@@ -117,17 +134,18 @@
             return True
         return self._counts.get(worker.key, 0) < step.max_per_worker
 
-    def _rank(
-        self, worker: WorkerView, is_avoided: bool, now_s: float
-    ) -> tuple[float, ...]:
+    def _rank(self, worker: WorkerView, is_avoided: bool) -> tuple[float, ...]:
         """Order workers; the lowest is the best.
 
-        Lasting tasks spread over racks and workers, so that a failure costs
-        few of them. Others go where the least room is left, which keeps wide
+        Lasting tasks share workers with other lasting ones, a few of a step
+        on each, so that the other workers can leave the pool when it has
+        little work. Others go where the least room is left, which keeps wide
         room free for large tasks.
         """
         step = self._step
-        is_failing = worker.failure_score(now_s) >= AVOID_SCORE
+        is_doubtful = worker.failure_streak + (
+            worker.slowness >= worker_view.SLOW_RATIO
+        )
         rack = worker.facts.rack
         is_far = bool(step.data_rack) and rack != step.data_rack
         room = worker.free_cpu - step.room.cpu_millicores * self._taken.get(
@@ -135,17 +153,23 @@
         )
         if step.is_lasting:
             return (
-                is_failing,
                 is_avoided,
+                is_doubtful,
                 is_far,
-                self._counts.get(worker.key, 0),
+                self._counts.get(worker.key, 0) >= LASTING_PER_WORKER,
+                not self._hosts_lasting(worker),
                 self._rack_counts.get(rack, 0),
-                -room,
+                room,
             )
         rack_rank = 0
         if step.is_rack_local:
             rack_rank = -self._rack_counts.get(rack, 0)
-        return (is_failing, is_avoided, is_far, rack_rank, room)
+        return (is_avoided, is_doubtful, is_far, rack_rank, room)
+
+    def _hosts_lasting(self, worker: WorkerView) -> bool:
+        if self._taken.get(worker.key):
+            return True
+        return any(run.step.is_lasting for run in worker.runs.values())
 
     def _take(self, worker: WorkerView) -> None:
         key, rack = worker.key, worker.facts.rack
--- a/greengagering/coordination/jobs/_pool_plan.py
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -96,10 +96,10 @@
     ) -> None:
         busy = {duty.machine for duty in duties}
         for duty in duties:
-            machine = known.get(duty.machine)
-            target = duty.pool or (machine.pool if machine else '')
-            if target in pools:
-                pools[target].arriving += 1
+            # A machine that goes down for upkeep is replaced meanwhile, as
+            # its lasting tasks need another place before it can go.
+            if duty.pool in pools:
+                pools[duty.pool].arriving += 1
         for machine in known.values():
             pool = pools.get(machine.pool)
             if pool is None or machine.name in busy:
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -35,11 +35,21 @@
 """Time without a word after which a worker gets no new run: two missed
 reports."""
 
-FAILURE_HALF_LIFE_S = 3.0
-"""Time in which the score of a worker's failures halves; a few run times."""
+QUARANTINE_STREAK = 2
+"""Failures in a row from which a worker gets only single runs, as probes."""
 
-AVOID_SCORE = 2.5
-"""Failure score from which a worker is used only when no other has room."""
+QUARANTINE_MIN_S = 1.0
+"""First time without runs for such a worker: about one run time."""
+
+QUARANTINE_MAX_S = 16.0
+"""Longest such time; it doubles with each further failure."""
+
+SLOW_RATIO = 1.8
+"""Run time over estimate from which a worker counts as slow; estimates are
+off by half at most."""
+
+SLOW_SMOOTHING = 0.4
+"""Weight of the newest run in a worker's ratio of run time to estimate."""
 
 
 class RunPhase(enum.Enum):
@@ -102,6 +112,9 @@
         is_over: its end was proposed.
         blocked_until_s: it gets no new run before, after a refusal.
         strays: runs that it lists and that were not allotted to it.
+        failure_streak: failures since the last success.
+        quarantined_until_s: a failing worker is not probed before.
+        slowness: smoothed run time over estimate.
         poisons: runs of its predecessor that it must refuse from now on,
             and has not confirmed yet, by run name.
         is_poisoned: its successor was told which runs to refuse.
@@ -136,8 +149,9 @@
         # Grants of earlier leaders may be on their way since just now.
         self._unknown_since_s: float | None = now_s
         self._clock_offset_ms: float | None = None
-        self._failures = 0.0
-        self._failures_at_s = now_s
+        self.failure_streak = 0
+        self.quarantined_until_s = float('-inf')
+        self.slowness = 1.0
 
     @property
     def key(self) -> str:
@@ -263,20 +277,33 @@
         if self.suspect_since_s is None:
             self.suspect_since_s = now_s
 
-    def note_failure(self, now_s: float) -> None:
-        """A run failed here."""
-        self._failures = self.failure_score(now_s) + 1
-        self._failures_at_s = now_s
+    def note_failure(self, now_s: float, weight: int = 1) -> None:
+        """A run failed here, or stood still."""
+        self.failure_streak += weight
+        excess = self.failure_streak - QUARANTINE_STREAK
+        if excess >= 0:
+            pause_s = min(QUARANTINE_MIN_S * 2**excess, QUARANTINE_MAX_S)
+            self.quarantined_until_s = now_s + pause_s
+
+    def note_success(self, run_ratio: float | None) -> None:
+        """A run succeeded here.
 
-    def note_success(self, now_s: float) -> None:
-        """A run succeeded here."""
-        self._failures = self.failure_score(now_s) * 0.5
-        self._failures_at_s = now_s
+        Args:
+            run_ratio: its run time over its estimate, if that is known.
+        """
+        self.failure_streak = 0
+        if run_ratio is not None:
+            change = SLOW_SMOOTHING * (run_ratio - self.slowness)
+            self.slowness += change
+
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether only probes may run here."""
+        return self.failure_streak >= QUARANTINE_STREAK
 
-    def failure_score(self, now_s: float) -> float:
-        """Return the decayed number of recent failures."""
-        age_s = now_s - self._failures_at_s
-        return self._failures * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+    def may_probe(self, now_s: float) -> bool:
+        """Tell whether a failing worker may be tried with one run."""
+        return now_s >= self.quarantined_until_s and not self.runs
 
     def count_step(self, job_id: str, step_key: str) -> int:
         """Return how many runs of a step are here."""
--- a/greengagering/state/_jobs_fold.py
+++ b/greengagering/state/_jobs_fold.py
@@ -26,6 +26,7 @@
             )
         case model.DutyOrdered():
             state.duties[record.duty.machine] = record.duty
+            state.ordered_at_ms[record.duty.machine] = record.at_ms
         case model.DutySettled():
             _settle_duty(state, record)
         case _:
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -466,6 +466,7 @@
     """A duty that may be sent to the platform from now on."""
 
     duty: Duty
+    at_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -524,6 +525,7 @@
         lives: lives of workers that may still run something.
         waves: upkeep waves by number.
         duties: orders to the platform that are not settled, by machine.
+        ordered_at_ms: Unix time of the newest order, by machine.
     """
 
     plan: RoutePlan | None = None
@@ -531,3 +533,4 @@
     lives: dict[str, WorkerLife] = dataclasses.field(default_factory=dict)
     waves: dict[int, WaveState] = dataclasses.field(default_factory=dict)
     duties: dict[str, Duty] = dataclasses.field(default_factory=dict)
+    ordered_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/greengagering/transport/_job_desk.py
+++ b/greengagering/transport/_job_desk.py
@@ -88,6 +88,9 @@
             queue=queue.name,
             steps=len(spec.steps),
             tasks=sum(step.task_count for step in spec.steps),
+            lasting=sum(s.task_count for s in spec.steps if s.is_lasting),
+            filling=sum(s.task_count for s in spec.steps if s.fills),
+            occurrences=spec.occurrence_count,
         )
         return _done(call)
 
