Let a replica that lost its disk join although the leader hears its old name

Change: a replica asks until it is a member by its own log. Pools keep five machines, follow the rate of new work, and are prepared for a learnt turn. A failed step is logged and outlived.

--- /dev/null
+++ b/greengagering/coordination/jobs/_demand.py
@@ -0,0 +1,126 @@
+"""How much work each service is handed, and when its next burst is due."""
+
+import dataclasses
+import math
+
+RATE_WINDOW_S = 2.0
+"""Time over which the rate of new work is smoothed; a burst lasts seconds,
+and one job alone must not look like one."""
+
+BURST_RATIO = 2.0
+"""Rate over its long-term mean from which a service counts as bursting."""
+
+MEAN_WINDOW_S = 12.0
+"""Time over which the long-term mean is taken; some turns of demand."""
+
+MIN_BURST_CORES = 32.0
+"""Rate below which a rise counts as no burst: a machine's worth of work."""
+
+TURNS_TO_TRUST = 2
+"""Predicted bursts that must have come true before the next is prepared."""
+
+TURN_TOLERANCE_S = 1.5
+"""Difference from its predicted time with which a burst still confirms it."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """Smoothed work of one service.
+
+    Attributes:
+        cores: rate of new work, in cores.
+        memory_mb: memory that this rate of work keeps in use.
+        mean_cores: the rate over a longer time.
+        at_s: when these were last brought up to date.
+        is_bursting: whether a burst is on.
+        burst_at_s: when the newest burst began.
+    """
+
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    mean_cores: float = 0.0
+    at_s: float = 0.0
+    is_bursting: bool = False
+    burst_at_s: float = float('-inf')
+
+
+class DemandTracker:
+    """Follows the work handed in, and learns in which turns it comes.
+
+    Queues that burst one after the other are recognised by the time between
+    two bursts; the service whose last burst is the longest ago is next.
+    """
+
+    def __init__(self) -> None:
+        self._loads: dict[str, _Load] = {}
+        self._last_burst_s = float('-inf')
+        self._gap_s: float | None = None
+        self._confirmed = 0
+
+    def note_work(
+        self, service: str, core_s: float, memory_mb_s: float, now_s: float
+    ) -> None:
+        """Add the work of a job that was handed in."""
+        load = self._loads.setdefault(service, _Load(at_s=now_s))
+        _decay(load, now_s)
+        load.cores += core_s / RATE_WINDOW_S
+        load.memory_mb += memory_mb_s / RATE_WINDOW_S
+        load.mean_cores += core_s / MEAN_WINDOW_S
+        self._watch_burst(service, load, now_s)
+
+    def rate(self, service: str, now_s: float) -> tuple[float, float]:
+        """Return the cores and megabytes that new work needs."""
+        load = self._loads.get(service)
+        if load is None:
+            return 0.0, 0.0
+        _decay(load, now_s)
+        return load.cores, load.memory_mb
+
+    def next_burst(self) -> tuple[str, float] | None:
+        """Return which service is to burst next and when, or None."""
+        if self._gap_s is None or self._confirmed < TURNS_TO_TRUST:
+            return None
+        quiet = [
+            n for n, ld in self._loads.items() if ld.burst_at_s > -math.inf
+        ]
+        fresh = [n for n in self._loads if n not in quiet]
+        order = sorted(quiet, key=lambda n: self._loads[n].burst_at_s)
+        candidates = fresh or order
+        if not candidates:
+            return None
+        return candidates[0], self._last_burst_s + self._gap_s
+
+    def _watch_burst(self, service: str, load: _Load, now_s: float) -> None:
+        threshold = max(BURST_RATIO * load.mean_cores, MIN_BURST_CORES)
+        if load.cores < threshold / BURST_RATIO:
+            load.is_bursting = False
+        if load.is_bursting or load.cores < threshold:
+            return
+        load.is_bursting = True
+        if now_s < load.burst_at_s + (self._gap_s or MEAN_WINDOW_S) / 2:
+            return
+        self._learn_turn(now_s)
+        load.burst_at_s = now_s
+        self._last_burst_s = now_s
+
+    def _learn_turn(self, now_s: float) -> None:
+        gap_s = now_s - self._last_burst_s
+        if gap_s > MEAN_WINDOW_S:
+            return
+        if self._gap_s is not None and (
+            abs(gap_s - self._gap_s) <= TURN_TOLERANCE_S
+        ):
+            self._confirmed += 1
+            self._gap_s += (gap_s - self._gap_s) / 2
+        else:
+            self._confirmed = 0
+            self._gap_s = gap_s
+
+
+def _decay(load: _Load, now_s: float) -> None:
+    elapsed_s = max(now_s - load.at_s, 0.0)
+    load.at_s = now_s
+    fast = math.exp(-elapsed_s / RATE_WINDOW_S)
+    load.cores *= fast
+    load.memory_mb *= fast
+    load.mean_cores *= math.exp(-elapsed_s / MEAN_WINDOW_S)
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from greengagering.coordination.jobs._demand import DemandTracker
 from greengagering.coordination.jobs import _orders as orders
 from greengagering.coordination.jobs import _placement
 from greengagering.coordination.jobs._work_index import StepWork
@@ -67,23 +68,31 @@
 
 @dataclasses.dataclass(slots=True)
 class PoolNeed:
-    """Room that the work at hand of a service needs.
+    """What the work at hand of a service needs.
 
     Attributes:
-        cpu_millicores: processor room.
-        memory_mb: memory.
+        lasting_cores: cores of its lasting tasks.
+        lasting_memory_mb: memory of its lasting tasks.
+        finite_cores: cores of its finite tasks, running or waiting.
+        finite_memory_mb: memory of its finite tasks.
         least_workers: workers needed however large they are.
     """
 
-    cpu_millicores: int = 0
-    memory_mb: int = 0
+    lasting_cores: float = 0.0
+    lasting_memory_mb: float = 0.0
+    finite_cores: float = 0.0
+    finite_memory_mb: float = 0.0
     least_workers: int = 0
 
     def add(self, step: state.StepSpec, task_count: int) -> None:
         """Add tasks of a step."""
-        if not step.fills:
-            self.cpu_millicores += step.room.cpu_millicores * task_count
-        self.memory_mb += step.room.memory_mb * task_count
+        cores = 0.0 if step.fills else step.room.cpu_millicores / 1000
+        if step.is_lasting:
+            self.lasting_cores += cores * task_count
+            self.lasting_memory_mb += step.room.memory_mb * task_count
+        else:
+            self.finite_cores += cores * task_count
+            self.finite_memory_mb += step.room.memory_mb * task_count
         if step.max_per_worker:
             least = math.ceil(step.task_count / step.max_per_worker)
             self.least_workers = max(self.least_workers, least)
@@ -102,6 +111,7 @@
         self.fence = 0
         self.workers: dict[str, WorkerView] = {}
         self.index = WorkIndex()
+        self.demand = DemandTracker()
         self._orders: list[orders.Order] = []
         self._proposals: list[state.JobRecord] = []
         self._decisions: list[Decision] = []
@@ -200,6 +210,7 @@
                 job = self.jobs.jobs[record.spec.job_id]
                 if record.spec.job_id not in self.index.steps:
                     self.index.add_job(job, now_s, now_ms)
+                    self._note_demand(job, now_s)
             case state.JobCancelled():
                 self._note_finished(record.job_id, now_s)
             case state.LifeSeen():
@@ -511,6 +522,19 @@
                     if run.key.job_id == job_id:
                         self.stop_run(view, run, now_s)
 
+    def _note_demand(self, job: state.Job, now_s: float) -> None:
+        core_s = 0.0
+        memory_mb_s = 0.0
+        for step in job.spec.steps:
+            if step.is_lasting or job.spec.first_due_ms:
+                continue
+            work_s = step.estimate_s * step.task_count
+            core_s += step.room.cpu_millicores / 1000 * work_s
+            memory_mb_s += step.room.memory_mb * work_s
+        if core_s:
+            service = self.service_of(job)
+            self.demand.note_work(service, core_s, memory_mb_s, now_s)
+
     def _note_runs_applied(
         self, record: state.JobRecord, now_s: float
     ) -> None:
--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -14,7 +14,7 @@
 from greengagering import state
 
 FULL_PERCENT = 100
-LIST_INTERVAL_S = 1.0
+LIST_INTERVAL_S = 0.5
 """Time between two readings of the machines while a duty is open."""
 
 IDLE_LIST_INTERVAL_S = 5.0
@@ -167,7 +167,6 @@
         if outcome is kinds.DONE:
             opened.phase = DutyPhase.RETURNING
             opened.phase_at_s = now_s
-            self._listed_at_s = now_s
             view = self._view_of(opened.worker_id)
             if view is not None:
                 self._director.end_life(view, str(order.duty.kind))
--- a/greengagering/coordination/jobs/_pool_plan.py
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -5,6 +5,7 @@
 import math
 
 from greengagering.coordination.jobs._director import JobDirector
+from greengagering.coordination.jobs._director import PoolNeed
 from greengagering.coordination.jobs import _machines as machines
 from greengagering.coordination.jobs._worker_view import WorkerView
 from greengagering import state
@@ -12,9 +13,20 @@
 PLAN_INTERVAL_S = 0.2
 """Time between two plans; a fraction of the time that a move takes."""
 
-SPARE_SHARE = 0.25
-"""Room kept free above the work at hand, as a share of it, for what arrives
-while a machine is on its way."""
+FILL_SHARE = 0.8
+"""Share of a machine that tasks of mixed sizes fill in practice."""
+
+LEAST_MACHINES = 5
+"""Machines that a pool keeps without any work, for the first that comes."""
+
+PREPARED_MACHINES = 4
+"""Machines that a pool gets ahead of a burst that is predicted."""
+
+PREPARE_AHEAD_S = 2.0
+"""How long before a predicted burst they are ordered: a move and a report."""
+
+PREPARE_BEYOND_S = 1.0
+"""How long a burst that does not come is waited for."""
 
 IDLE_BEFORE_MOVE_S = 1.5
 """How long a machine idles before it leaves its pool; about what a move
@@ -41,6 +53,7 @@
 
     def __init__(self) -> None:
         self._planned_at_s = float('-inf')
+        self._logged: dict[str, str] = {}
         self._idle_since_s: dict[str, float] = {}
 
     def find_moves(
@@ -65,7 +78,8 @@
         standby = [s.name for s in plan.services if s.is_standby]
         pools = {s.name: _Pool() for s in plan.services}
         self._fill(pools, director, known, duties, now_s)
-        self._set_needs(pools, director, standby)
+        self._set_needs(pools, director, standby, now_s)
+        self._log(pools, director)
         donors = self._find_donors(pools, standby, director, now_s)
         moves: list[state.Duty] = []
         short = sorted(
@@ -86,6 +100,15 @@
             moves += self._find_idle(donors, standby, now_s)
         return moves
 
+    def _log(self, pools: dict[str, _Pool], director: JobDirector) -> None:
+        sizes = {
+            name: f'{len(pool.up)}+{pool.arriving}/{pool.wanted}'
+            for name, pool in pools.items()
+        }
+        if sizes != self._logged:
+            self._logged = sizes
+            director.decide('pools_planned', **sizes)
+
     def _fill(
         self,
         pools: dict[str, _Pool],
@@ -120,6 +143,7 @@
         pools: dict[str, _Pool],
         director: JobDirector,
         standby: list[str],
+        now_s: float,
     ) -> None:
         needs = director.find_needs()
         for name, pool in pools.items():
@@ -132,21 +156,38 @@
                     for other in pools.values()
                     for machine in other.up
                 ][:1]
-            pool.wanted = 1
+            pool.wanted = LEAST_MACHINES
             if not rooms:
                 continue
-            need = needs.get(name)
-            if need is None:
-                continue
-            cpu = sum(r.cpu_millicores for r in rooms) / len(rooms)
-            memory = sum(r.memory_mb for r in rooms) / len(rooms)
+            need = needs.get(name, PoolNeed())
+            rate_cores, rate_memory = director.demand.rate(name, now_s)
+            cores = need.lasting_cores + max(need.finite_cores, rate_cores)
+            memory = need.lasting_memory_mb + max(
+                need.finite_memory_mb, rate_memory
+            )
+            own_cores = sum(r.cpu_millicores for r in rooms) / len(rooms)
+            own_memory = sum(r.memory_mb for r in rooms) / len(rooms)
             share = max(
-                need.cpu_millicores / max(cpu, 1),
-                need.memory_mb / max(memory, 1),
+                cores * 1000 / max(own_cores, 1),
+                memory / max(own_memory, 1),
             )
             pool.wanted = max(
-                math.ceil(share * (1 + SPARE_SHARE)), need.least_workers, 1
+                math.ceil(share / FILL_SHARE),
+                need.least_workers,
+                LEAST_MACHINES,
             )
+        self._prepare(pools, director, now_s)
+
+    def _prepare(
+        self, pools: dict[str, _Pool], director: JobDirector, now_s: float
+    ) -> None:
+        """Add machines to the pool whose turn is about to come."""
+        burst = director.demand.next_burst()
+        if burst is None or burst[0] not in pools:
+            return
+        name, at_s = burst
+        if at_s - PREPARE_AHEAD_S <= now_s <= at_s + PREPARE_BEYOND_S:
+            pools[name].wanted += PREPARED_MACHINES
 
     def _find_donors(
         self,
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -302,16 +302,24 @@
     def _note_status(self, status: coordination.ControlStatus) -> None:
         address = status.leader_address
         is_other = address not in ('', self.settings.link_address)
-        if is_other and not self.replica.hears_leader(self.now_s()):
+        is_member = self.replica_id in self.replica.membership.members
+        is_heard = is_member and self.replica.hears_leader(self.now_s())
+        if is_other and not is_heard:
             self._send_probe(address)
 
     def _seek_leader(self, now_s: float) -> None:
-        """Ask around while no leader is heard; it may have to add this one."""
+        """Ask around while no leader is heard, or none has added this one.
+
+        A leader that takes this replica for the one that was lost at its
+        address is heard, and yet has to be asked.
+        """
         if not self.seeds or self.replica.is_leader:
             return
         if now_s < self._probed_at_s + JOIN_PROBE_INTERVAL_S:
             return
-        if now_s < self.replica.leader_heard_s + LEADER_SILENCE_S:
+        is_member = self.replica_id in self.replica.membership.members
+        silent_at_s = self.replica.leader_heard_s + LEADER_SILENCE_S
+        if is_member and now_s < silent_at_s:
             return
         self._probed_at_s = now_s
         known = dict.fromkeys((*self._addresses().values(), *self.seeds))
--- a/greengagering/transport/_step_loop.py
+++ b/greengagering/transport/_step_loop.py
@@ -2,6 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+import traceback
+
+from greengagering import logs
 
 TICK_S = 0.04
 METRICS_INTERVAL_S = 1.0
@@ -40,7 +43,16 @@
 
     def _run(self) -> None:
         self._is_due = False
-        self._step()
+        try:
+            self._step()
+        except Exception as error:
+            # Without the next step elections, leases and orders would stand
+            # still, so an error in this one is told and outlived.
+            logs.error(
+                'step_failed',
+                cause=repr(error),
+                where=traceback.format_exc(limit=-3).replace('\n', ' | '),
+            )
 
 
 async def _repeat(action: Callable[[], None], interval_s: float) -> None:
