--- /dev/null
+++ b/features/job_rules.feature
@@ -0,0 +1,82 @@
+Feature: Jobs run in order, once, where they may, and until they are done
+
+  Background:
+    Given a leader that has read 4 workers
+
+  Scenario: A step starts after the steps that it names are done
+    When a job with 3 tasks and then 2 tasks is handed in
+    Then it succeeds within 6 s, and no task of the second step started before the first step was done
+
+  Scenario: A lasting task starts again however it ends
+    Given runs take 2 s
+    When a job with 3 lasting tasks is handed in
+    Then every task of it has been started 3 times within 12 s
+    And the job is still active
+
+  Scenario: A gang starts with one run number, all of it or nothing
+    When a gang of 6 tasks of 4000 millicores is handed in
+    Then all 6 tasks start with the same run number within 2 s
+    When a gang of 10 tasks of 4000 millicores is handed in
+    Then no task of it starts within 3 s
+
+  Scenario: No more tasks of a step on a worker than its limit
+    When a job with 8 lasting tasks, 2 at most on a worker, is handed in
+    Then each of the 4 workers runs 2 of its tasks within 3 s
+
+  Scenario: Tasks run only on workers with the required label
+    Given worker-2 was born again with the label fast
+    When a job with 4 tasks that require the label fast is handed in
+    Then its tasks start on worker-2 only
+
+  Scenario: A cancelled job stops, and nothing of it starts again
+    When a job with 6 lasting tasks is handed in
+    And it runs for 2 s and is cancelled
+    Then nothing of it runs after 2 s
+
+  Scenario: A task that fails at every attempt fails its job
+    Given every worker fails what it starts
+    When a job with 1 task is handed in
+    Then the job has failed within 10 s after 3 starts
+
+  Scenario: A worker that fails all it starts gets single probes only
+    Given worker-1 fails what it starts
+    When 12 jobs with 4 tasks each are handed in, one every 0.3 s
+    Then worker-1 was given at most 6 of the runs
+    And every job succeeds within 20 s
+
+  Scenario: A run that stands still is stopped and done elsewhere
+    Given runs take 0.5 s
+    And tasks on worker-0 stand still
+    When 4 jobs with 4 tasks each are handed in, one every 0.3 s
+    Then every job succeeds within 12 s
+
+  Scenario: Tasks of a silent worker start elsewhere only when its lease is over
+    Given runs take 9 s
+    When a job with 8 lasting tasks is handed in
+    And it runs for 2 s and worker-3 is cut off
+    Then its tasks run on other workers within 8 s, and no sooner than 2 s
+
+  Scenario: Tasks of a worker that was born again start at once
+    Given runs take 100 s
+    When a job with 8 lasting tasks is handed in
+    And it runs for 2 s and worker-3 crashes and is born again
+    Then all 8 tasks run within 4 s
+
+  Scenario: A new leader finds what runs, and starts none of it again
+    Given runs take 100 s
+    When a job with 8 lasting tasks is handed in
+    And it runs for 2 s and the leader is lost
+    Then another leads within 3 s, and no task was started again after 4 s more
+
+  Scenario: A worker that drains gets no new run
+    When worker-1 reports that it drains
+    And 6 jobs with 4 tasks each are handed in, one every 0.3 s
+    Then worker-1 was given at most 0 of the runs
+
+  Scenario: An occurrence doesn't start before its time
+    When a job with 2 occurrences of 1 task, 2 s apart from 3 s ahead, is handed in
+    Then its first start is 3 s after it was handed in, and the next 2 s later
+
+  Scenario: A stopped task goes on from its saved progress
+    When a run that has saved progress p7 ends as stopped
+    Then its next start carries p7
--- /dev/null
+++ b/features/machine_rules.feature
@@ -0,0 +1,39 @@
+Feature: Machines are emptied, taken down and moved within every promise
+
+  Background:
+    Given a leader that has read 4 workers
+    And every worker has a machine
+
+  Scenario: A wave takes each machine down once, empty, and no more at once than it may
+    Given runs take 1 s
+    When a wave over all 4 machines, 2 at once within 30 s, is accepted
+    And 6 jobs with 4 tasks each are handed in, one every 0.3 s
+    Then the wave is done within 25 s
+    And each machine had one upkeep, with at most 2 down at once
+    And every job succeeds within 20 s
+
+  Scenario: A lasting task is stopped only while few enough others are out
+    Given runs take 100 s
+    When a job with 4 lasting tasks of which 1 may be out is handed in
+    And it runs for 3 s and a wave over all 4 machines, 4 at once within 40 s, is accepted
+    Then the wave is done within 38 s
+    And at no time were 2 of its tasks out after an order
+
+  Scenario: A machine that has left the fleet needs no upkeep
+    When a wave over a machine that is not there is accepted
+    Then the wave is done within 3 s
+
+  Scenario: A machine moves from the standby pool to the pool that waits
+    Given a plan in which service-a has a standby pool
+    And machines worker-2 and worker-3 stand by
+    When 20 jobs with 4 tasks each are handed in, one every 0.1 s
+    Then worker-2 or worker-3 is ordered to service-a within 4 s
+
+  Scenario: A new leader orders no machine that another has just ordered
+    When another leader has ordered the upkeep of worker-1 just now
+    Then the next order for worker-1 comes no sooner than 3 s later
+
+  Scenario: A duty without an answer is sent again, and counts as out
+    Given the platform doesn't answer
+    When a wave over all 4 machines, 1 at once within 30 s, is accepted
+    Then only one machine is ordered within 6 s, more than once
--- /dev/null
+++ b/features/platform_formats.feature
@@ -0,0 +1,56 @@
+Feature: What the platform sends is read whole, or refused with its field and value
+
+  Scenario Outline: A configuration that contradicts itself is refused
+    When a configuration <fault> is read
+    Then it is refused, naming <field>
+
+    Examples:
+      | fault                        | field       |
+      | cut short                    | (body)      |
+      | without a version            | (body)      |
+      | with version 0               | version     |
+      | with an unknown service      | service     |
+      | with two routes at one place | routes      |
+      | with a time-out of 0         | timeoutMs   |
+      | with a prefix without /      | pathPrefix  |
+      | with a service named twice   | services    |
+      | with a text as priority      | (body)      |
+
+  Scenario: A whole configuration is read, with fields that are not known yet
+    When a configuration with new fields is read
+    Then its queues and services are those of the example, and its source is kept byte by byte
+
+  Scenario Outline: A job that can't be run is refused
+    When a job <fault> is read
+    Then it is refused, naming <field>
+
+    Examples:
+      | fault                        | field  |
+      | cut short                    | (body) |
+      | without steps                | steps  |
+      | with a step after itself     | after  |
+      | with no tasks                | count  |
+      | with a text of 4001 bytes    | spec   |
+      | with a negative need         | steps  |
+      | with 100001 tasks            | steps  |
+
+  Scenario: Every field of a job reaches the product under its own name
+    When a job with every field is read
+    Then each field of its step holds what was sent
+
+  Scenario Outline: A heartbeat of another writer names no worker
+    When a heartbeat <fault> is read
+    Then it is refused, naming <field>
+
+    Examples:
+      | fault                      | field    |
+      | of junk bytes              | (body)   |
+      | without a capacity         | (body)   |
+      | with a number as service   | (body)   |
+      | in an unknown state        | state    |
+      | with a broken address      | address  |
+      | with negative capacity     | capacity |
+
+  Scenario: Mutated input of every kind is refused or read, and raises nothing else
+    When 3000 mutated configurations, jobs and heartbeats are read
+    Then each is read, or refused with its field
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -359,7 +359,7 @@
         core.take_outcomes()
         for decision in core.jobs.take_decisions():
             self.note(decision.event, at=own.replica_id, **decision.fields)
-        core.keeper.take_calls()
+        self._take_machine_calls(node, core)
         self._settle(node, core)
         if not core.jobs.is_leading:
             core.jobs.take_orders()
@@ -384,6 +384,12 @@
                 grant = core.jobs.begin_look(look, now_s)
                 self._send(Trip(core, look, grant, now_s))
 
+    def _take_machine_calls(
+        self, node: ControlNode, core: coordination.ControlCore
+    ) -> None:
+        """Leave the platform's machines out of this search."""
+        core.keeper.take_calls()
+
     def _settle(
         self, node: ControlNode, core: coordination.ControlCore
     ) -> None:
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -112,6 +112,10 @@
         self.is_up = False
         self.sequence = 0
         self.runs: dict[str, FakeRun] = {}
+        self.fail_ratio = 0.04
+        self.labels: tuple[str, ...] = ()
+        self.rack = 'rack-1'
+        self.is_draining = False
         self.begin_life(0.0)
 
     def begin_life(self, now_s: float) -> None:
@@ -125,6 +129,9 @@
         self.floors: dict[str, int] = {}
         self.lease_ms = 0.0
         self.lapsed_at_s = float('-inf')
+        self.run_s: float | None = None
+        self.is_stalled = False
+        self.fails_all = False
         self._clock_rate = self.rng.uniform(0.98, 1.0)
         self._clock_base_s = now_s
 
@@ -147,8 +154,8 @@
             'service-a',
             f'{self.worker_id}:80',
             'dc-1',
-            'rack-1',
-            (),
+            self.rack,
+            self.labels,
             ROOM,
         )
 
@@ -156,7 +163,10 @@
         """Return the next report."""
         self.sequence += 1
         return coordination.WorkerReport(
-            self.facts(), self.sequence, int(self.clock_ms(now_s)), False
+            self.facts(),
+            self.sequence,
+            int(self.clock_ms(now_s)),
+            self.is_draining,
         )
 
     def advance(self, now_s: float) -> None:
@@ -255,8 +265,13 @@
         run_s = self.rng.uniform(0.1, 1.2)
         if is_lasting:
             run_s = self.rng.choice((1000.0, 1000.0, 3.0))
+        if self.run_s is not None:
+            run_s = self.run_s
+        if self.is_stalled:
+            run_s = 1000.0
         ending = state.RunEnding.DONE
-        if is_lasting or self.rng.random() < 0.04:
+        is_failing = self.rng.random() < self.fail_ratio or self.fails_all
+        if is_lasting or is_failing:
             ending = state.RunEnding.FAILED
         self.runs[order.key.task_name] = FakeRun(
             order.key, 0.0, now_s + run_s, ending, room
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,212 @@
+"""Steps that drive an entry's gateway under a virtual clock."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from greengagering import coordination
+from greengagering import state
+
+TICK_S = 0.05
+SPEC = state.JobSpec(
+    '0123456789abcdef', 'text', (state.StepSpec(1, state.Room(1, 1)),)
+)
+
+
+def status(name: str, leader: str) -> coordination.ControlStatus:
+    """Return what a control process says of the leader."""
+    return coordination.ControlStatus(
+        replica_id=name,
+        address=name,
+        leader_id=leader,
+        leader_address=leader,
+        is_leader=name == leader,
+        members=(),
+        max_body_bytes=1000,
+        number=0,
+    )
+
+
+def step(context: Any, seconds: float) -> None:
+    """Let time pass, and keep what is sent and answered."""
+    ends_s = context.now_s + seconds
+    while context.now_s < ends_s:
+        context.now_s += TICK_S
+        if context.leading:
+            name = context.leading
+            context.gateway.receive(status(name, name), context.now_s)
+        context.gateway.step(context.now_s)
+        for outgoing in context.gateway.take_outbox():
+            context.sent.append((context.now_s, outgoing))
+        for answer in context.gateway.take_answers():
+            context.answers.append((context.now_s, answer))
+
+
+def calls_to(context: Any, address: str) -> list[coordination.JobCall]:
+    """Return the calls that were sent to a process."""
+    return [
+        outgoing.message
+        for _, outgoing in context.sent
+        if outgoing.address == address
+        and isinstance(outgoing.message, coordination.JobCall)
+    ]
+
+
+def probes_to(context: Any, address: str) -> list[float]:
+    """Return when a process was asked who leads."""
+    return [
+        at_s
+        for at_s, outgoing in context.sent
+        if outgoing.address == address
+        and isinstance(outgoing.message, coordination.ControlProbe)
+    ]
+
+
+@given('an entry that knows the seeds {first} and {second}')
+def new_gateway(context: Any, first: str, second: str) -> None:
+    context.gateway = coordination.JobGateway(
+        'entry-1', 'entry-1', (first, second)
+    )
+    context.now_s = 100.0
+    context.leading = ''
+    context.sent = []
+    context.answers = []
+
+
+@given('{name} leads')
+def set_leader(context: Any, name: str) -> None:
+    context.leading = name
+    step(context, 0.2)
+
+
+@when('{name} falls silent and {other} leads')
+def change_leader(context: Any, name: str, other: str) -> None:
+    assert context.leading == name
+    context.leading = ''
+    step(context, 1.3)
+    context.leading = other
+    step(context, 0.8)
+
+
+@when("{name} answers that it can't decide, and {other} leads")
+def depose_leader(context: Any, name: str, other: str) -> None:
+    for call in calls_to(context, name):
+        answer = coordination.JobAnswer(
+            call.call_id, coordination.JobOutcome.UNAVAILABLE
+        )
+        context.gateway.receive(answer, context.now_s)
+    change_leader(context, name, other)
+
+
+@when('time passes without an answer')
+def pass_time(context: Any) -> None:
+    step(context, 1.5)
+
+
+@when('{name} answers that {leader} leads')
+def answer_other(context: Any, name: str, leader: str) -> None:
+    if leader == 'it':
+        context.leading = name
+        step(context, 0.1)
+        return
+    context.gateway.receive(status(name, leader), context.now_s)
+    step(context, 0.1)
+    assert probes_to(context, leader)
+
+
+@when('a job is handed in with {seconds:g} s to go')
+def hand_in(context: Any, seconds: float) -> None:
+    context.handed_in_s = context.now_s
+    context.call_id = context.gateway.submit(
+        coordination.CallKind.SUBMIT,
+        'host',
+        f'/a/{SPEC.job_id}',
+        SPEC,
+        context.now_s + seconds,
+        context.now_s,
+    )
+    step(context, 0.1)
+
+
+@when('{count:d} jobs are handed in with {seconds:g} s to go')
+def hand_in_many(context: Any, count: int, seconds: float) -> None:
+    for _ in range(count):
+        context.call_id = context.gateway.submit(
+            coordination.CallKind.SUBMIT,
+            'host',
+            f'/a/{SPEC.job_id}',
+            SPEC,
+            context.now_s + seconds,
+            context.now_s,
+        )
+
+
+@when('{name} answers it as done')
+def answer_done(context: Any, name: str) -> None:
+    answer = coordination.JobAnswer(
+        context.call_id, coordination.JobOutcome.DONE
+    )
+    context.gateway.receive(answer, context.now_s)
+    step(context, 0.1)
+
+
+@when('its caller goes')
+def caller_goes(context: Any) -> None:
+    context.gateway.forget(context.call_id)
+    context.sent.clear()
+    step(context, 2)
+
+
+@then('both seeds are asked again and again')
+def check_probes(context: Any) -> None:
+    for seed in ('control-1', 'control-2'):
+        assert len(probes_to(context, seed)) >= 5, context.sent
+
+
+@then('the entry is ready, and only {name} is asked from then on')
+def check_ready(context: Any, name: str) -> None:
+    assert context.gateway.is_ready(context.now_s)
+    context.sent.clear()
+    step(context, 2)
+    assert {outgoing.address for _, outgoing in context.sent} == {name}
+
+
+@then('it is sent to {name}')
+def check_sent(context: Any, name: str) -> None:
+    calls = calls_to(context, name)
+    assert [call.call_id for call in calls][:1] == [context.call_id], calls
+
+
+@then('the caller is told {outcome:w}')
+def check_told(context: Any, outcome: str) -> None:
+    (answer,) = [answer for _, answer in context.answers]
+    assert answer.outcome == outcome, answer
+
+
+@then('the caller is told {outcome:w} after {seconds:g} s')
+def check_told_after(context: Any, outcome: str, seconds: float) -> None:
+    ((at_s, answer),) = context.answers
+    assert answer.outcome == outcome, answer
+    waited_s = at_s - context.handed_in_s
+    assert abs(waited_s - seconds) <= 2 * TICK_S, waited_s
+
+
+@then('he is told when to come back')
+def check_retry(context: Any) -> None:
+    assert context.answers[0][1].retry_after_s > 0
+
+
+@then('nothing is sent any more, and no answer is kept')
+def check_forgotten(context: Any) -> None:
+    assert not calls_to(context, 'control-1')
+    assert not context.gateway.open_calls
+    assert not context.answers
+
+
+@then('the last caller is told overloaded at once')
+def check_overloaded(context: Any) -> None:
+    (answer,) = context.gateway.take_answers()
+    assert answer.call_id == context.call_id
+    assert answer.outcome == coordination.JobOutcome.OVERLOADED
--- /dev/null
+++ b/features/steps/job_rule_steps.py
@@ -0,0 +1,392 @@
+"""Steps that hand jobs to a leader with fake workers."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.search import job_search
+from features.support import job_world
+from greengagering import coordination
+from greengagering import state
+
+SMALL = state.Room(1000, 100)
+
+
+def world_of(context: Any) -> job_world.JobWorld:
+    """Return the scenario's world."""
+    return context.world
+
+
+def hand_in(context: Any, *steps: state.StepSpec, **fields: Any) -> None:
+    """Hand in the scenario's next job."""
+    number = len(context.jobs)
+    context.job_id = f'job{number}'
+    context.jobs.append(context.job_id)
+    context.handed_in_s = world_of(context).now_s
+    world_of(context).submit(context.job_id, *steps, **fields)
+
+
+def starts_of(context: Any, job_id: str) -> list[tuple[float, str, str, int]]:
+    """Return the starts of a job's tasks, in order."""
+    started = world_of(context).started
+    return [item for item in started if item[1].startswith(f'{job_id}.')]
+
+
+@given('a leader that has read 4 workers')
+def start_world(context: Any) -> None:
+    context.world = job_world.started_world()
+    context.jobs = []
+    for worker in context.world.workers.values():
+        worker.fail_ratio = 0.0
+
+
+@given('runs take {seconds:g} s')
+def set_run_time(context: Any, seconds: float) -> None:
+    for worker in world_of(context).workers.values():
+        worker.run_s = seconds
+
+
+@given('every worker fails what it starts')
+def fail_everywhere(context: Any) -> None:
+    for worker in world_of(context).workers.values():
+        worker.fails_all = True
+
+
+@given('{name} fails what it starts')
+def fail_on_worker(context: Any, name: str) -> None:
+    world_of(context).workers[name].fails_all = True
+
+
+@given('tasks on {name} stand still')
+def stall_on_worker(context: Any, name: str) -> None:
+    world_of(context).workers[name].is_stalled = True
+
+
+@given('{name} was born again with the label {label}')
+def label_worker(context: Any, name: str, label: str) -> None:
+    world = world_of(context)
+    worker = world.workers[name]
+    worker.crash()
+    worker.labels = (label,)
+    worker.begin_life(world.now_s)
+    world.advance(4)
+
+
+@when('a job with {first:d} tasks and then {second:d} tasks is handed in')
+def two_steps(context: Any, first: int, second: int) -> None:
+    hand_in(
+        context,
+        state.StepSpec(first, SMALL, 0.6),
+        state.StepSpec(second, SMALL, 0.6, after=(0,)),
+    )
+
+
+@when('a job with {count:d} lasting tasks is handed in')
+def lasting_job(context: Any, count: int) -> None:
+    hand_in(context, state.StepSpec(count, SMALL, is_lasting=True))
+
+
+@when(
+    'a job with {count:d} lasting tasks of which {out:d} may be out is '
+    'handed in'
+)
+def lasting_job_with_budget(context: Any, count: int, out: int) -> None:
+    step = state.StepSpec(count, SMALL, is_lasting=True, may_miss=out)
+    hand_in(context, step)
+
+
+@when(
+    'a job with {count:d} lasting tasks, {limit:d} at most on a worker, is '
+    'handed in'
+)
+def limited_job(context: Any, count: int, limit: int) -> None:
+    step = state.StepSpec(count, SMALL, is_lasting=True, max_per_worker=limit)
+    hand_in(context, step)
+
+
+@when('a gang of {count:d} tasks of {cpu:d} millicores is handed in')
+def gang_job(context: Any, count: int, cpu: int) -> None:
+    room = state.Room(cpu, 100)
+    hand_in(context, state.StepSpec(count, room, 0.6, is_gang=True))
+
+
+@when('a job with {count:d} tasks that require the label {label} is handed in')
+def labelled_job(context: Any, count: int, label: str) -> None:
+    hand_in(context, state.StepSpec(count, SMALL, 0.6, required_label=label))
+
+
+@when('a job with 1 task is handed in')
+def single_job(context: Any) -> None:
+    hand_in(context, state.StepSpec(1, SMALL, 0.6))
+
+
+@when(
+    '{count:d} jobs with {tasks:d} tasks each are handed in, one every '
+    '{pause:g} s'
+)
+def several_jobs(context: Any, count: int, tasks: int, pause: float) -> None:
+    for _ in range(count):
+        hand_in(context, state.StepSpec(tasks, SMALL, 0.6))
+        world_of(context).advance(pause)
+
+
+@when(
+    'a job with {count:d} occurrences of 1 task, {gap:d} s apart from '
+    '{ahead:d} s ahead, is handed in'
+)
+def timed_job(context: Any, count: int, gap: int, ahead: int) -> None:
+    first_ms = int((world_of(context).now_s + ahead) * 1000)
+    hand_in(
+        context,
+        state.StepSpec(1, SMALL, 0.6),
+        occurrence_count=count,
+        first_due_ms=first_ms,
+        interval_ms=gap * 1000,
+    )
+
+
+@when('it runs for {seconds:g} s and is cancelled')
+def cancel_job(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    world.commit(state.JobCancelled(context.job_id))
+
+
+@when('it runs for {seconds:g} s and {name} is cut off')
+def cut_worker(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    context.tasks = [
+        task
+        for task, worker in world.running(context.job_id).items()
+        if worker == name
+    ]
+    assert context.tasks, world.running(context.job_id)
+    world.cut_workers[name] = world.now_s + 60
+    context.cut_s = world.now_s
+
+
+@when('it runs for {seconds:g} s and {name} crashes and is born again')
+def bear_worker(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    assert name in world.running(context.job_id).values()
+    world.workers[name].crash()
+    world.down_until_s[name] = world.now_s + 0.1
+
+
+@when('it runs for {seconds:g} s and the leader is lost')
+def lose_leader(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    context.start_count = world.ledger.start_count
+    assert context.start_count == 8
+    world._stop_control(world.leader_node())
+
+
+@when('{name} reports that it drains')
+def drain_worker(context: Any, name: str) -> None:
+    world = world_of(context)
+    world.workers[name].is_draining = True
+    world.advance(2)
+
+
+@when('a run that has saved progress {saved} ends as stopped')
+def save_progress(context: Any, saved: str) -> None:
+    step = state.StepSpec(1, SMALL, 0.6, saves_progress=True)
+    context.jobs_state = state.JobsState()
+    spec = state.JobSpec('job0', 'text', (step,))
+    facts = world_of(context).workers['worker-0'].facts()
+    key = state.RunKey('job0', '0.0.0', 1)
+    end = state.RunEnd(1, key, state.RunEnding.STOPPED, saved)
+    for record in (
+        state.JobAccepted(spec, job_search.QUEUE, 0),
+        state.LifeSeen(facts),
+        state.RunsAllotted((key,), (facts.key,)),
+        state.EndsNoted(facts.key, (end,)),
+    ):
+        state.apply_to_jobs(context.jobs_state, record)
+
+
+@then('its next start carries {saved}')
+def check_saved(context: Any, saved: str) -> None:
+    director = coordination.JobDirector(context.jobs_state)
+    director.lead(1, 0.0, 0)
+    (life,) = context.jobs_state.lives
+    look = director.next_look(life, 0.0)
+    assert look is not None
+    answer = coordination.LookAnswer(
+        coordination.OrderOutcome.DONE, 5000, look.life.born_ms
+    )
+    director.note_look(look, 0, answer, 0.0, 0.1)
+    (allotted,) = director.step(0.2, 200)
+    assert isinstance(allotted, state.RunsAllotted)
+    assert allotted.runs[0].run == 2
+    state.apply_to_jobs(context.jobs_state, allotted)
+    director.note_applied(allotted, 0.3, 300)
+    (order,) = director.take_orders()
+    assert isinstance(order, coordination.StartOrder)
+    assert order.saved == saved, order
+
+
+@then(
+    'it succeeds within {seconds:g} s, and no task of the second step '
+    'started before the first step was done'
+)
+def check_order(context: Any, seconds: float) -> None:
+    # The ledger fails the world at a start that comes too early.
+    world = world_of(context)
+    world.advance_until(
+        lambda: world.job(context.job_id).status is state.JobStatus.SUCCEEDED,
+        seconds,
+    )
+    assert len(starts_of(context, context.job_id)) == 5
+
+
+@then('every task of it has been started {count:d} times within {seconds:g} s')
+def check_restarts(context: Any, count: int, seconds: float) -> None:
+    world_of(context).advance(seconds)
+    by_task: dict[str, int] = {}
+    for _, task, _, _ in starts_of(context, context.job_id):
+        by_task[task] = by_task.get(task, 0) + 1
+    assert len(by_task) == 3
+    assert min(by_task.values()) >= count, by_task
+
+
+@then('the job is still active')
+def check_active(context: Any) -> None:
+    job = world_of(context).job(context.job_id)
+    assert job.status is state.JobStatus.ACTIVE
+
+
+@then(
+    'all {count:d} tasks start with the same run number within {seconds:g} s'
+)
+def check_gang(context: Any, count: int, seconds: float) -> None:
+    world_of(context).advance(seconds)
+    started = starts_of(context, context.job_id)
+    assert len(started) == count, started
+    assert len({run for *_, run in started}) == 1, started
+
+
+@then('no task of it starts within {seconds:g} s')
+def check_no_start(context: Any, seconds: float) -> None:
+    world_of(context).advance(seconds)
+    assert not starts_of(context, context.job_id)
+
+
+@then('each of the 4 workers runs {count:d} of its tasks within {seconds:g} s')
+def check_spread(context: Any, count: int, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    placed = list(world.running(context.job_id).values())
+    counts = {name: placed.count(name) for name in world.workers}
+    assert set(counts.values()) == {count}, counts
+
+
+@then('its tasks start on {name} only')
+def check_workers(context: Any, name: str) -> None:
+    world_of(context).advance(3)
+    started = starts_of(context, context.job_id)
+    assert len(started) == 4
+    assert {worker for _, _, worker, _ in started} == {name}, started
+
+
+@then('nothing of it runs after {seconds:g} s')
+def check_nothing_runs(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    before = world.ledger.start_count
+    assert not world.running(context.job_id)
+    world.advance(5)
+    assert world.ledger.start_count == before
+
+
+@then('the job has failed within {seconds:g} s after {count:d} starts')
+def check_failed(context: Any, seconds: float, count: int) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: world.job(context.job_id).status is state.JobStatus.FAILED,
+        seconds,
+    )
+    assert len(starts_of(context, context.job_id)) == count
+
+
+@then('{name} was given at most {count:d} of the runs')
+def check_share(context: Any, name: str, count: int) -> None:
+    given_runs = [s for s in world_of(context).started if s[2] == name]
+    assert len(given_runs) <= count, given_runs
+
+
+@then('every job succeeds within {seconds:g} s')
+def check_all_succeed(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: all(
+            world.job(job_id).status is state.JobStatus.SUCCEEDED
+            for job_id in context.jobs
+        ),
+        seconds,
+    )
+
+
+@then(
+    'its tasks run on other workers within {latest:g} s, and no sooner than '
+    '{earliest:g} s'
+)
+def check_moved(context: Any, latest: float, earliest: float) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: all(
+            world.running(context.job_id).get(task) not in (None, 'worker-3')
+            for task in context.tasks
+        ),
+        latest,
+    )
+    again = [
+        at_s
+        for at_s, task, _, run in starts_of(context, context.job_id)
+        if task in context.tasks and run > 1 and at_s > context.cut_s
+    ]
+    assert min(again) >= context.cut_s + earliest, (again, context.cut_s)
+
+
+@then('all {count:d} tasks run within {seconds:g} s')
+def check_all_run(context: Any, count: int, seconds: float) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: len(world.running(context.job_id)) == count, seconds
+    )
+
+
+@then(
+    'another leads within {seconds:g} s, and no task was started again after '
+    '{more:g} s more'
+)
+def check_takeover(context: Any, seconds: float, more: float) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: any(
+            node.core is not None and node.core.jobs.is_leading
+            for node in world._running()
+        ),
+        seconds,
+    )
+    world.advance(more)
+    assert world.ledger.start_count == context.start_count
+    assert len(world.running(context.job_id)) == 8
+
+
+@then(
+    'its first start is {first:g} s after it was handed in, and the next '
+    '{gap:g} s later'
+)
+def check_times(context: Any, first: float, gap: float) -> None:
+    world_of(context).advance(first + gap + 1)
+    times = [item[0] for item in starts_of(context, context.job_id)]
+    assert len(times) == 2, times
+    wanted = (context.handed_in_s + first, context.handed_in_s + first + gap)
+    for at_s, wanted_s in zip(times, wanted, strict=True):
+        assert -0.05 <= at_s - wanted_s <= 0.6, (times, wanted)
--- /dev/null
+++ b/features/steps/machine_rule_steps.py
@@ -0,0 +1,178 @@
+"""Steps that let a leader take care of machines."""
+
+import dataclasses
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.search import job_search
+from features.steps.job_rule_steps import world_of
+from greengagering import coordination
+from greengagering import state
+
+
+def accept_wave(
+    context: Any, machines: tuple[str, ...], at_once: int, within_s: float
+) -> None:
+    """Accept the scenario's wave."""
+    wave = state.UpkeepWave(1, machines, within_s, at_once)
+    world = world_of(context)
+    world.commit(state.WaveAccepted(wave, int(world.now_s * 1000)))
+
+
+@given('every worker has a machine')
+def give_machines(context: Any) -> None:
+    world_of(context).add_machines()
+    world_of(context).advance(1)
+
+
+@given('a plan in which service-a has a standby pool')
+def plan_with_standby(context: Any) -> None:
+    world = world_of(context)
+    services = (
+        state.WorkerService('service-a'),
+        state.WorkerService('spare', is_standby=True),
+    )
+    plan = state.RoutePlan(2, (job_search.QUEUE,), services, 2**18, b'{}')
+    world.commit(state.PlanReplaced(plan))
+
+
+@given('machines {first} and {second} stand by')
+def stand_by(context: Any, first: str, second: str) -> None:
+    world = world_of(context)
+    for name in (first, second):
+        world.workers[name].crash()
+        world.machines[name] = dataclasses.replace(
+            world.machines[name], pool='spare', worker_id=''
+        )
+    # A machine that stands by is up for the platform, without a worker.
+    world.keeps_machines = True
+    world.advance(12)
+
+
+@given("the platform doesn't answer")
+def silence_platform(context: Any) -> None:
+    world_of(context).is_platform_silent = True
+
+
+@when(
+    'a wave over all 4 machines, {at_once:d} at once within {seconds:g} s, '
+    'is accepted'
+)
+def wave_over_all(context: Any, at_once: int, seconds: float) -> None:
+    names = tuple(world_of(context).workers)
+    accept_wave(context, names, at_once, seconds)
+
+
+@when(
+    'it runs for {wait:g} s and a wave over all 4 machines, {at_once:d} at '
+    'once within {seconds:g} s, is accepted'
+)
+def later_wave(
+    context: Any, wait: float, at_once: int, seconds: float
+) -> None:
+    world = world_of(context)
+    world.advance(wait)
+    assert len(world.running(context.job_id)) == 4
+    wave_over_all(context, at_once, seconds)
+
+
+@when('a wave over a machine that is not there is accepted')
+def wave_over_missing(context: Any) -> None:
+    accept_wave(context, ('worker-9',), 1, 10)
+
+
+@when('another leader has ordered the upkeep of {name} just now')
+def order_of_other(context: Any, name: str) -> None:
+    world = world_of(context)
+    accept_wave(context, (name,), 1, 30)
+    duty = state.Duty(name, state.DutyKind.UPKEEP, '', 1)
+    jobs = world.leader().state.jobs
+    world.machine_calls.clear()
+    world.leader().keeper._own_orders.clear()
+    jobs.duties[name] = duty
+    jobs.ordered_at_ms[name] = int(world.now_s * 1000)
+    context.ordered_s = world.now_s
+
+
+@then('the wave is done within {seconds:g} s')
+def check_wave(context: Any, seconds: float) -> None:
+    world = world_of(context)
+
+    def is_done() -> bool:
+        core = world.leader()
+        return core.jobs.is_wave_done(core.state.jobs.waves[1])
+
+    world.advance_until(is_done, seconds)
+
+
+@then('each machine had one upkeep, with at most {count:d} down at once')
+def check_upkeeps(context: Any, count: int) -> None:
+    duties = world_of(context).duties()
+    ordered = sorted(order.duty.machine for _, order in duties)
+    assert ordered == sorted(world_of(context).workers), ordered
+    times = [at_s for at_s, _ in duties]
+    for at_s in times:
+        # A machine is down for 1.5 s.
+        down = [t for t in times if t <= at_s < t + 1.5]
+        assert len(down) <= count, times
+
+
+@then('at no time were 2 of its tasks out after an order')
+def check_missing(context: Any) -> None:
+    world = world_of(context)
+    stops = [line for line in world.trace if ' StopOrder ' in line]
+    times = sorted({float(line.split()[0]) for line in stops})
+    starts = sorted(item[0] for item in world.started)
+    for earlier, later in zip(times, times[1:], strict=False):
+        # Between two stops the first task has started again.
+        assert any(earlier < at_s < later for at_s in starts), times
+
+
+@then('{first} or {second} is ordered to {pool} within {seconds:g} s')
+def check_move(
+    context: Any, first: str, second: str, pool: str, seconds: float
+) -> None:
+    world = world_of(context)
+
+    def is_ordered() -> bool:
+        return any(
+            order.duty.kind is state.DutyKind.MOVE
+            and order.duty.pool == pool
+            and order.duty.machine in (first, second)
+            for _, order in world.duties()
+        )
+
+    world.advance_until(is_ordered, seconds)
+
+
+@then('the next order for {name} comes no sooner than {seconds:g} s later')
+def check_takeover_pause(context: Any, name: str, seconds: float) -> None:
+    world = world_of(context)
+    world.advance_until(lambda: bool(world.duties()), 10)
+    at_s, order = world.duties()[0]
+    assert order.duty.machine == name
+    assert at_s >= context.ordered_s + seconds, (at_s, context.ordered_s)
+
+
+@then('only one machine is ordered within {seconds:g} s, more than once')
+def check_single_duty(context: Any, seconds: float) -> None:
+    world = world_of(context)
+
+    def answer(call: coordination.DutyOrder) -> None:
+        core = world.leader()
+        now_s = world.leader_node().clock.read(world.now_s)
+        core.keeper.note_duty(call, coordination.DutyOutcome.NO_ANSWER, now_s)
+
+    ends_s = world.now_s + seconds
+    answered = 0
+    while world.now_s < ends_s:
+        world.advance(0.1)
+        for _, call in world.duties()[answered:]:
+            answer(call)
+        answered = len(world.duties())
+    machines = {order.duty.machine for _, order in world.duties()}
+    assert len(machines) == 1, machines
+    assert answered > 1
--- /dev/null
+++ b/features/support/job_world.py
@@ -0,0 +1,203 @@
+"""Jobs, workers and machines under a virtual clock, without any fault."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from features.search import fakes
+from features.search import job_search
+from features.search import worker_fakes
+from greengagering import coordination
+from greengagering import state
+
+START_S = 8.0
+"""Time for an election and for every worker to be read."""
+
+
+class JobWorld(job_search.JobSearch):
+    """The search's world, driven by a scenario instead of by chance."""
+
+    def __init__(self) -> None:
+        super().__init__(seed=1)
+        self.is_calm = True
+        self.late_ratio = 0.0
+        self.lost_ratio = 0.0
+        self.network.options = fakes.NetworkOptions(
+            loss_ratio=0, duplicate_ratio=0
+        )
+        self.ledger.attempt_limit = job_search.ATTEMPT_LIMIT
+        self.machine_calls: list[tuple[float, Any]] = []
+        self.machines: dict[str, coordination.Machine] = {}
+        self.is_platform_silent = False
+        self.keeps_machines = False
+        self.started: list[tuple[float, str, str, int]] = []
+        self.watch_starts()
+
+    def watch_starts(self) -> None:
+        """Keep an account of every start."""
+        note_start = self.ledger.note_start
+
+        def note(
+            worker: worker_fakes.FakeWorker, key: state.RunKey, now_s: float
+        ) -> None:
+            self.started.append(
+                (now_s, key.task_name, worker.worker_id, key.run)
+            )
+            note_start(worker, key, now_s)
+
+        self.ledger.note_start = note  # type: ignore[method-assign]
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        ends_s = self.now_s + seconds
+        while self.now_s < ends_s:
+            self._advance()
+            self._answer_machine_calls()
+
+    def advance_until(
+        self, condition: Callable[[], bool], within_s: float
+    ) -> None:
+        """Let time pass until something holds.
+
+        Raises:
+            AssertionError: it did not come to hold in time.
+        """
+        ends_s = self.now_s + within_s
+        while not condition():
+            assert self.now_s < ends_s, (
+                f'not within {within_s:g} s: {self.trace[-12:]}'
+            )
+            self._advance()
+            self._answer_machine_calls()
+
+    def leader(self) -> coordination.ControlCore:
+        """Return the leader's core."""
+        for node in self._running():
+            if node.core is not None and node.core.jobs.is_leading:
+                return node.core
+        raise AssertionError('nobody leads')
+
+    def leader_node(self) -> job_search.ControlNode:
+        """Return the leader's node."""
+        core = self.leader()
+        return next(n for n in self.controls.values() if n.core is core)
+
+    def put_plan(self, *queues: state.Queue, standby: str = '') -> None:
+        """Accept a plan with these queues."""
+        services = dict.fromkeys(queue.service for queue in queues)
+        pools = [state.WorkerService(name) for name in services]
+        if standby:
+            pools.append(state.WorkerService(standby, is_standby=True))
+        plan = state.RoutePlan(1, queues, tuple(pools), 2**18, b'{}')
+        self.commit(state.PlanReplaced(plan))
+
+    def commit(self, record: state.JobRecord) -> None:
+        """Propose a record at the leader, and wait until it is folded in."""
+        node = self.leader_node()
+        assert node.core is not None
+        now_s = node.clock.read(self.now_s)
+        place = node.core.propose_job_record(record, now_s).ok()
+        assert place is not None
+        done: set[Any] = set()
+        taken = node.core.take_applied
+
+        def take() -> list[coordination.ProposedTicket]:
+            applied = taken()
+            done.update(applied)
+            return applied
+
+        node.core.take_applied = take  # type: ignore[method-assign]
+        self.advance_until(lambda: place in done, 3.0)
+        node.core.take_applied = taken  # type: ignore[method-assign]
+
+    def submit(
+        self, job_id: str, *steps: state.StepSpec, **fields: Any
+    ) -> None:
+        """Hand a job in."""
+        spec = state.JobSpec(job_id, 'text', steps, **fields)
+        self.ledger.specs[job_id] = spec
+        at_ms = int(self.now_s * 1000)
+        self.commit(state.JobAccepted(spec, job_search.QUEUE, at_ms))
+
+    def job(self, job_id: str) -> state.Job:
+        """Return the committed job."""
+        return self.leader().state.jobs.jobs[job_id]
+
+    def running(self, job_id: str) -> dict[str, str]:
+        """Return the worker of each task of a job that runs."""
+        return {
+            name: worker.worker_id
+            for name, worker in self.ledger.running.items()
+            if name.startswith(f'{job_id}.')
+        }
+
+    def add_machines(self, pool: str = 'service-a') -> None:
+        """Give every worker a machine of the same name."""
+        for name in self.workers:
+            self.machines[name] = coordination.Machine(
+                name,
+                pool,
+                coordination.MachineState.UP,
+                name,
+                'rack-1',
+                worker_fakes.ROOM,
+            )
+
+    def duties(self) -> list[tuple[float, coordination.DutyOrder]]:
+        """Return the duties that reached the platform, with their times."""
+        return [
+            (at_s, call)
+            for at_s, call in self.machine_calls
+            if isinstance(call, coordination.DutyOrder)
+        ]
+
+    def _take_machine_calls(
+        self, node: job_search.ControlNode, core: coordination.ControlCore
+    ) -> None:
+        for call in core.keeper.take_calls():
+            self.machine_calls.append((self.now_s, call))
+            now_s = node.clock.read(self.now_s)
+            if isinstance(call, coordination.ListMachines):
+                core.keeper.note_machines(tuple(self.machines.values()), now_s)
+            elif not self.is_platform_silent:
+                self._carry_out(core, call, now_s)
+
+    def _carry_out(
+        self,
+        core: coordination.ControlCore,
+        call: coordination.DutyOrder,
+        now_s: float,
+    ) -> None:
+        machine = self.machines[call.duty.machine]
+        worker = self.workers[call.duty.machine]
+        assert not worker.runs, f'{machine.name} is taken down with runs'
+        worker.crash()
+        self.down_until_s[machine.name] = self.now_s + 1.5
+        self.machines[machine.name] = dataclasses.replace(
+            machine, pool=call.duty.pool or machine.pool
+        )
+        for record in core.keeper.note_duty(
+            call, coordination.DutyOutcome.DONE, now_s
+        ):
+            core.propose_job_record(record, now_s)
+
+    def _answer_machine_calls(self) -> None:
+        if self.keeps_machines:
+            return
+        for machine in self.machines.values():
+            worker = self.workers[machine.name]
+            status = coordination.MachineState.UP
+            if not worker.is_up:
+                status = coordination.MachineState.UPKEEP
+            worker_id = worker.worker_id if worker.is_up else ''
+            self.machines[machine.name] = dataclasses.replace(
+                machine, status=status, worker_id=worker_id
+            )
+
+
+def started_world() -> JobWorld:
+    """Return a world whose leader has read every worker."""
+    world = JobWorld()
+    world.advance(START_S)
+    world.put_plan(job_search.QUEUE)
+    return world
--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -21,6 +21,10 @@
 """Time between two readings otherwise; machines then change by themselves
 only."""
 
+LISTS_WITHOUT = 2
+"""Lists, read after a wave was accepted, that a machine must be missing from
+before it counts as gone from the fleet."""
+
 DUTY_RETRY_S = 0.5
 """Pause before an unanswered or postponed duty is sent again."""
 
@@ -87,6 +91,7 @@
         self._listed_at_s = float('-inf')
         self._is_listing = False
         self._listed_once = False
+        self._lists_s: list[float] = []
         self._calls: list[machines.MachineCall] = []
         self._wave_started_s: dict[int, float] = {}
 
@@ -136,6 +141,7 @@
         if listed is None:
             return
         self._listed_once = True
+        self._lists_s = [*self._lists_s[-LISTS_WITHOUT:], now_s]
         self.machines = {machine.name: machine for machine in listed}
         for opened in list(self.open.values()):
             machine = self.machines.get(opened.duty.machine)
@@ -183,6 +189,7 @@
         self._own_orders.clear()
         self._is_listing = False
         self._listed_once = False
+        self._lists_s.clear()
         self._listed_at_s = float('-inf')
         self.machines.clear()
         self.open.clear()
@@ -191,7 +198,11 @@
 
     def _list_machines(self, now_s: float) -> None:
         interval_s = IDLE_LIST_INTERVAL_S
-        if self.open or not self._listed_once:
+        has_wave = any(
+            len(wave.begun) < len(wave.wave.machines)
+            for wave in self.jobs.waves.values()
+        )
+        if self.open or has_wave or not self._listed_once:
             interval_s = LIST_INTERVAL_S
         if self._is_listing or now_s < self._listed_at_s + interval_s:
             return
@@ -212,8 +223,9 @@
         number = wave.wave.number
         started_s = self._wave_started_s.setdefault(number, now_s)
         left = [m for m in wave.wave.machines if m not in wave.begun]
+        left = [m for m in left if self._is_known(m, started_s)]
         gone = [m for m in left if m not in self.machines]
-        if gone and self._listed_once:
+        if gone:
             # A machine that has left the fleet needs no upkeep.
             return [
                 state.DutySettled(
@@ -245,6 +257,16 @@
             self._begin(duty, now_s)
         return []
 
+    def _is_known(self, name: str, started_s: float) -> bool:
+        """Tell whether a machine is listed, or certainly not there.
+
+        A list may be older than a machine that the wave names.
+        """
+        if name in self.machines:
+            return True
+        fresh = [at_s for at_s in self._lists_s if at_s > started_s]
+        return len(fresh) >= LISTS_WITHOUT
+
     def _cost_of_emptying(self, name: str) -> tuple[int, int]:
         view = self._view_of(self.machines[name].worker_id)
         if view is None:
--- a/greengagering/coordination/jobs/_pool_plan.py
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -13,7 +13,7 @@
 PLAN_INTERVAL_S = 0.2
 """Time between two plans; a fraction of the time that a move takes."""
 
-FILL_SHARE = 0.8
+FILL_SHARE = 0.9
 """Share of a machine that tasks of mixed sizes fill in practice."""
 
 LEAST_MACHINES = 5
