Let a newcomer answer its leader, and prove the platform's programs whole

Cause: a replica with an empty log knew no member's address, so its answers to the leader were dropped and it stayed a learner for ever; and two processes that ask and answer each other without a pause sent 16 MB in 6 s. Both seen by the new scenarios with real processes (lost disk, replacement). Change: addresses are learnt from what control processes say of themselves; hints to a leader are followed once in a while only.

--- /dev/null
+++ b/features/support/platform_world.py
@@ -0,0 +1,247 @@
+"""The programs on the platform as real processes, one address a machine."""
+
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+from features.search import worker_fakes
+from features.support.loop_thread import LoopThread
+from features.support import platform_workers
+from features.support import ports
+from features.support import web
+
+HOST = 'jobs.example'
+PREFIX = '/quick/'
+SERVICE = 'alpha'
+WAIT_TIMEOUT_S = 20.0
+POLL_S = 0.05
+STOP_TIMEOUT_S = 20.0
+
+
+class PlatformWorld:
+    """Starts control replicas, entries and workers, and stops them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.thread = LoopThread()
+        self.ledger = worker_fakes.Ledger()
+        self.ledger.attempt_limit = 2
+        self.workers: list[platform_workers.HttpWorker] = []
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.hosts: dict[str, str] = {}
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.control_port = ports.free_port()
+        self.link_port = ports.free_port()
+        self.front_port = ports.free_port()
+        self.ready_port = ports.free_port()
+        self.seeds: list[str] = []
+
+    def close(self) -> None:
+        """End everything that this scenario started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait(STOP_TIMEOUT_S)
+        for worker in self.workers:
+            self.thread.run(worker.close())
+        self.thread.close()
+
+    def start_controls(self, count: int) -> None:
+        """Start control replicas that form a new group."""
+        names = [f'control-{number + 1}' for number in range(count)]
+        for name in names:
+            self._give_host(name)
+        self.seeds = [f'{self.hosts[n]}:{self.control_port}' for n in names]
+        for name in names:
+            self.start_control(name, is_first_start=True)
+
+    def start_control(self, name: str, *, is_first_start: bool) -> None:
+        """Start one control replica."""
+        if name not in self.hosts:
+            self._give_host(name)
+        host = self.hosts[name]
+        self.settings[name] = {
+            'host': host,
+            'data_centre': 'z-1',
+            'data_folder': str(self.folder / f'{name}-data'),
+            'http_address': f'{host}:{self.control_port}',
+            'link_port': self.link_port,
+            'seed_addresses': self.seeds,
+            'is_first_start': is_first_start,
+            'tolerated_losses': 1,
+            'machine_service_address': f'127.0.0.1:{ports.free_port()}',
+        }
+        self._start(name, 'control')
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry."""
+        self._give_host(name)
+        host = self.hosts[name]
+        self.settings[name] = {
+            'entry_id': name,
+            'host': host,
+            'data_centre': 'z-1',
+            'http_address': f'{host}:{self.front_port}',
+            'ready_address': f'{host}:{self.ready_port}',
+            'link_port': self.link_port,
+            'seed_addresses': self.seeds,
+            'grace_s': 6,
+        }
+        self._start(name, 'entry')
+
+    def start_worker(self, name: str) -> None:
+        """Start a worker that reports to the control replicas."""
+        worker = platform_workers.HttpWorker(
+            name, SERVICE, ports.free_address(), self.seeds, self.ledger
+        )
+        worker.worker.run_s = 0.4
+        self.thread.run(worker.start())
+        self.workers.append(worker)
+
+    def kill(self, name: str) -> None:
+        """End a process without notice."""
+        self.processes[name].kill()
+        self.processes[name].wait(STOP_TIMEOUT_S)
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to stop, and return its exit code."""
+        self.processes[name].send_signal(signal.SIGTERM)
+        return self.processes[name].wait(STOP_TIMEOUT_S)
+
+    def lose_disk(self, name: str) -> None:
+        """Remove the data of a replica that doesn't run."""
+        shutil.rmtree(self.folder / f'{name}-data')
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        fields: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> web.Answer:
+        """Send a request."""
+        return self.thread.run(
+            web.request(method, url, body, fields, timeout_s)
+        )
+
+    def call_front(
+        self, entry: str, method: str, path: str, body: bytes | None = None
+    ) -> web.Answer:
+        """Send a caller's request to an entry."""
+        url = f'http://{self.hosts[entry]}:{self.front_port}{path}'
+        return self.call(method, url, body, {'Host': HOST})
+
+    def call_control(
+        self, name: str, method: str, path: str, body: bytes | None = None
+    ) -> web.Answer:
+        """Send a request to a control replica."""
+        url = f'http://{self.hosts[name]}:{self.control_port}{path}'
+        return self.call(method, url, body)
+
+    def call_leader(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> web.Answer:
+        """Send a request to any running control replica until one decides."""
+        answers: list[web.Answer] = []
+
+        def is_answered() -> bool:
+            for name in self.running_controls():
+                answer = self.call_control(name, method, path, body)
+                answers.append(answer)
+                if answer.status not in (0, 503):
+                    return True
+            return False
+
+        self.wait(is_answered, f'{method} {path}')
+        return answers[-1]
+
+    def running_controls(self) -> list[str]:
+        """Return the control replicas whose processes run."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if name.startswith('control') and process.poll() is None
+        ]
+
+    def dump(self, name: str) -> Any:
+        """Return the state dump of a control replica, or None."""
+        answer = self.call_control(name, 'GET', '/v1/dump')
+        return answer.json() if answer.status == 200 else None
+
+    def wait(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until something holds.
+
+        Raises:
+            AssertionError: it did not come to hold in time.
+        """
+        ends_s = time.monotonic() + WAIT_TIMEOUT_S
+        while not condition():
+            assert time.monotonic() < ends_s, f'{what}: {self.log_tails()}'
+            time.sleep(POLL_S)
+
+    def log_tails(self) -> str:
+        """Return the last lines that each process wrote."""
+        tails = []
+        for name in self.processes:
+            lines = self.log_of(name).splitlines()[-8:]
+            tails.append('\n'.join([f'--- {name}', *lines]))
+        return '\n'.join(tails)
+
+    def log_of(self, name: str) -> str:
+        """Return what a process wrote."""
+        return (self.folder / f'{name}.log').read_text(errors='replace')
+
+    def write_settings(self, name: str) -> pathlib.Path:
+        """Write a process's settings file."""
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(self.settings[name]))
+        return path
+
+    def _give_host(self, name: str) -> None:
+        # Every machine has the same ports, as on the platform.
+        self.hosts[name] = f'127.0.0.{len(self.hosts) + 2}'
+
+    def _start(self, name: str, role: str) -> None:
+        path = self.write_settings(name)
+        with open(self.folder / f'{name}.log', 'ab') as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, '-m', 'greengagering.platform', role],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, 'GREENGAGERING_CONFIG': str(path)},
+            )
+
+
+def configuration(version: int, *prefixes: str) -> bytes:
+    """Return a configuration with the usual queue and others."""
+    routes = [
+        {
+            'name': f'r-{prefix.strip("/")}',
+            'host': HOST,
+            'pathPrefix': prefix,
+            'timeoutMs': 3000,
+            'targetDurationMs': 600,
+            'priority': 0,
+            'service': SERVICE,
+            'attempts': 2,
+            'stretch': 1.6,
+        }
+        for prefix in (PREFIX, *prefixes)
+    ]
+    return json.dumps(
+        {
+            'version': version,
+            'routes': routes,
+            'services': [{'name': SERVICE, 'maxConns': 64}],
+            'limits': {'maxBodyBytes': 2000},
+        }
+    ).encode()
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -73,6 +73,7 @@
         self._members: tuple[str, ...] = ()
         self._heard_at_s = float('-inf')
         self._probed_at_s = float('-inf')
+        self._hinted_at_s = float('-inf')
         self._next_id = 1
         self._outbox: list[GatewayOutgoing] = []
         self._answers: list[messages.JobAnswer] = []
@@ -189,7 +190,11 @@
             self.leader_id = status.replica_id
             self.max_body_bytes = status.max_body_bytes
             self._heard_at_s = now_s
-        elif status.leader_address and not self.has_leader(now_s):
+            return
+        # Two processes may each take the other for the leader.
+        is_due = now_s >= self._hinted_at_s + SEARCH_INTERVAL_S
+        if status.leader_address and is_due and not self.has_leader(now_s):
+            self._hinted_at_s = now_s
             self._send_probe(status.leader_address)
 
     def _probe(self, now_s: float) -> None:
--- a/greengagering/platform/_machine_calls.py
+++ b/greengagering/platform/_machine_calls.py
@@ -70,6 +70,7 @@
     def __init__(self, address: str) -> None:
         self._base = f'http://{address}'
         self._session: aiohttp.ClientSession | None = None
+        self._is_lost = False
 
     async def list_machines(self) -> tuple[coordination.Machine, ...] | None:
         """Return every machine, or None where the list can't be had."""
@@ -82,8 +83,13 @@
             OSError,
             msgspec.MsgspecError,
         ) as error:
-            logs.warning('machines_unreadable', cause=repr(error))
+            if not self._is_lost:
+                logs.warning('machine_service_lost', cause=repr(error))
+            self._is_lost = True
             return None
+        if self._is_lost:
+            logs.info('machine_service_regained')
+        self._is_lost = False
         return tuple(_machine(item) for item in listed)
 
     async def carry_out(
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -122,6 +122,9 @@
             )
         self._calls: set[asyncio.Task[None]] = set()
         self._probed_at_s = float('-inf')
+        self._hinted_at_s = float('-inf')
+        # A newcomer's log names no member yet, and it must answer its leader.
+        self._known_addresses: dict[str, str] = {}
         self._known_role = coordination.Role.FOLLOWER
         self._known_fault = ''
 
@@ -300,11 +303,16 @@
         self.mesh.send(probe.address, probe.address, status)
 
     def _note_status(self, status: coordination.ControlStatus) -> None:
+        """Learn where a replica listens, and ask the leader that it names."""
+        self._known_addresses[status.replica_id] = status.address
+        now_s = self.now_s()
         address = status.leader_address
-        is_other = address not in ('', self.settings.link_address)
+        is_due = now_s >= self._hinted_at_s + JOIN_PROBE_INTERVAL_S
+        if address in ('', self.settings.link_address) or not is_due:
+            return
         is_member = self.replica_id in self.replica.membership.members
-        is_heard = is_member and self.replica.hears_leader(self.now_s())
-        if is_other and not is_heard:
+        if not (is_member and self.replica.hears_leader(now_s)):
+            self._hinted_at_s = now_s
             self._send_probe(address)
 
     def _seek_leader(self, now_s: float) -> None:
@@ -367,7 +375,11 @@
         return self._addresses().get(replica_id, '')
 
     def _addresses(self) -> dict[str, str]:
-        return {**self.settings.members, **self.replica.membership.addresses}
+        return {
+            **self.settings.members,
+            **self._known_addresses,
+            **self.replica.membership.addresses,
+        }
 
     def _settle_outcomes(self) -> None:
         for outcome in self.core.take_outcomes():
