Log to standard output, count and bound; serve metrics; pace filling tasks

Cause: logs went to standard error without any bound; the platform's programs had no metrics of their own; filling tasks always worked at full pace; due times followed jumps of the time of day. Change: at most 200 lines of an event a second, never waiting for a reader; metrics on a port of their own; a controller per worker for filling tasks; a clock for due times that believes a jump only when it lasts; the tests run four features at a time, and pass over what KNOWN-RED.txt lists.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -1,3 +1,4 @@
+@split
 Feature: Work under an idempotency key runs at most once
 
   Background:
--- a/features/control_faults.feature
+++ b/features/control_faults.feature
@@ -1,3 +1,4 @@
+@split
 Feature: Accepted tickets outlive lost processes, disks, links and leaders
 
   Scenario: The leader is killed under a stream of tickets
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -1,3 +1,4 @@
+@split
 Feature: The programs serve the platform as real processes
 
   Scenario: A job is handed in, run step by step, shown, and cancelled
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -41,6 +41,7 @@
         self.link_port = ports.free_port()
         self.front_port = ports.free_port()
         self.ready_port = ports.free_port()
+        self.metrics_port = ports.free_port()
         self.seeds: list[str] = []
 
     def close(self) -> None:
@@ -77,6 +78,7 @@
             'is_first_start': is_first_start,
             'tolerated_losses': 1,
             'machine_service_address': f'127.0.0.1:{ports.free_port()}',
+            'metrics_port': self.metrics_port,
         }
         self._start(name, 'control')
 
@@ -93,6 +95,7 @@
             'link_port': self.link_port,
             'seed_addresses': self.seeds,
             'grace_s': 6,
+            'metrics_port': self.metrics_port,
         }
         self._start(name, 'entry')
 
--- a/features/support/ports.py
+++ b/features/support/ports.py
@@ -1,5 +1,6 @@
 """Free ports on loopback."""
 
+import os
 import random
 import socket
 
@@ -10,13 +11,24 @@
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
 
+# Test processes that run side by side draw from ranges of their own, as each
+# only knows its own choice of a port that nobody listens on yet.
+SLOT_VARIABLE = 'FEATURE_PORT_SLOT'
+
 _given: set[int] = set()
 
 
+def _port_range() -> tuple[int, int]:
+    slot, _, slots = os.environ.get(SLOT_VARIABLE, '0/1').partition('/')
+    width = (LAST_PORT - FIRST_PORT) // int(slots)
+    first = FIRST_PORT + int(slot) * width
+    return first, first + width - 1
+
+
 def free_port() -> int:
     """Return a port that nobody listens on and nobody was given."""
     while True:
-        port = random.randint(FIRST_PORT, LAST_PORT)
+        port = random.randint(*_port_range())
         if port not in _given and _is_free(port):
             _given.add(port)
             return port
--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -1,3 +1,4 @@
+@split
 Feature: Tickets are checked, numbered once and answered the same for ever
 
   Background:
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -1,3 +1,4 @@
+@split
 Feature: Upstreams come and go by their own announcements, and callers get whole answers
 
   Background:
--- a/features/waves.feature
+++ b/features/waves.feature
@@ -1,3 +1,4 @@
+@split
 Feature: A maintenance wave reboots VMs one after the other and cuts no work
 
   Background:
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -1,3 +1,4 @@
+@split
 Feature: A ticket is put in force and calls are answered through any entry
 
   Background:
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -18,6 +18,7 @@
 from greengagering.coordination import errors
 from greengagering.coordination.fleet import _waves
 from greengagering.coordination.jobs._director import JobDirector
+from greengagering.coordination.jobs._due_clock import DueClock
 from greengagering.coordination.jobs._keeper import MachineKeeper
 from greengagering import state
 
@@ -100,6 +101,7 @@
         self._applied: list[ProposedTicket] = []
         self._now_s = now_s
         self._now_ms = 0
+        self._due_clock = DueClock()
         self._entry_outbox: list[EntryOutgoing] = []
         self._sessions_term = 0
         self._term_floor_revision = 0
@@ -212,7 +214,7 @@
     def step(self, now_s: float, now_ms: int) -> None:
         """Advance everything that time or a message may have moved."""
         self._now_s = now_s
-        self._now_ms = now_ms
+        self._now_ms = self._due_clock.read_ms(now_s, now_ms)
         self.replica.tick(now_s)
         self._apply_committed()
         self._match_term(now_s)
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -6,6 +6,7 @@
 from greengagering.coordination.jobs._demand import DemandTracker
 from greengagering.coordination.jobs import _orders as orders
 from greengagering.coordination.jobs import _placement
+from greengagering.coordination.jobs import _sharing
 from greengagering.coordination.jobs._work_index import StepWork
 from greengagering.coordination.jobs._work_index import WorkIndex
 from greengagering.coordination.jobs import _worker_view as worker_view
@@ -115,6 +116,8 @@
         self._orders: list[orders.Order] = []
         self._proposals: list[state.JobRecord] = []
         self._decisions: list[Decision] = []
+        self.ending_counts: dict[str, int] = {}
+        self._start_waits_s: list[float] = []
         self._woken: set[str] = set()
         self._is_plan_due = False
         self._planned_at_s = float('-inf')
@@ -192,6 +195,24 @@
         self._decisions = []
         return taken
 
+    def take_start_waits(self) -> list[float]:
+        """Return how long started tasks had waited, in seconds, once."""
+        taken = self._start_waits_s
+        self._start_waits_s = []
+        return taken
+
+    def count_usable(self, now_s: float) -> int:
+        """Return how many workers may get runs."""
+        return sum(view.is_usable(now_s) for view in self.workers.values())
+
+    def count_waiting(self) -> int:
+        """Return how many tasks wait for a worker."""
+        return sum(
+            len(work.waiting)
+            for steps in self.index.steps.values()
+            for work in steps.values()
+        )
+
     def take_woken(self) -> set[str]:
         """Return the lives whose next look may be due now, once."""
         taken = self._woken
@@ -291,7 +312,10 @@
             until_ms = clock_ms + _to_ms(worker_view.LEASE_S)
         wait_ms = 0
         if is_sound and not until_ms:
-            wait_ms = _to_ms(worker_view.LOOK_WAIT_S)
+            wait_s = worker_view.LOOK_WAIT_S
+            if _sharing.is_shared(view):
+                wait_s = _sharing.LOOK_S
+            wait_ms = _to_ms(wait_s)
         # A later life under the same name would take the number for one of
         # its own ends, so it is sent only while this life answers.
         noted_end = life.noted_end if is_sound else 0
@@ -342,6 +366,7 @@
             )
         self._take_ends(view, answer, now_s)
         self._match_runs(view, answer, sent_at_s, now_s)
+        self._orders += _sharing.find_paces(view, self.fence)
         self._is_plan_due = True
 
     def note_order(
@@ -367,17 +392,32 @@
             return
         if outcome is not orders.OrderOutcome.NO_ANSWER:
             view.note_clock(answer.clock_ms, now_s)
-        if isinstance(order, orders.StartOrder):
-            is_granted = outcome in _GRANTING
-            if grant and outcome is not orders.OrderOutcome.NO_ANSWER:
-                view.settle_grant(grant, now_s, is_carried_out=is_granted)
-            if run is not None:
-                self._note_start(view, run, outcome, now_s)
-        elif isinstance(order, orders.StopOrder):
-            self._note_stop(view, order, run, outcome, now_s)
+        match order:
+            case orders.StartOrder():
+                self._settle_start(view, run, grant, outcome, now_s)
+            case orders.PaceOrder():
+                if outcome is not orders.OrderOutcome.DONE and run is not None:
+                    # The next reading of the lists orders it again.
+                    run.ordered_percent = None
+            case orders.StopOrder():
+                self._note_stop(view, order, run, outcome, now_s)
         if outcome is orders.OrderOutcome.NO_ANSWER:
             self._suspect(view, now_s, 'order')
 
+    def _settle_start(
+        self,
+        view: WorkerView,
+        run: RunView | None,
+        grant: int,
+        outcome: orders.OrderOutcome,
+        now_s: float,
+    ) -> None:
+        if grant and outcome is not orders.OrderOutcome.NO_ANSWER:
+            is_granted = outcome in _GRANTING
+            view.settle_grant(grant, now_s, is_carried_out=is_granted)
+        if run is not None:
+            self._note_start(view, run, outcome, now_s)
+
     def _note_stop(
         self,
         view: WorkerView,
@@ -615,6 +655,9 @@
                 run.phase = RunPhase.RUNNING
                 run.phase_at_s = now_s
                 run.started_at_s = now_s
+                work = self.index.find(run.key)
+                if work is not None and run.key.run == 1:
+                    self._start_waits_s.append(now_s - work.since_s)
             view.note_heard(now_s)
             return
         self.decide(
@@ -712,7 +755,7 @@
                     self.index.note_task(
                         dataclasses.replace(end.key, task=task)
                     )
-            self.index.note_progress(end.key)
+            self.index.note_progress(end.key, now_s)
 
     def _note_unread(
         self, view: WorkerView, answer: orders.LookAnswer, now_s: float
@@ -835,6 +878,8 @@
         end: state.RunEnd,
         now_s: float,
     ) -> None:
+        ending = str(end.ending)
+        self.ending_counts[ending] = self.ending_counts.get(ending, 0) + 1
         ran_s = now_s - run.started_at_s if run and run.started_at_s else None
         if end.ending is state.RunEnding.DONE:
             view.note_success(_run_ratio(run, ran_s))
--- a/greengagering/coordination/jobs/_work_index.py
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -20,6 +20,7 @@
         waiting: indexes of tasks that wait for a worker.
         due_at_s: when the occurrence's objective ends.
         worthless_at_s: from then on the job earns nothing.
+        since_s: when the step's turn came.
         failed_at: workers at which a task failed, by index.
     """
 
@@ -29,6 +30,7 @@
     waiting: set[int]
     due_at_s: float
     worthless_at_s: float
+    since_s: float
     failed_at: dict[int, set[str]] = dataclasses.field(default_factory=dict)
 
     @property
@@ -62,7 +64,7 @@
             else:
                 since_ms = due_ms if spec.first_due_ms else job.accepted_at_ms
                 age_s = max(0.0, (now_ms - since_ms) / 1000)
-                self._add_occurrence(job, occurrence, now_s - age_s)
+                self._add_occurrence(job, occurrence, now_s - age_s, now_s)
 
     def add_due(
         self, jobs: dict[str, state.Job], now_s: float, now_ms: int
@@ -73,7 +75,7 @@
             _, job_id, occurrence = heapq.heappop(self._timed)
             job = jobs.get(job_id)
             if job is not None and job.status is state.JobStatus.ACTIVE:
-                self._add_occurrence(job, occurrence, now_s)
+                self._add_occurrence(job, occurrence, now_s, now_s)
                 is_added = True
         return is_added
 
@@ -109,7 +111,7 @@
         else:
             work.waiting.discard(index)
 
-    def note_progress(self, key: state.RunKey) -> None:
+    def note_progress(self, key: state.RunKey, now_s: float) -> None:
         """Add the steps that a finished step has held up."""
         work = self.find(key)
         if work is None:
@@ -120,21 +122,34 @@
         for number, step in enumerate(job.spec.steps):
             if work.number in step.after:
                 self._add_step(
-                    job, work.occurrence, number, _Window.of_work(work)
+                    job,
+                    work.occurrence,
+                    number,
+                    _Window.of_work(work),
+                    now_s,
                 )
 
     def _add_occurrence(
-        self, job: state.Job, occurrence: int, since_s: float
+        self,
+        job: state.Job,
+        occurrence: int,
+        since_s: float,
+        now_s: float,
     ) -> None:
         objective_s = find_objective_s(job)
         window = _Window(
             since_s + objective_s, since_s + LATE_RATIO * objective_s
         )
         for number in range(len(job.spec.steps)):
-            self._add_step(job, occurrence, number, window)
+            self._add_step(job, occurrence, number, window, now_s)
 
     def _add_step(
-        self, job: state.Job, occurrence: int, number: int, window: '_Window'
+        self,
+        job: state.Job,
+        occurrence: int,
+        number: int,
+        window: '_Window',
+        now_s: float,
     ) -> None:
         steps = self.steps.get(job.spec.job_id)
         key = f'{occurrence}.{number}'
@@ -157,6 +172,7 @@
             waiting,
             window.due_at_s,
             window.worthless_at_s,
+            now_s,
         )
 
 
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -74,6 +74,7 @@
         started_at_s: when the worker confirmed the start, or 0.
         is_listed: whether the worker has listed it as running.
         percent: share of full speed that it works at, as listed.
+        ordered_percent: share that was last ordered, or None.
         figure: newest figure that the worker listed for it.
         saved: newest progress that the worker listed.
         tries: orders to start it that got no answer.
@@ -86,6 +87,7 @@
     started_at_s: float = 0.0
     is_listed: bool = False
     percent: int = 100
+    ordered_percent: int | None = None
     figure: int | None = None
     saved: str = ''
     tries: int = 0
--- a/greengagering/logs.py
+++ b/greengagering/logs.py
@@ -1,12 +1,21 @@
 """Structured logs: one line of key=value pairs for each event."""
 
 import logging
+import os
+import sys
+import time
 from typing import Any
 
 from absl import flags
 from absl import logging as absl_logging
 import logfmter
 
+MAX_LINES_PER_EVENT_S = 200
+"""Lines of one kind of event in a second; what is above is only counted, so
+that a storm of one kind neither fills the disk nor hides the others."""
+
+WINDOW_S = 1.0
+
 _LEVELS = {
     'debug': absl_logging.DEBUG,
     'info': absl_logging.INFO,
@@ -15,13 +24,65 @@
 }
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines to standard output, few enough and without waiting.
+
+    Attributes:
+        left_out: lines that were not written since this was last told, by
+            event.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.left_out: dict[str, int] = {}
+        self._descriptor = descriptor
+        self._counts: dict[str, int] = {}
+        self._window_s = float('-inf')
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or count it."""
+        now_s = time.monotonic()
+        if now_s >= self._window_s + WINDOW_S:
+            self._window_s = now_s
+            self._counts.clear()
+            self._tell_left_out(record)
+        event = record.msg
+        if isinstance(event, dict):
+            event = event.get('event', '')
+        event = str(event)
+        count = self._counts.get(event, 0) + 1
+        self._counts[event] = count
+        is_within = count <= MAX_LINES_PER_EVENT_S
+        if not (is_within and self._write(self.format(record))):
+            self.left_out[event] = self.left_out.get(event, 0) + 1
+
+    def _tell_left_out(self, record: logging.LogRecord) -> None:
+        if not self.left_out:
+            return
+        told = logging.makeLogRecord(record.__dict__)
+        told.levelno, told.levelname = logging.WARNING, 'WARNING'
+        told.msg = {'event': 'lines_left_out', **self.left_out}
+        if self._write(self.format(told)):
+            self.left_out.clear()
+
+    def _write(self, line: str) -> bool:
+        """Write a line unless the reader of the pipe is behind."""
+        try:
+            os.write(self._descriptor, f'{line}\n'.encode())
+        except (BlockingIOError, BrokenPipeError):
+            return False
+        return True
+
+
 def configure_logs(level: str) -> None:
-    """Send events to standard error as key=value lines.
+    """Send events to standard output as key=value lines.
 
     Args:
         level: debug, info, warning or error.
     """
-    handler = absl_logging.get_absl_handler()
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    handler = BoundedHandler(descriptor)
     handler.setFormatter(
         logfmter.Logfmter(
             keys=['at', 'level'],
@@ -30,8 +91,8 @@
     )
     # Programs parse their own arguments, so absl's flags are given theirs
     # here; before that, absl would put a warning in front of the first line.
-    flags.FLAGS(['greengagering', '--logtostderr'])
-    absl_logging.use_absl_handler()
+    flags.FLAGS(['greengagering'])
+    logging.root.handlers = [handler]
     absl_logging.set_verbosity(_LEVELS[level])
     # Libraries log their own lines, of which only warnings help operators.
     for name in ('asyncio', 'aiohttp', 'aiomisc', 'grpclib', 'hpack'):
--- a/greengagering/platform/__main__.py
+++ b/greengagering/platform/__main__.py
@@ -13,14 +13,18 @@
         """Run a control replica until SIGTERM."""
         host = _settings.load(_settings.ControlHost)
         logs.configure_logs(host.log_level)
-        service = _services.ControlService(host.to_settings())
+        service = _services.ControlService(
+            host.to_settings(), host.metrics_address
+        )
         _run.run_services(service, reload=service.reload)
 
     def entry(self) -> None:
         """Run an entry until SIGTERM."""
         host = _settings.load(_settings.EntryHost)
         logs.configure_logs(host.log_level)
-        service = _services.EntryService(host.to_settings())
+        service = _services.EntryService(
+            host.to_settings(), host.metrics_address
+        )
         _run.run_services(service, reload=service.reload)
 
 
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -13,7 +13,9 @@
 class ControlService(aiomisc.Service):
     """A control replica that workers and the operator reach."""
 
-    def __init__(self, settings: protocol.ControlSettings) -> None:
+    def __init__(
+        self, settings: protocol.ControlSettings, metrics_address: str
+    ) -> None:
         super().__init__()
         from greengagering.platform import _control_app
         from greengagering.platform import _machine_calls
@@ -29,19 +31,23 @@
         )
         app = control.ControlApi(self._node).create_app()
         _control_app.ControlApp(self._node).add_routes(app)
-        self._server = control.HttpServer(
-            app, settings.http_address, 'http_address'
-        )
+        metrics = control.create_metrics_app(self._node.metrics.registry)
+        self._servers = [
+            control.HttpServer(app, settings.http_address, 'http_address'),
+            control.HttpServer(metrics, metrics_address, 'metrics_address'),
+        ]
 
     async def start(self) -> None:
         """Take part in agreement, then answer."""
         await self._node.start()
-        await self._server.start()
+        for server in self._servers:
+            await server.start()
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Hand over the lead, answer who waits, and close."""
         await self._node.stop()
-        await self._server.close()
+        for server in self._servers:
+            await server.close()
 
     def reload(self) -> None:
         """Take what may change of the settings while this runs."""
@@ -57,14 +63,18 @@
 class EntryService(aiomisc.Service):
     """An entry that callers and the balancer reach."""
 
-    def __init__(self, settings: protocol.GatewaySettings) -> None:
+    def __init__(
+        self, settings: protocol.GatewaySettings, metrics_address: str
+    ) -> None:
         super().__init__()
         from greengagering.platform import _front_app
         from greengagering.transport import gateway
 
         self._node = gateway.GatewayNode(settings)
         front = _front_app.FrontApp(self._node)
+        metrics = gateway.create_metrics_app(self._node.metrics.registry)
         self._servers = [
+            gateway.HttpServer(metrics, metrics_address, 'metrics_address'),
             gateway.HttpServer(
                 front.create_app(), settings.http_address, 'http_address'
             ),
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -24,6 +24,7 @@
         seed_addresses: where the operator reaches the first replicas; their
             links listen on the same hosts.
         tolerated_losses: machines that may be lost at once.
+        metrics_port: where metrics are served on this machine.
     """
 
     host: str
@@ -35,8 +36,14 @@
     is_first_start: bool
     tolerated_losses: int
     machine_service_address: str
+    metrics_port: int
     log_level: str = 'info'
 
+    @property
+    def metrics_address(self) -> str:
+        """Where metrics are served."""
+        return f'{self.host}:{self.metrics_port}'
+
     def to_settings(self) -> ControlSettings:
         """Return the product's settings."""
         return ControlSettings(
@@ -61,6 +68,7 @@
         link_port: port for links, the same on every machine.
         seed_addresses: where the operator reaches some control replicas.
         grace_s: time from SIGTERM to the end of the process.
+        metrics_port: where metrics are served on this machine.
     """
 
     entry_id: str
@@ -71,8 +79,14 @@
     link_port: int
     seed_addresses: tuple[str, ...]
     grace_s: float
+    metrics_port: int
     log_level: str = 'info'
 
+    @property
+    def metrics_address(self) -> str:
+        """Where metrics are served."""
+        return f'{self.host}:{self.metrics_port}'
+
     def to_settings(self) -> GatewaySettings:
         """Return the product's settings."""
         return GatewaySettings(
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -109,16 +109,24 @@
         self._commits: dict[
             coordination.ProposedTicket, asyncio.Future[CommitResult]
         ] = {}
-        self.jobs = JobDesk(self.core, self.commit, self.now_ms)
+        self.jobs = JobDesk(self.core, self.commit, self.now_ms, self.metrics)
         self._runner: OrderRunner | None = None
         if workers is not None:
             self._runner = OrderRunner(
-                self.core.jobs, workers, self.has_lease, self._loop.schedule
+                self.core.jobs,
+                workers,
+                self.has_lease,
+                self._loop.schedule,
+                self.metrics,
             )
         self._machines: MachineRunner | None = None
         if machines is not None:
             self._machines = MachineRunner(
-                self.core.keeper, machines, self.has_lease, self._propose
+                self.core.keeper,
+                machines,
+                self.has_lease,
+                self._propose,
+                self.metrics,
             )
         self._calls: set[asyncio.Task[None]] = set()
         self._probed_at_s = float('-inf')
@@ -355,6 +363,8 @@
             self._runner.step()
         if self._machines is not None:
             self._machines.step()
+        for waited_s in self.core.jobs.take_start_waits():
+            self.metrics.start_wait_seconds.observe({}, waited_s)
         for decision in self.core.jobs.take_decisions():
             logs.info(decision.event, **decision.fields)
         self._note_role()
@@ -448,6 +458,13 @@
         metrics.live_entries.set({}, live)
         metrics.out_vms.set({}, len(self.core.state.fleet.out_vms))
         metrics.synced_bytes.set({}, self.folder.synced_bytes)
+        director = self.core.jobs
+        for ending, count in director.ending_counts.items():
+            metrics.runs.set({'ending': ending}, count)
+        usable = director.count_usable(clock.steady_s())
+        metrics.workers.set({'usable': 'yes'}, usable)
+        metrics.workers.set({'usable': 'no'}, len(director.workers) - usable)
+        metrics.waiting_tasks.set({}, director.count_waiting())
 
 
 _REPLICA_MESSAGES = (
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -11,6 +11,7 @@
 from greengagering import state
 from greengagering.transport._mesh import LinkSender
 from greengagering.transport._mesh import Mesh
+from greengagering.transport import _metrics
 from greengagering.transport._peer_link import LinkIdentity
 from greengagering.transport._step_loop import StepLoop
 
@@ -26,6 +27,7 @@
 
     def __init__(self, settings: protocol.GatewaySettings) -> None:
         self.settings = settings
+        self.metrics = _metrics.create_gateway_metrics()
         self.is_stopping = False
         self.open_requests = 0
         boot_id = secrets.token_hex(BOOT_ID_BYTES)
@@ -37,7 +39,7 @@
             settings.link_address,
             self._on_message,
         )
-        self._loop = StepLoop(self._step, _no_metrics)
+        self._loop = StepLoop(self._step, self._set_metrics)
         self._waiters: dict[int, asyncio.Future[coordination.JobAnswer]] = {}
         self._had_leader = ''
 
@@ -107,9 +109,16 @@
         )
         self._waiters[call_id] = waiter
         self._loop.schedule()
+        outcome = 'caller_gone'
         try:
-            return await waiter
+            answer = await waiter
+            outcome = str(answer.outcome)
+            return answer
         finally:
+            self.metrics.calls.inc({'kind': str(kind), 'outcome': outcome})
+            self.metrics.call_seconds.observe(
+                {'kind': str(kind)}, clock.steady_s() - now_s
+            )
             self._waiters.pop(call_id, None)
             self.core.forget(call_id)
 
@@ -141,6 +150,11 @@
                 waiter.set_result(answer)
         self._note_leader(now_s)
 
+    def _set_metrics(self) -> None:
+        has_leader = self.core.has_leader(clock.steady_s())
+        self.metrics.has_leader.set({}, int(has_leader))
+        self.metrics.open_calls.set({}, len(self.core.open_calls))
+
     def _note_leader(self, now_s: float) -> None:
         leader = ''
         if self.core.has_leader(now_s):
@@ -152,7 +166,3 @@
         else:
             logs.warning('leader_lost', leader_id=self._had_leader)
         self._had_leader = leader
-
-
-def _no_metrics() -> None:
-    """An entry's metrics are set where calls are answered."""
--- a/greengagering/transport/_job_desk.py
+++ b/greengagering/transport/_job_desk.py
@@ -7,10 +7,12 @@
 from result import Err
 from result import Result
 
+from greengagering import clock
 from greengagering import coordination
 from greengagering.coordination import errors as coordination_errors
 from greengagering import logs
 from greengagering import state
+from greengagering.transport import _metrics
 
 RETRY_AFTER_S = 0.5
 """When a caller should come back if there is no plan yet."""
@@ -27,16 +29,29 @@
         core: coordination.ControlCore,
         commit: Commit,
         now_ms: Callable[[], int],
+        metrics: _metrics.ControlMetrics,
     ) -> None:
         self._core = core
         self._commit = commit
         self._now_ms = now_ms
+        self._metrics = metrics
         self._submitting: dict[str, asyncio.Task[CommitResult]] = {}
 
     async def answer(
         self, call: coordination.JobCall
     ) -> coordination.JobAnswer:
         """Carry out a call; the caller of this method holds a lease."""
+        started_s = clock.steady_s()
+        answer = await self._answer(call)
+        if call.kind is coordination.CallKind.SUBMIT:
+            self._metrics.jobs.inc({'outcome': str(answer.outcome)})
+            waited_s = clock.steady_s() - started_s
+            self._metrics.accept_seconds.observe({}, waited_s)
+        return answer
+
+    async def _answer(
+        self, call: coordination.JobCall
+    ) -> coordination.JobAnswer:
         outcomes = coordination.JobOutcome
         jobs = self._core.state.jobs
         if jobs.plan is None:
--- a/greengagering/transport/_machine_runner.py
+++ b/greengagering/transport/_machine_runner.py
@@ -7,6 +7,7 @@
 from greengagering import coordination
 from greengagering import state
 from greengagering.transport._machine_client import MachineClient
+from greengagering.transport import _metrics
 
 DUTIES_AT_ONCE = 8
 """Calls to the platform on their way at once, well under its rate limit."""
@@ -21,11 +22,13 @@
         client: MachineClient,
         may_order: Callable[[], bool],
         propose: Callable[[list[state.JobRecord]], None],
+        metrics: _metrics.ControlMetrics,
     ) -> None:
         self._keeper = keeper
         self._client = client
         self._may_order = may_order
         self._propose = propose
+        self._metrics = metrics
         self._lane = asyncio.Semaphore(DUTIES_AT_ONCE)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -52,6 +55,9 @@
             outcome = coordination.DutyOutcome.NOT_NOW
             if self._may_order():
                 outcome = await self._client.carry_out(call)
+            self._metrics.duties.inc(
+                {'kind': str(call.duty.kind), 'outcome': str(outcome)}
+            )
             self._propose(
                 self._keeper.note_duty(call, outcome, clock.steady_s())
             )
--- a/greengagering/transport/_metrics.py
+++ b/greengagering/transport/_metrics.py
@@ -38,6 +38,26 @@
     out_vms: aioprometheus.Gauge
     reboot_requests: aioprometheus.Counter
     synced_bytes: aioprometheus.Gauge
+    jobs: aioprometheus.Counter
+    accept_seconds: aioprometheus.Histogram
+    start_wait_seconds: aioprometheus.Histogram
+    runs: aioprometheus.Gauge
+    orders: aioprometheus.Counter
+    order_seconds: aioprometheus.Histogram
+    duties: aioprometheus.Counter
+    workers: aioprometheus.Gauge
+    waiting_tasks: aioprometheus.Gauge
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayMetrics:
+    """Metrics of an entry that passes jobs on."""
+
+    registry: aioprometheus.Registry
+    calls: aioprometheus.Counter
+    call_seconds: aioprometheus.Histogram
+    has_leader: aioprometheus.Gauge
+    open_calls: aioprometheus.Gauge
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +104,46 @@
         synced_bytes=_gauge(
             registry, 'synced_bytes', 'Bytes written and synced.'
         ),
+        jobs=_counter(registry, 'jobs_total', 'Jobs handed in, by outcome.'),
+        accept_seconds=_histogram(
+            registry, 'accept_seconds', 'Time until a job is committed.'
+        ),
+        start_wait_seconds=_histogram(
+            registry, 'start_wait_seconds', 'Time from acceptance to a start.'
+        ),
+        runs=_gauge(registry, 'run_ends', 'Ends of runs, by how they ended.'),
+        orders=_counter(
+            registry, 'orders_total', 'Orders to workers, by outcome.'
+        ),
+        order_seconds=_histogram(
+            registry, 'order_seconds', 'Time until a worker answers.'
+        ),
+        duties=_counter(
+            registry, 'duties_total', 'Moves and upkeeps, by outcome.'
+        ),
+        workers=_gauge(registry, 'workers', 'Workers, by whether usable.'),
+        waiting_tasks=_gauge(
+            registry, 'waiting_tasks', 'Tasks that wait for a worker.'
+        ),
+    )
+
+
+def create_gateway_metrics() -> GatewayMetrics:
+    """Return the metrics of a gateway in a registry of their own."""
+    registry = aioprometheus.Registry()
+
+    return GatewayMetrics(
+        registry=registry,
+        calls=_counter(registry, 'calls_total', 'Calls by kind and outcome.'),
+        call_seconds=_histogram(
+            registry, 'call_seconds', 'Time from call to answer.'
+        ),
+        has_leader=_gauge(
+            registry, 'has_leader', '1 while a leader is known.'
+        ),
+        open_calls=_gauge(
+            registry, 'open_calls', 'Calls that wait for the leader.'
+        ),
     )
 
 
@@ -140,6 +200,17 @@
     )
 
 
+def create_metrics_app(registry: aioprometheus.Registry) -> web.Application:
+    """Return an application that only shows metrics."""
+
+    async def show(request: web.Request) -> web.Response:
+        return metrics_response(registry, request)
+
+    app = web.Application()
+    app.router.add_get('/metrics', show)
+    return app
+
+
 def metrics_response(
     registry: aioprometheus.Registry, request: web.Request
 ) -> web.Response:
--- a/greengagering/transport/_order_runner.py
+++ b/greengagering/transport/_order_runner.py
@@ -6,6 +6,7 @@
 from greengagering import clock
 from greengagering import coordination
 from greengagering import logs
+from greengagering.transport import _metrics
 from greengagering.transport._worker_client import WorkerClient
 
 ORDERS_AT_ONCE = 4
@@ -27,11 +28,13 @@
         client: WorkerClient,
         may_order: Callable[[], bool],
         schedule: Callable[[], None],
+        metrics: _metrics.ControlMetrics,
     ) -> None:
         self._director = director
         self._client = client
         self._may_order = may_order
         self._schedule = schedule
+        self._metrics = metrics
         self._sessions: dict[str, asyncio.Task[None]] = {}
         self._wakeups: dict[str, asyncio.Event] = {}
         self._lanes: dict[str, asyncio.Semaphore] = {}
@@ -77,6 +80,7 @@
             if not self._may_order():
                 return
             grant = 0
+            sent_at_s = clock.steady_s()
             if isinstance(order, coordination.StartOrder):
                 grant = self._director.begin_start(order, clock.steady_s())
                 answer = await self._client.start(order)
@@ -84,10 +88,18 @@
                 answer = await self._client.stop(order)
             else:
                 answer = await self._client.pace(order)
-        self._director.note_order(order, grant, answer, clock.steady_s())
+        answered_s = clock.steady_s()
+        self._director.note_order(order, grant, answer, answered_s)
+        kind = type(order).__name__
+        self._metrics.orders.inc(
+            {'kind': kind, 'outcome': str(answer.outcome)}
+        )
+        self._metrics.order_seconds.observe(
+            {'kind': kind}, answered_s - sent_at_s
+        )
         logs.debug(
             'order_answered',
-            order=type(order).__name__,
+            order=kind,
             run=order.key.name,
             life=order.life.key,
             outcome=answer.outcome,
--- /dev/null
+++ b/tools/run_features.py
@@ -0,0 +1,175 @@
+"""Runs the features, several at a time, and sums their scenarios up.
+
+Each unit of work is a feature, or a scenario of a feature that is tagged
+@split. A scenario that KNOWN-RED.txt lists may fail: it is printed, and does
+not fail the run.
+"""
+
+import concurrent.futures
+import dataclasses
+import json
+import os
+import pathlib
+import queue
+import re
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+SLOTS = 4
+"""Units that run at once: half of the usual machine's processors."""
+
+HEAVY = ('fault_search', 'control_faults', 'claims', 'waves', 'tickets')
+"""Features that begin first, as they take the longest."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """One scenario's outcome.
+
+    Attributes:
+        name: feature file and scenario.
+        status: passed, failed, skipped or another word of behave's.
+    """
+
+    name: str
+    status: str
+
+
+@dataclasses.dataclass(frozen=True)
+class UnitResult:
+    """What one unit of work printed, and its scenarios."""
+
+    unit: str
+    output: str
+    outcomes: list[Outcome]
+    seconds: float
+
+
+def main(arguments: list[str]) -> int:
+    """Run the features and return the exit code."""
+    units = arguments or find_units()
+    slots: queue.Queue[int] = queue.Queue()
+    for number in range(SLOTS):
+        slots.put(number)
+    outcomes: list[Outcome] = []
+    with concurrent.futures.ThreadPoolExecutor(SLOTS) as pool:
+        futures = [pool.submit(run_unit, unit, slots) for unit in units]
+        for future in concurrent.futures.as_completed(futures):
+            result = future.result()
+            outcomes += result.outcomes
+            show(result)
+    return close(outcomes)
+
+
+def find_units() -> list[str]:
+    """Return the units of work, the longest first."""
+    units = []
+    for path in sorted((ROOT / 'features').glob('*.feature')):
+        name = str(path.relative_to(ROOT))
+        lines = path.read_text().splitlines()
+        if '@split' not in lines[0]:
+            units.append(name)
+            continue
+        units += [
+            f'{name}:{number}'
+            for number, line in enumerate(lines, 1)
+            if re.match(r'\s*Scenario', line)
+        ]
+    return sorted(units, key=lambda unit: not any(h in unit for h in HEAVY))
+
+
+def run_unit(unit: str, slots: 'queue.Queue[int]') -> UnitResult:
+    """Run one unit in a process of its own."""
+    slot = slots.get()
+    started_s = time.monotonic()
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            report = pathlib.Path(folder, 'report.json')
+            done = subprocess.run(
+                [
+                    str(pathlib.Path(sys.executable).parent / 'behave'),
+                    '--no-capture',
+                    '--format=progress',
+                    '--format=json',
+                    f'--outfile={os.devnull}',
+                    f'--outfile={report}',
+                    unit,
+                ],
+                cwd=ROOT,
+                env={**os.environ, 'FEATURE_PORT_SLOT': f'{slot}/{SLOTS}'},
+                stdin=subprocess.DEVNULL,
+                capture_output=True,
+                text=True,
+            )
+            outcomes = read_report(unit, report)
+    finally:
+        slots.put(slot)
+    if done.returncode and not any(o.status == 'failed' for o in outcomes):
+        outcomes.append(Outcome(f'{unit} (as a whole)', 'failed'))
+    seconds = time.monotonic() - started_s
+    return UnitResult(unit, done.stdout + done.stderr, outcomes, seconds)
+
+
+def read_report(unit: str, report: pathlib.Path) -> list[Outcome]:
+    """Return the scenarios of a report that were meant to run."""
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return [Outcome(f'{unit} (no report)', 'failed')]
+    is_part = ':' in unit
+    return [
+        Outcome(
+            f'{feature["location"].partition(":")[0]}: {element["name"]}',
+            element['status'],
+        )
+        for feature in features
+        for element in feature['elements']
+        if element['type'] == 'scenario'
+        and not (is_part and element['status'] == 'skipped')
+    ]
+
+
+def show(result: UnitResult) -> None:
+    """Print a unit's line, and all of its output if it failed."""
+    failed = [o for o in result.outcomes if o.status != 'passed']
+    count = len(result.outcomes)
+    print(f'{result.seconds:6.1f} s  {count:3} scenarios  {result.unit}')
+    if failed:
+        print(result.output)
+    sys.stdout.flush()
+
+
+def read_known_red() -> set[str]:
+    """Return the scenarios that may fail."""
+    if not KNOWN_RED.exists():
+        return set()
+    found = re.findall(r'^test: (.+)$', KNOWN_RED.read_text(), re.MULTILINE)
+    return {name.strip() for name in found}
+
+
+def close(outcomes: list[Outcome]) -> int:
+    """Print the closing lines and return the exit code."""
+    known = read_known_red()
+    failed = [o for o in outcomes if o.status not in ('passed', 'skipped')]
+    red = [o for o in failed if o.name in known]
+    unknown = [o for o in failed if o.name not in known]
+    for outcome in unknown:
+        print(f'failed: {outcome.name}')
+    for outcome in red:
+        print(f'known red, see KNOWN-RED.txt: {outcome.name}')
+    passed = sum(o.status == 'passed' for o in outcomes)
+    skipped = sum(o.status == 'skipped' for o in outcomes)
+    if red:
+        print(f'{len(red)} known red passed over')
+    print(
+        f'scenarios: {passed} passed, {len(unknown)} failed, {skipped} skipped'
+    )
+    return 1 if unknown or not passed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
