--- /dev/null
+++ b/benchmarks/job_decisions.py
@@ -0,0 +1,165 @@
+"""Times the leader's decisions about jobs as the fleet grows.
+
+Run "python -m benchmarks.job_decisions". Everything runs in one process on
+the real decision code; workers answer at once.
+"""
+
+import statistics
+import time
+
+import fire
+import tabulate
+
+from greengagering import coordination
+from greengagering import state
+
+SIZES = (40, 400, 4000, 13_000)
+POOL_WORKERS = 400
+"""Workers of one pool at the target: 13,000 in 32 pools."""
+
+TASKS_PER_STEP = 8
+STARTS_PER_PLAN = 150
+"""Tasks to place in one plan: 600 starts a second, four plans a second."""
+
+ROUNDS = 10
+BOUND_MS = 100.0
+"""Longest plan at the target size, by the stated target."""
+
+ROOM = state.Room(32_000, 131_072)
+TASK_ROOM = state.Room(3800, 14_000)
+
+
+def measure(worker_count: int) -> dict[str, float]:
+    """Return the milliseconds of a plan and of a look at one size."""
+    director, services = _create(worker_count)
+    plan_ms, look_ms = [], []
+    for number in range(ROUNDS):
+        now_s = 1.0 + number
+        _hand_in(director, services, number, now_s)
+        started_s = time.perf_counter()
+        records = director.step(now_s, int(now_s * 1000))
+        plan_ms.append((time.perf_counter() - started_s) * 1000)
+        started_s = time.perf_counter()
+        _run(director, records, now_s)
+        looks = _end_all(director, now_s)
+        look_ms.append((time.perf_counter() - started_s) * 1000 / looks)
+    return {
+        'plan_ms': statistics.median(plan_ms),
+        'run_and_look_ms': statistics.median(look_ms),
+    }
+
+
+def _create(
+    worker_count: int,
+) -> tuple[coordination.JobDirector, list[str]]:
+    jobs = state.JobsState()
+    pools = max(worker_count // POOL_WORKERS, 1)
+    services = [f'service-{number}' for number in range(pools)]
+    queues = tuple(
+        state.Queue(name, 'host', f'/{name}/', name, attempt_limit=2)
+        for name in services
+    )
+    plan = state.RoutePlan(
+        1, queues, tuple(map(state.WorkerService, services)), 1000, b''
+    )
+    state.apply_to_jobs(jobs, state.PlanReplaced(plan))
+    for number in range(worker_count):
+        facts = state.WorkerFacts(
+            f'w{number}',
+            1,
+            services[number % pools],
+            f'10.0.0.1:{number}',
+            'dc',
+            f'rack-{number % (worker_count // 8 + 1)}',
+            (),
+            ROOM,
+        )
+        state.apply_to_jobs(jobs, state.LifeSeen(facts))
+    director = coordination.JobDirector(jobs)
+    director.lead(1, 0.0, 0)
+    for key in list(director.workers):
+        _read(director, key, 0.5, (), ())
+    return director, services
+
+
+def _read(
+    director: coordination.JobDirector,
+    key: str,
+    now_s: float,
+    running: tuple[coordination.ListedRun, ...],
+    ended: tuple[state.RunEnd, ...],
+) -> None:
+    look = director.next_look(key, now_s)
+    if look is None:
+        return
+    answer = coordination.LookAnswer(
+        coordination.OrderOutcome.DONE,
+        int(now_s * 1000),
+        1,
+        running,
+        ended,
+    )
+    director.note_look(look, 0, answer, now_s, now_s)
+
+
+def _hand_in(
+    director: coordination.JobDirector,
+    services: list[str],
+    number: int,
+    now_s: float,
+) -> None:
+    step = state.StepSpec(TASKS_PER_STEP, TASK_ROOM, 1.0)
+    for index in range(STARTS_PER_PLAN // TASKS_PER_STEP):
+        plan = director.jobs.plan
+        assert plan is not None
+        queue = plan.queues[index % len(services)]
+        spec = state.JobSpec(f'job-{number}-{index}', 'text', (step,))
+        record = state.JobAccepted(spec, queue, int(now_s * 1000))
+        state.apply_to_jobs(director.jobs, record)
+        director.note_applied(record, now_s, int(now_s * 1000))
+
+
+def _run(
+    director: coordination.JobDirector,
+    records: list[state.JobRecord],
+    now_s: float,
+) -> None:
+    for record in records:
+        state.apply_to_jobs(director.jobs, record)
+        director.note_applied(record, now_s, int(now_s * 1000))
+    done = coordination.OrderAnswer(coordination.OrderOutcome.DONE, 1000)
+    for order in director.take_orders():
+        director.note_order(order, 0, done, now_s)
+
+
+def _end_all(director: coordination.JobDirector, now_s: float) -> int:
+    """List every run as done; return how many workers were looked at."""
+    count = 0
+    for key, view in list(director.workers.items()):
+        if not view.runs:
+            continue
+        count += 1
+        number = director.jobs.lives[key].noted_end
+        ended = tuple(
+            state.RunEnd(number + 1 + n, run.key, state.RunEnding.DONE, '')
+            for n, run in enumerate(view.runs.values())
+        )
+        _read(director, key, now_s + 0.5, (), ended)
+    _run(director, director.take_proposals(), now_s + 0.5)
+    return max(count, 1)
+
+
+def main() -> None:
+    """Print the table; exit 1 past the bound at the target size."""
+    rows = []
+    for size in SIZES:
+        measured = measure(size)
+        rows.append([size, *(round(v, 3) for v in measured.values())])
+    headers = ['workers', 'plan of 150 starts, ms', 'run and look, ms each']
+    print(tabulate.tabulate(rows, headers=headers))
+    if rows[-1][1] > BOUND_MS:
+        raise SystemExit(f'a plan takes {rows[-1][1]} ms, over {BOUND_MS}')
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/features/steps/advice_rule_steps.py
@@ -0,0 +1,161 @@
+"""Steps that let a leader ask an adviser."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps.job_rule_steps import SMALL
+from features.steps.job_rule_steps import world_of
+from greengagering import coordination
+from greengagering import state
+
+TICK_S = 0.1
+WAIT_S = 3.0
+
+
+@given('a queue whose adviser is asked for permits of {seconds:g} s')
+def new_director(context: Any, seconds: float) -> None:
+    context.queue = state.Queue(
+        'queue-b',
+        'jobs',
+        '/b/',
+        'service-a',
+        attempt_limit=3,
+        advice=state.AdvicePolicy(0.1, 0.01, seconds),
+    )
+    context.validity_s = seconds
+    jobs = state.JobsState()
+    context.facts = {
+        name: worker.facts()
+        for name, worker in world_of(context).workers.items()
+    }
+    for facts in context.facts.values():
+        state.apply_to_jobs(jobs, state.LifeSeen(facts))
+    context.director = coordination.JobDirector(jobs)
+    context.director.lead(1, 0.0, 0)
+    context.now_s = 0.0
+    context.orders = []
+    for facts in context.facts.values():
+        read_worker(context, facts)
+
+
+def read_worker(context: Any, facts: state.WorkerFacts) -> None:
+    """Answer a look at a worker on which nothing runs."""
+    look = context.director.next_look(facts.key, context.now_s)
+    assert look is not None
+    answer = coordination.LookAnswer(
+        coordination.OrderOutcome.DONE,
+        20_000 + int(context.now_s * 1000),
+        facts.born_ms,
+    )
+    context.director.note_look(look, 0, answer, context.now_s, context.now_s)
+
+
+def step(context: Any) -> None:
+    """Let a moment pass, and commit what is proposed."""
+    context.now_s += TICK_S
+    director = context.director
+    now_ms = int(context.now_s * 1000)
+    for view in director.workers.values():
+        view.heard_at_s = context.now_s
+    for record in director.step(context.now_s, now_ms):
+        state.apply_to_jobs(director.jobs, record)
+        director.note_applied(record, context.now_s, now_ms)
+    context.orders += director.take_orders()
+
+
+def take_question(context: Any) -> coordination.Question:
+    """Wait for the next question."""
+    ends_s = context.now_s + WAIT_S
+    while context.now_s < ends_s:
+        step(context)
+        question = context.director.adviser.take_question()
+        if question is not None:
+            return question
+    raise AssertionError('nothing was asked')
+
+
+def answer(context: Any, permits: dict[str, str] | None) -> None:
+    """Answer the open question."""
+    advice = None
+    if permits is not None:
+        advice = coordination.Advice(permits, context.validity_s)
+    context.director.note_advice(context.question, advice, context.now_s)
+    step(context)
+    step(context)
+
+
+@when('{count:d} jobs with 1 task are handed in at the queue with advice')
+def hand_in_several(context: Any, count: int) -> None:
+    for number in range(count):
+        hand_in(context, 1, f'other{number}')
+
+
+@when('a job with {count:d} tasks is handed in at the queue with advice')
+@when('a job with {count:d} task is handed in at the queue with advice')
+def hand_in(context: Any, count: int, job_id: str = 'job') -> None:
+    spec = state.JobSpec(job_id, 'text', (state.StepSpec(count, SMALL, 0.6),))
+    record = state.JobAccepted(spec, context.queue, 0)
+    state.apply_to_jobs(context.director.jobs, record)
+    context.director.note_applied(record, context.now_s, 0)
+
+
+@when('the adviser permits {first} and {second}')
+def permit_two(context: Any, first: str, second: str) -> None:
+    context.permits = {first: 'permit-1', second: 'permit-2'}
+    answer(context, context.permits)
+
+
+@when('it permits {name} and {same} drains for {seconds:g} s')
+def permit_and_drain(
+    context: Any, name: str, same: str, seconds: float
+) -> None:
+    view = context.director.newest_life(name)
+    view.is_draining = True
+    answer(context, {name: 'permit-1'})
+    context.now_s += seconds
+    view.is_draining = False
+
+
+@when('it permits {name} and {same} refuses the permit')
+def permit_and_refuse(context: Any, name: str, same: str) -> None:
+    answer(context, {name: 'permit-1'})
+    (order,) = context.orders
+    refusal = coordination.OrderAnswer(coordination.OrderOutcome.NO_PERMIT)
+    context.director.note_order(order, 0, refusal, context.now_s)
+
+
+@when('it gives no answer')
+def no_answer(context: Any) -> None:
+    answer(context, None)
+
+
+@then('the adviser is asked about its step')
+def check_question(context: Any) -> None:
+    context.question = take_question(context)
+    assert context.question.step_name == 'job.0.0', context.question
+    assert set(context.question.life_keys) <= set(context.facts)
+
+
+@then('the 4 tasks start on {first} and {second} with their permits')
+def check_permits(context: Any, first: str, second: str) -> None:
+    assert len(context.orders) == 4, context.orders
+    for order in context.orders:
+        worker_id = order.life.worker_id
+        assert worker_id in (first, second)
+        assert order.permit == context.permits[worker_id]
+
+
+@then('no order to start was given')
+def check_no_order(context: Any) -> None:
+    assert not context.orders
+
+
+@then('only one question is open')
+def check_single(context: Any) -> None:
+    take_question(context)
+    for _ in range(20):
+        step(context)
+        assert context.director.adviser.take_question() is None
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -77,6 +77,7 @@
             'seed_addresses': self.seeds,
             'is_first_start': is_first_start,
             'tolerated_losses': 1,
+            'adviser_address': '',
             'machine_service_address': f'127.0.0.1:{ports.free_port()}',
             'metrics_port': self.metrics_port,
         }
--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -71,6 +71,8 @@
 from greengagering.coordination.fleet._waves import RebootOrder
 from greengagering.coordination.fleet._waves import wave_targets
 from greengagering.coordination.fleet._waves import WaveDecisions
+from greengagering.coordination.jobs._advice import Advice
+from greengagering.coordination.jobs._advice import Question
 from greengagering.coordination.jobs._director import Decision
 from greengagering.coordination.jobs._director import JobDirector
 from greengagering.coordination.jobs._gateway import GatewayOutgoing
@@ -103,6 +105,8 @@
 from greengagering.coordination.jobs._routing import RoutedPath
 
 __all__ = [
+    'Advice',
+    'Question',
     'MachineKeeper',
     'DutyOrder',
     'DutyOutcome',
--- /dev/null
+++ b/greengagering/coordination/jobs/_advice.py
@@ -0,0 +1,157 @@
+"""Permits for steps that may run only where an adviser allows it."""
+
+import dataclasses
+
+from greengagering.coordination.jobs._work_index import StepWork
+from greengagering.coordination.jobs._worker_view import WorkerView
+
+MAX_WORKERS_ASKED = 30
+"""Workers in one question; each adds to the time of its answer."""
+
+VALIDITY_MARGIN_S = 0.3
+"""Time before its end from which a permit is renewed: a commitment and a call
+to the worker."""
+
+RETRY_S = 0.3
+"""Pause after a question without an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """A question to the adviser.
+
+    Attributes:
+        step_name: 'job.occurrence.step'.
+        life_keys: lives of the workers asked about, by worker id.
+    """
+
+    step_name: str
+    life_keys: dict[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Advice:
+    """The adviser's answer.
+
+    Attributes:
+        permits: permit by worker id, for the workers that are allowed.
+        validity_s: how long the permits hold.
+    """
+
+    permits: dict[str, str]
+    validity_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Permit:
+    text: str
+    ends_s: float
+
+
+class Adviser:
+    """Keeps permits by step, and decides what to ask; one question at a time.
+
+    The adviser answers the questions of one machine one after the other.
+    """
+
+    def __init__(self) -> None:
+        self._permits: dict[str, dict[str, _Permit]] = {}
+        self._refused: dict[str, set[str]] = {}
+        self._open: Question | None = None
+        self._pending: Question | None = None
+        self._retry_at_s = float('-inf')
+
+    def allowed(
+        self, work: StepWork, workers: list[WorkerView], now_s: float
+    ) -> list[WorkerView]:
+        """Return the workers that a step may use, and ask about others.
+
+        Args:
+            work: a step of a queue with advice.
+            workers: usable workers of its service.
+            now_s: the leader's clock.
+        """
+        name = step_name(work)
+        permits = self._permits.get(name, {})
+        valid = [
+            worker
+            for worker in workers
+            if worker.key in permits
+            and now_s < permits[worker.key].ends_s - VALIDITY_MARGIN_S
+        ]
+        if not any(worker.fits(work.step) for worker in valid):
+            self._ask(name, work, workers, now_s)
+        return valid
+
+    def permit(self, work: StepWork, life_key: str) -> str:
+        """Return the permit to send with an order, or ''."""
+        permit = self._permits.get(step_name(work), {}).get(life_key)
+        return permit.text if permit is not None else ''
+
+    def take_question(self) -> Question | None:
+        """Return the question to ask now, once."""
+        if self._open is not None or self._pending is None:
+            return None
+        self._open, self._pending = self._pending, None
+        return self._open
+
+    def note_advice(
+        self, question: Question, advice: Advice | None, now_s: float
+    ) -> None:
+        """Take the answer to a question, or the lack of one."""
+        if self._open is question:
+            self._open = None
+        if advice is None:
+            self._retry_at_s = now_s + RETRY_S
+            return
+        permits = self._permits.setdefault(question.step_name, {})
+        refused = self._refused.setdefault(question.step_name, set())
+        for worker_id, life_key in question.life_keys.items():
+            text = advice.permits.get(worker_id)
+            if text is None:
+                refused.add(life_key)
+            else:
+                ends_s = now_s + advice.validity_s
+                permits[life_key] = _Permit(text, ends_s)
+
+    def drop_permit(self, work: StepWork, life_key: str) -> None:
+        """A worker did not take a permit."""
+        self._permits.get(step_name(work), {}).pop(life_key, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop what is known of a job's steps."""
+        for known in (self._permits, self._refused):
+            for name in [n for n in known if n.startswith(f'{job_id}.')]:
+                del known[name]
+
+    def _ask(
+        self,
+        name: str,
+        work: StepWork,
+        workers: list[WorkerView],
+        now_s: float,
+    ) -> None:
+        if self._pending is not None or now_s < self._retry_at_s:
+            return
+        if self._open is not None and self._open.step_name == name:
+            return
+        refused = self._refused.get(name, set())
+        known = self._permits.get(name, {})
+        candidates = [w for w in workers if w.key not in refused]
+        candidates.sort(
+            key=lambda w: (
+                not w.fits(work.step),
+                w.key not in known,
+                -w.free_cpu,
+            )
+        )
+        asked = candidates[:MAX_WORKERS_ASKED]
+        if asked:
+            self._pending = Question(
+                name, {w.facts.worker_id: w.key for w in asked}
+            )
+
+
+def step_name(work: StepWork) -> str:
+    """Return a step's name over all jobs."""
+    return f'{work.job.spec.job_id}.{work.step_key}'
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -3,6 +3,9 @@
 import dataclasses
 import math
 
+from greengagering.coordination.jobs._advice import Advice
+from greengagering.coordination.jobs._advice import Adviser
+from greengagering.coordination.jobs._advice import Question
 from greengagering.coordination.jobs._demand import DemandTracker
 from greengagering.coordination.jobs import _orders as orders
 from greengagering.coordination.jobs import _placement
@@ -113,6 +116,7 @@
         self.workers: dict[str, WorkerView] = {}
         self.index = WorkIndex()
         self.demand = DemandTracker()
+        self.adviser = Adviser()
         self._orders: list[orders.Order] = []
         self._proposals: list[state.JobRecord] = []
         self._decisions: list[Decision] = []
@@ -153,6 +157,7 @@
         self.workers.clear()
         self._newest.clear()
         self.index = WorkIndex()
+        self.adviser = Adviser()
         self._orders.clear()
         self._proposals.clear()
         self._finished_at_s.clear()
@@ -449,6 +454,19 @@
         """Tell whether every machine of a wave has begun its upkeep."""
         return set(wave.begun) >= set(wave.wave.machines)
 
+    def note_advice(
+        self, question: Question, advice: Advice | None, now_s: float
+    ) -> None:
+        """Take the adviser's answer, or the lack of one."""
+        self.adviser.note_advice(question, advice, now_s)
+        self.decide(
+            'advice_taken',
+            step=question.step_name,
+            asked=len(question.life_keys),
+            allowed=len(advice.permits) if advice is not None else None,
+        )
+        self._is_plan_due = True
+
     def newest_life(self, worker_id: str) -> WorkerView | None:
         """Return the view of a worker's latest life, or None."""
         view = self._newest.get(worker_id)
@@ -552,6 +570,7 @@
             return
         self._finished_at_s[job_id] = now_s
         self.index.remove_job(job_id)
+        self.adviser.forget_job(job_id)
         self.decide('job_finished', job=job_id, status=str(job.status))
         for task in job.tasks.values():
             for life_key in task.live_runs.values():
@@ -630,6 +649,10 @@
             self._retry_later(view, run, now_s)
             return
         task = job.tasks[run.key.task]
+        work = self.index.find(run.key)
+        permit = ''
+        if work is not None and job.queue.advice is not None:
+            permit = self.adviser.permit(work, view.key)
         self._orders.append(
             orders.StartOrder(
                 life=view.facts,
@@ -638,6 +661,7 @@
                 until_ms=clock_ms + _to_ms(worker_view.LEASE_S),
                 fence=self.fence,
                 saved=task.saved if run.step.saves_progress else '',
+                permit=permit,
             )
         )
         self._woken.add(view.key)
@@ -666,15 +690,8 @@
             life=view.key,
             outcome=str(outcome),
         )
-        if outcome in (kinds.NO_ROOM, kinds.UNHEALTHY, kinds.NO_PERMIT):
-            # The worker has done nothing, and the run number is not used
-            # again.
-            view.note_failure(now_s)
-            view.blocked_until_s = now_s + REFUSAL_PAUSE_S
-            self._void(run)
-        elif outcome is kinds.INVALID:
-            view.note_failure(now_s)
-            self._void(run)
+        if outcome in _REFUSALS:
+            self._note_refusal(view, run, outcome, now_s)
         elif outcome in (kinds.OLD_RUN, kinds.OTHER_LIFE):
             run.phase = RunPhase.STOPPED
             run.phase_at_s = now_s
@@ -686,6 +703,23 @@
                 run.phase_at_s = now_s
             self._retry_later(view, run, now_s)
 
+    def _note_refusal(
+        self,
+        view: WorkerView,
+        run: RunView,
+        outcome: orders.OrderOutcome,
+        now_s: float,
+    ) -> None:
+        """The worker has done nothing; the run number is not used again."""
+        if outcome is orders.OrderOutcome.NO_PERMIT:
+            work = self.index.find(run.key)
+            if work is not None:
+                self.adviser.drop_permit(work, view.key)
+        else:
+            view.note_failure(now_s)
+            view.blocked_until_s = now_s + REFUSAL_PAUSE_S
+        self._void(run)
+
     def _retry_later(
         self, view: WorkerView, run: RunView, now_s: float
     ) -> None:
@@ -1029,6 +1063,8 @@
             workers = pools.get(self.service_of(work.job))
             if workers is None:
                 continue
+            if work.job.queue.advice is not None:
+                workers = self.adviser.allowed(work, workers, now_s)
             for placement in _placement.place_step(work, workers, now_s):
                 key = self._reserve(work, placement, now_s)
                 runs.append(key)
@@ -1059,6 +1095,14 @@
         self._decisions.append(Decision(event, fields))
 
 
+_REFUSALS = (
+    orders.OrderOutcome.NO_PERMIT,
+    orders.OrderOutcome.NO_ROOM,
+    orders.OrderOutcome.UNHEALTHY,
+    orders.OrderOutcome.INVALID,
+)
+"""Answers of a worker that has not started a run and never will."""
+
 _GRANTING = (
     orders.OrderOutcome.DONE,
     orders.OrderOutcome.OLD_RUN,
--- a/greengagering/platform/__main__.py
+++ b/greengagering/platform/__main__.py
@@ -14,7 +14,7 @@
         host = _settings.load(_settings.ControlHost)
         logs.configure_logs(host.log_level)
         service = _services.ControlService(
-            host.to_settings(), host.metrics_address
+            host.to_settings(), host.metrics_address, host.adviser_address
         )
         _run.run_services(service, reload=service.reload)
 
--- /dev/null
+++ b/greengagering/platform/_adviser_calls.py
@@ -0,0 +1,73 @@
+"""Questions to the adviser, over HTTP."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from greengagering import coordination
+from greengagering import logs
+from greengagering.platform import _formats
+
+ANSWER_TIMEOUT_S = 5.0
+"""Longest time for an answer; the adviser takes its time for each worker."""
+
+MS_PER_S = 1000
+
+
+class _Advice(_formats.WireModel):
+    """An answer.
+
+    Attributes:
+        good: id and permit of each worker that is allowed.
+    """
+
+    good: tuple[tuple[str, str], ...]
+    validity_ms: float = 0.0
+
+
+class AdviserCalls:
+    """Client of the adviser; see transport's AdviserClient."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f'http://{address}/advise'
+        self._session: aiohttp.ClientSession | None = None
+
+    async def ask(
+        self, question: coordination.Question
+    ) -> coordination.Advice | None:
+        """Return the answer, or None where there is none."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                cookie_jar=aiohttp.DummyCookieJar()
+            )
+        body = _formats.write_body(
+            {'step': question.step_name, 'workers': [*question.life_keys]}
+        )
+        headers = {'Content-Type': _formats.JSON_TYPE}
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                async with self._session.post(
+                    self._url, data=body, headers=headers
+                ) as response:
+                    data = await response.read()
+                    response.raise_for_status()
+            wire = msgspec.json.decode(data, type=_Advice)
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.MsgspecError,
+        ) as error:
+            logs.warning(
+                'no_advice', step=question.step_name, cause=repr(error)
+            )
+            return None
+        return coordination.Advice(
+            dict(wire.good), wire.validity_ms / MS_PER_S
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -14,9 +14,13 @@
     """A control replica that workers and the operator reach."""
 
     def __init__(
-        self, settings: protocol.ControlSettings, metrics_address: str
+        self,
+        settings: protocol.ControlSettings,
+        metrics_address: str,
+        adviser_address: str,
     ) -> None:
         super().__init__()
+        from greengagering.platform import _adviser_calls
         from greengagering.platform import _control_app
         from greengagering.platform import _machine_calls
         from greengagering.platform import _worker_calls
@@ -28,6 +32,7 @@
             _machine_calls.MachineCalls(
                 settings.platform_url.removeprefix('http://')
             ),
+            _adviser_calls.AdviserCalls(adviser_address),
         )
         app = control.ControlApi(self._node).create_app()
         _control_app.ControlApp(self._node).add_routes(app)
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -23,6 +23,7 @@
         link_port: port for links, the same on every machine.
         seed_addresses: where the operator reaches the first replicas; their
             links listen on the same hosts.
+        adviser_address: service that permits steps to run on workers.
         tolerated_losses: machines that may be lost at once.
         metrics_port: where metrics are served on this machine.
     """
@@ -36,6 +37,7 @@
     is_first_start: bool
     tolerated_losses: int
     machine_service_address: str
+    adviser_address: str
     metrics_port: int
     log_level: str = 'info'
 
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -18,6 +18,8 @@
 from greengagering.protocol import links
 from greengagering import state
 from greengagering.transport import _addresses
+from greengagering.transport._adviser_client import AdviceRunner
+from greengagering.transport._adviser_client import AdviserClient
 from greengagering.transport._job_desk import CommitResult
 from greengagering.transport._job_desk import JobDesk
 from greengagering.transport._machine_client import MachineClient
@@ -58,6 +60,7 @@
         folder: state.DataFolder,
         workers: WorkerClient | None = None,
         machines: MachineClient | None = None,
+        adviser: AdviserClient | None = None,
     ) -> None:
         self.settings = settings
         self.folder = folder
@@ -128,6 +131,11 @@
                 self._propose,
                 self.metrics,
             )
+        self._advice: AdviceRunner | None = None
+        if adviser is not None:
+            self._advice = AdviceRunner(
+                self.core.jobs, adviser, self._loop.schedule
+            )
         self._calls: set[asyncio.Task[None]] = set()
         self._probed_at_s = float('-inf')
         self._hinted_at_s = float('-inf')
@@ -162,6 +170,8 @@
             await self._runner.close()
         if self._machines is not None:
             await self._machines.close()
+        if self._advice is not None:
+            await self._advice.close()
         self._send_outbox()
         await self._platform.close()
         await self.mesh.close()
@@ -363,6 +373,8 @@
             self._runner.step()
         if self._machines is not None:
             self._machines.step()
+        if self._advice is not None:
+            self._advice.step()
         for waited_s in self.core.jobs.take_start_waits():
             self.metrics.start_wait_seconds.observe({}, waited_s)
         for decision in self.core.jobs.take_decisions():
@@ -482,6 +494,7 @@
     settings: protocol.ControlSettings,
     workers: WorkerClient | None = None,
     machines: MachineClient | None = None,
+    adviser: AdviserClient | None = None,
 ) -> ControlNode:
     """Open the data folder and return a node that is ready to start.
 
@@ -489,6 +502,7 @@
         settings: the node's settings.
         workers: client towards workers, or None where no jobs are run.
         machines: client of the platform, or None where no machine is moved.
+        adviser: client of the adviser, or None where there is none.
 
     Raises:
         StorageError: the folder isn't this replica's, or is damaged.
@@ -501,7 +515,7 @@
         replica_id = state.read_identity(path).replica_id
     folder = state.open_folder(path, settings.cluster_id, replica_id)
     try:
-        return ControlNode(settings, folder, workers, machines)
+        return ControlNode(settings, folder, workers, machines, adviser)
     except BaseException:
         with contextlib.suppress(OSError):
             folder.close()
