Take a run as stalled only where its worker is at fault

Change: overdue runs are ended where sibling tasks were done in time, or runs of two jobs are overdue on one worker, or at eight times the estimate.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -50,6 +50,11 @@
     When 4 jobs with 4 tasks each are handed in, one every 0.3 s
     Then every job succeeds within 12 s
 
+  Scenario: Tasks that take longer than estimated on every worker are left alone
+    Given runs take 3 s
+    When a job with 6 tasks of an estimate of 0.5 s is handed in
+    Then it succeeds within 6 s after 6 starts
+
   Scenario: Tasks of a silent worker start elsewhere only when its lease is over
     Given runs take 9 s
     When a job with 8 lasting tasks is handed in
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -117,6 +117,23 @@
     hand_in(context, state.StepSpec(count, SMALL, 0.6, required_label=label))
 
 
+@when(
+    'a job with {count:d} tasks of an estimate of {seconds:g} s is handed in'
+)
+def estimated_job(context: Any, count: int, seconds: float) -> None:
+    hand_in(context, state.StepSpec(count, SMALL, seconds))
+
+
+@then('it succeeds within {seconds:g} s after {count:d} starts')
+def check_starts(context: Any, seconds: float, count: int) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: world.job(context.job_id).status is state.JobStatus.SUCCEEDED,
+        seconds,
+    )
+    assert len(starts_of(context, context.job_id)) == count
+
+
 @when('a job with 1 task is handed in')
 def single_job(context: Any) -> None:
     hand_in(context, state.StepSpec(1, SMALL, 0.6))
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import statistics
 
 from greengagering.coordination.jobs._advice import Advice
 from greengagering.coordination.jobs._advice import Adviser
@@ -34,12 +35,19 @@
 """Time between two searches for runs that stand still."""
 
 STALL_RATIO = 2.5
-"""Run time over estimate from which a run counts as standing still; distant
+"""Run time over the expected one from which a run may stand still; distant
 data doubles it at most, and estimates are off by a fifth."""
 
+LONE_STALL_RATIO = 8.0
+"""The same where nothing else shows that the worker is at fault: some jobs
+take several times their estimate on every worker."""
+
 STALL_SLACK_S = 0.3
 """Run time added to that, for the start and for short estimates."""
 
+STALLED_JOBS = 2
+"""Jobs with overdue runs on one worker that show that it is at fault."""
+
 MAX_STALLS = 2
 """Workers that a task is taken from for standing still; a task that stands
 still everywhere is left alone."""
@@ -917,6 +925,9 @@
         ran_s = now_s - run.started_at_s if run and run.started_at_s else None
         if end.ending is state.RunEnding.DONE:
             view.note_success(_run_ratio(run, ran_s))
+            work = self.index.find(end.key)
+            if work is not None and ran_s is not None:
+                work.run_times_s.append(ran_s)
             return
         self.decide(
             'run_ended',
@@ -985,36 +996,61 @@
             self.stop_run(view, run, now_s)
 
     def _find_stalled(self, now_s: float) -> None:
-        """Stop finite runs that take far longer than estimated.
+        """Stop finite runs that stand still because of their worker.
 
-        The worker stands still or is slow; the task is done sooner elsewhere,
-        if there is another worker with room for it.
+        A run that is overdue may only be longer than estimated. Its worker is
+        at fault if the other tasks of its step were done in time elsewhere, or
+        if runs of several jobs are overdue there.
         """
         for view in self.workers.values():
             if view.suspect_since_s is not None:
                 continue
-            for run in list(view.runs.values()):
-                if run.phase is not RunPhase.RUNNING or run.step.is_lasting:
-                    continue
-                limit_s = STALL_RATIO * run.step.estimate_s + STALL_SLACK_S
-                ran_s = now_s - run.started_at_s
-                if run.step.estimate_s <= 0 or ran_s < limit_s:
-                    continue
-                if not self._has_better_place(view, run):
-                    continue
-                self.decide(
-                    'run_stalled',
-                    run=run.key.name,
-                    life=view.key,
-                    ran_s=round(ran_s, 3),
-                    estimate_s=run.step.estimate_s,
+            overdue = [
+                run
+                for run in view.runs.values()
+                if self._is_overdue(run, now_s, STALL_RATIO)
+            ]
+            jobs = {run.key.job_id for run in overdue}
+            for run in overdue:
+                is_at_fault = (
+                    len(jobs) >= STALLED_JOBS
+                    or self._is_behind_siblings(run, now_s)
+                    or self._is_overdue(run, now_s, LONE_STALL_RATIO)
                 )
-                view.note_failure(now_s, worker_view.QUARANTINE_STREAK)
-                work = self.index.find(run.key)
-                if work is not None:
-                    index = int(run.key.task.rpartition('.')[2])
-                    work.failed_at.setdefault(index, set()).add(view.key)
-                self.stop_run(view, run, now_s)
+                if is_at_fault and self._has_better_place(view, run):
+                    self._end_stalled(view, run, now_s)
+
+    def _is_overdue(self, run: RunView, now_s: float, ratio: float) -> bool:
+        is_finite = not run.step.is_lasting and run.step.estimate_s > 0
+        if run.phase is not RunPhase.RUNNING or not is_finite:
+            return False
+        limit_s = ratio * run.step.estimate_s + STALL_SLACK_S
+        return now_s - run.started_at_s >= limit_s
+
+    def _is_behind_siblings(self, run: RunView, now_s: float) -> bool:
+        work = self.index.find(run.key)
+        if work is None or 2 * len(work.run_times_s) < work.step.task_count:
+            return False
+        usual_s = statistics.median(work.run_times_s)
+        limit_s = STALL_RATIO * usual_s + STALL_SLACK_S
+        return now_s - run.started_at_s >= limit_s
+
+    def _end_stalled(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> None:
+        self.decide(
+            'run_stalled',
+            run=run.key.name,
+            life=view.key,
+            ran_s=round(now_s - run.started_at_s, 3),
+            estimate_s=run.step.estimate_s,
+        )
+        view.note_failure(now_s, worker_view.QUARANTINE_STREAK)
+        work = self.index.find(run.key)
+        if work is not None:
+            index = int(run.key.task.rpartition('.')[2])
+            work.failed_at.setdefault(index, set()).add(view.key)
+        self.stop_run(view, run, now_s)
 
     def _has_better_place(self, view: WorkerView, run: RunView) -> bool:
         work = self.index.find(run.key)
--- a/greengagering/coordination/jobs/_work_index.py
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -21,6 +21,7 @@
         due_at_s: when the occurrence's objective ends.
         worthless_at_s: from then on the job earns nothing.
         since_s: when the step's turn came.
+        run_times_s: how long its finished runs took.
         failed_at: workers at which a task failed, by index.
     """
 
@@ -31,6 +32,7 @@
     due_at_s: float
     worthless_at_s: float
     since_s: float
+    run_times_s: list[float] = dataclasses.field(default_factory=list)
     failed_at: dict[int, set[str]] = dataclasses.field(default_factory=dict)
 
     @property
