Give an entry a lease that has every record which entries follow

Cause: entries that start some seconds after the first leader never got a lease until a ticket came: the leader took revisions that no entry follows for a floor. Change: the floor ends at the newest record that entries follow.

--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -316,8 +316,11 @@
 
         Former leaders may have rested decisions on anything that stood in
         the log before this term, such as a drain that every entry confirmed.
+        An entry that has all records that entries follow is level, although
+        its revision doesn't move with the others.
         """
-        return max(self.confirmed_revision, self._term_floor_revision)
+        floor = max(self.confirmed_revision, self._term_floor_revision)
+        return min(floor, self.feed.record_revision)
 
     def _load_snapshot(self, snapshot: state.Snapshot) -> None:
         self.state = state.decode(snapshot.data, state.ControlState)
