Find lives by name and address at once, and empty workers that drain

Cause: a new leader compared each life with every other (169 million pairs at 13,000 workers); lasting tasks stayed on a draining worker until it ended, and then waited for its lease. Change: a book of lives; stalls and needs in modules of their own; lasting tasks move when their worker drains; a notice to leave counts as the end of a life that had said that it drains. Conclusion: the notice alone would end a later life; its scenario holds that.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -74,10 +74,28 @@
     Then another leads within 3 s, and no task was started again after 4 s more
 
   Scenario: A worker that drains gets no new run
-    When worker-1 reports that it drains
+    When the worker worker-1 reports that it drains
     And 6 jobs with 4 tasks each are handed in, one every 0.3 s
     Then worker-1 was given at most 0 of the runs
 
+  Scenario: Lasting tasks leave a worker that drains
+    Given runs take 100 s
+    When a job with 8 lasting tasks is handed in
+    And it runs for 2 s and worker-3 reports that it drains
+    Then all 8 tasks run elsewhere than on worker-3 within 6 s
+
+  Scenario: Tasks of a worker that has left start elsewhere without its lease's end
+    Given runs take 100 s
+    When a job with 8 lasting tasks is handed in
+    And it runs for 2 s and worker-3 drains, says that it leaves, and ends
+    Then all 8 tasks run elsewhere than on worker-3 within 4 s
+
+  Scenario: A notice to leave of an earlier life ends no later one
+    Given runs take 100 s
+    When a job with 8 lasting tasks is handed in
+    And it runs for 2 s and a late notice says that worker-3 leaves
+    Then nothing of it starts again within 6 s
+
   Scenario: An occurrence doesn't start before its time
     When a job with 2 occurrences of 1 task, 2 s apart from 3 s ahead, is handed in
     Then its first start is 3 s after it was handed in, and the next 2 s later
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -203,7 +203,60 @@
     world._stop_control(world.leader_node())
 
 
-@when('{name} reports that it drains')
+@when('it runs for {seconds:g} s and {name} reports that it drains')
+def drain_later(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    assert name in world.running(context.job_id).values()
+    world.workers[name].is_draining = True
+
+
+@when(
+    'it runs for {seconds:g} s and {name} drains, says that it leaves, and '
+    'ends'
+)
+def leave_later(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    assert name in world.running(context.job_id).values()
+    view = world.leader().jobs.newest_life(name)
+    assert view is not None
+    view.is_draining = True
+    now_s = world.leader_node().clock.read(world.now_s)
+    world.leader().jobs.note_left(name, now_s)
+    world.workers[name].crash()
+
+
+@when('it runs for {seconds:g} s and a late notice says that {name} leaves')
+def late_notice(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    context.start_count = world.ledger.start_count
+    now_s = world.leader_node().clock.read(world.now_s)
+    world.leader().jobs.note_left(name, now_s)
+
+
+@then('all {count:d} tasks run elsewhere than on {name} within {seconds:g} s')
+def check_elsewhere(
+    context: Any, count: int, name: str, seconds: float
+) -> None:
+    world = world_of(context)
+
+    def is_elsewhere() -> bool:
+        placed = list(world.running(context.job_id).values())
+        return len(placed) == count and name not in placed
+
+    world.advance_until(is_elsewhere, seconds)
+
+
+@then('nothing of it starts again within {seconds:g} s')
+def check_no_restart(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    assert world.ledger.start_count == context.start_count
+
+
+@when('the worker {name} reports that it drains')
 def drain_worker(context: Any, name: str) -> None:
     world = world_of(context)
     world.workers[name].is_draining = True
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -2,15 +2,17 @@
 
 import dataclasses
 import math
-import statistics
 
 from greengagering.coordination.jobs._advice import Advice
 from greengagering.coordination.jobs._advice import Adviser
 from greengagering.coordination.jobs._advice import Question
 from greengagering.coordination.jobs._demand import DemandTracker
+from greengagering.coordination.jobs._life_book import LifeBook
 from greengagering.coordination.jobs import _orders as orders
 from greengagering.coordination.jobs import _placement
+from greengagering.coordination.jobs._pool_need import PoolNeed
 from greengagering.coordination.jobs import _sharing
+from greengagering.coordination.jobs import _stalls
 from greengagering.coordination.jobs._work_index import StepWork
 from greengagering.coordination.jobs._work_index import WorkIndex
 from greengagering.coordination.jobs import _worker_view as worker_view
@@ -34,20 +36,6 @@
 WATCH_INTERVAL_S = 0.2
 """Time between two searches for runs that stand still."""
 
-STALL_RATIO = 2.5
-"""Run time over the expected one from which a run may stand still; distant
-data doubles it at most, and estimates are off by a fifth."""
-
-LONE_STALL_RATIO = 8.0
-"""The same where nothing else shows that the worker is at fault: some jobs
-take several times their estimate on every worker."""
-
-STALL_SLACK_S = 0.3
-"""Run time added to that, for the start and for short estimates."""
-
-STALLED_JOBS = 2
-"""Jobs with overdue runs on one worker that show that it is at fault."""
-
 MAX_STALLS = 2
 """Workers that a task is taken from for standing still; a task that stands
 still everywhere is left alone."""
@@ -66,6 +54,9 @@
 """Time without new runs for a worker that refused one, for want of room or
 health; a third of a usual run time."""
 
+LEAVE_GRACE_S = 1.0
+"""Time from a worker's notice that it ends now until it has ended."""
+
 STOP_GRACE_S = 1.0
 """Time in which a stopped run must have ended; workers take 0.9 s at most."""
 
@@ -78,38 +69,6 @@
     fields: dict[str, object]
 
 
-@dataclasses.dataclass(slots=True)
-class PoolNeed:
-    """What the work at hand of a service needs.
-
-    Attributes:
-        lasting_cores: cores of its lasting tasks.
-        lasting_memory_mb: memory of its lasting tasks.
-        finite_cores: cores of its finite tasks, running or waiting.
-        finite_memory_mb: memory of its finite tasks.
-        least_workers: workers needed however large they are.
-    """
-
-    lasting_cores: float = 0.0
-    lasting_memory_mb: float = 0.0
-    finite_cores: float = 0.0
-    finite_memory_mb: float = 0.0
-    least_workers: int = 0
-
-    def add(self, step: state.StepSpec, task_count: int) -> None:
-        """Add tasks of a step."""
-        cores = 0.0 if step.fills else step.room.cpu_millicores / 1000
-        if step.is_lasting:
-            self.lasting_cores += cores * task_count
-            self.lasting_memory_mb += step.room.memory_mb * task_count
-        else:
-            self.finite_cores += cores * task_count
-            self.finite_memory_mb += step.room.memory_mb * task_count
-        if step.max_per_worker:
-            least = math.ceil(step.task_count / step.max_per_worker)
-            self.least_workers = max(self.least_workers, least)
-
-
 class JobDirector:
     """Decides what runs where, while its replica leads.
 
@@ -121,7 +80,7 @@
     def __init__(self, jobs: state.JobsState) -> None:
         self.jobs = jobs
         self.fence = 0
-        self.workers: dict[str, WorkerView] = {}
+        self._lives = LifeBook()
         self.index = WorkIndex()
         self.demand = DemandTracker()
         self.adviser = Adviser()
@@ -137,10 +96,14 @@
         self._finished_at_s: dict[str, float] = {}
         self._retries: list[tuple[float, RunView, WorkerView]] = []
         self._now_s = 0.0
-        self._newest: dict[str, WorkerView] = {}
         self._routed_plan: state.RoutePlan | None = None
         self._services: dict[tuple[str, str], str] = {}
 
+    @property
+    def workers(self) -> dict[str, WorkerView]:
+        """Every life of a worker that may still run something, by key."""
+        return self._lives.views
+
     @property
     def is_leading(self) -> bool:
         """Whether this replica gives orders."""
@@ -162,8 +125,7 @@
     def retire(self) -> None:
         """Forget everything that only a leader may act on."""
         self.fence = 0
-        self.workers.clear()
-        self._newest.clear()
+        self._lives.clear()
         self.index = WorkIndex()
         self.adviser = Adviser()
         self._orders.clear()
@@ -181,11 +143,12 @@
         self._retry_orders(now_s)
         if now_s >= self._watched_at_s + WATCH_INTERVAL_S:
             self._watched_at_s = now_s
-            self._find_stalled(now_s)
+            self._end_stalls(now_s)
         if self._is_plan_due or now_s >= self._planned_at_s + PLAN_INTERVAL_S:
             self._is_plan_due = False
             self._planned_at_s = now_s
             self._find_lapsed(now_s)
+            self._move_lasting(now_s)
             self._forget_finished(now_s)
             self._plan(now_s)
         return self.take_proposals()
@@ -269,7 +232,7 @@
         key = report.facts.key
         view = self.workers.get(key)
         if view is None:
-            if self._is_outdated(report.facts):
+            if self._lives.is_outdated(report.facts):
                 return None
             return state.LifeSeen(report.facts)
         if report.sequence <= view.sequence:
@@ -285,14 +248,16 @@
         return None
 
     def note_left(self, worker_id: str, now_s: float) -> None:
-        """A worker ends now; its lists are read once more if they can be."""
-        for view in self.workers.values():
-            if view.facts.worker_id == worker_id:
-                view.is_draining = True
-                view.suspect_since_s = view.suspect_since_s or now_s
-                self.decide('worker_left', life=view.key)
-                if not view.runs:
-                    self.end_life(view, 'left')
+        """A worker ends now, with everything that runs on it.
+
+        Its notice has no birth, so it holds only for a life that had said
+        that it drains: a late one may come after the next life's birth.
+        """
+        view = self.newest_life(worker_id)
+        if view is None or not view.is_draining:
+            return
+        view.left_at_s = now_s
+        self.decide('worker_left', life=view.key, runs=len(view.runs))
 
     def next_look(
         self, life_key: str, now_s: float
@@ -477,7 +442,7 @@
 
     def newest_life(self, worker_id: str) -> WorkerView | None:
         """Return the view of a worker's latest life, or None."""
-        view = self._newest.get(worker_id)
+        view = self._lives.newest(worker_id)
         return view if view is not None and not view.is_over else None
 
     def usable_workers(self, job: state.Job) -> list[WorkerView]:
@@ -532,38 +497,27 @@
         view = WorkerView(life.facts, now_s)
         view.is_draining = life.is_draining
         view.proposed_end = life.noted_end
-        self.workers[view.key] = view
-        newest = self._newest.get(life.facts.worker_id)
-        if newest is None or newest.facts.born_ms < life.facts.born_ms:
-            self._newest[life.facts.worker_id] = view
+        self._lives.add(view)
         self._woken.add(view.key)
         for key in life.runs.values():
             step = self._step_of(key)
             if step is not None:
                 view.add_run(RunView(key, step, RunPhase.UNCERTAIN, now_s))
-        for other in self.workers.values():
-            if other is view or other.successor or other.is_over:
-                continue
-            is_reborn = other.facts.worker_id == view.facts.worker_id
-            is_replaced = other.facts.address == view.facts.address
-            if not (is_reborn or is_replaced):
-                continue
-            older, newer = sorted((other, view), key=lambda v: v.facts.born_ms)
-            older.successor = newer.key
-            if is_reborn and not newer.is_read:
-                newer.blocked_until_s = now_s + REBIRTH_PAUSE_S
-            if not is_reborn:
-                # Orders name the worker, and the newer one refuses them.
-                self.end_life(older, 'address reused')
-
-    def _is_outdated(self, facts: state.WorkerFacts) -> bool:
-        """Tell whether a later life is known under this name or address."""
-        return any(
-            view.facts.born_ms > facts.born_ms
-            for view in self.workers.values()
-            if facts.worker_id == view.facts.worker_id
-            or facts.address == view.facts.address
-        )
+        for other in self._lives.related(view.facts):
+            if not (other.successor or other.is_over):
+                self._succeed(view, other, now_s)
+
+    def _succeed(
+        self, view: WorkerView, other: WorkerView, now_s: float
+    ) -> None:
+        """Settle which of two lives at one name or address is the later."""
+        older, newer = sorted((other, view), key=lambda v: v.facts.born_ms)
+        older.successor = newer.key
+        if older.facts.worker_id != newer.facts.worker_id:
+            # Orders name the worker, and the newer one refuses them.
+            self.end_life(older, 'address reused')
+        elif not newer.is_read:
+            newer.blocked_until_s = now_s + REBIRTH_PAUSE_S
 
     def _step_of(self, key: state.RunKey) -> state.StepSpec | None:
         job = self.jobs.jobs.get(key.job_id)
@@ -619,15 +573,10 @@
                     self._note_end_applied(end, now_s)
                 self._woken.add(record.life_key)
             case state.LifeOver():
-                view = self.workers.pop(record.life_key, None)
+                view = self._lives.remove(record.life_key)
                 if view is not None:
-                    self._forget_worker(view)
-
-    def _forget_worker(self, view: WorkerView) -> None:
-        if self._newest.get(view.facts.worker_id) is view:
-            del self._newest[view.facts.worker_id]
-        for run in view.runs.values():
-            self.index.note_task(run.key)
+                    for run in view.runs.values():
+                        self.index.note_task(run.key)
 
     def _note_allotted(
         self, key: state.RunKey, life_key: str, now_s: float
@@ -833,7 +782,7 @@
     def _end_replaced(self, view: WorkerView, now_s: float) -> None:
         successor = self.workers.get(view.successor)
         if successor is None or successor.is_over:
-            newest = self._newest.get(view.facts.worker_id)
+            newest = self._lives.newest(view.facts.worker_id)
             if newest is None or newest is view or newest.is_over:
                 # Nothing of the successor runs any more either.
                 self.end_life(view, 'reborn')
@@ -890,6 +839,9 @@
             if view.successor:
                 self._end_replaced(view, now_s)
                 continue
+            if now_s >= view.left_at_s + LEAVE_GRACE_S:
+                self.end_life(view, 'left')
+                continue
             is_silent = view.suspect_since_s is not None or (
                 now_s >= view.heard_at_s + worker_view.SILENCE_S
             )
@@ -995,46 +947,15 @@
         if job is None or job.status is not state.JobStatus.ACTIVE:
             self.stop_run(view, run, now_s)
 
-    def _find_stalled(self, now_s: float) -> None:
-        """Stop finite runs that stand still because of their worker.
-
-        A run that is overdue may only be longer than estimated. Its worker is
-        at fault if the other tasks of its step were done in time elsewhere, or
-        if runs of several jobs are overdue there.
-        """
+    def _end_stalls(self, now_s: float) -> None:
+        """Stop what stands still, where it has a better place."""
         for view in self.workers.values():
             if view.suspect_since_s is not None:
                 continue
-            overdue = [
-                run
-                for run in view.runs.values()
-                if self._is_overdue(run, now_s, STALL_RATIO)
-            ]
-            jobs = {run.key.job_id for run in overdue}
-            for run in overdue:
-                is_at_fault = (
-                    len(jobs) >= STALLED_JOBS
-                    or self._is_behind_siblings(run, now_s)
-                    or self._is_overdue(run, now_s, LONE_STALL_RATIO)
-                )
-                if is_at_fault and self._has_better_place(view, run):
+            for run in _stalls.find_stalled(view, self.index, now_s):
+                if self._has_better_place(view, run):
                     self._end_stalled(view, run, now_s)
 
-    def _is_overdue(self, run: RunView, now_s: float, ratio: float) -> bool:
-        is_finite = not run.step.is_lasting and run.step.estimate_s > 0
-        if run.phase is not RunPhase.RUNNING or not is_finite:
-            return False
-        limit_s = ratio * run.step.estimate_s + STALL_SLACK_S
-        return now_s - run.started_at_s >= limit_s
-
-    def _is_behind_siblings(self, run: RunView, now_s: float) -> bool:
-        work = self.index.find(run.key)
-        if work is None or 2 * len(work.run_times_s) < work.step.task_count:
-            return False
-        usual_s = statistics.median(work.run_times_s)
-        limit_s = STALL_RATIO * usual_s + STALL_SLACK_S
-        return now_s - run.started_at_s >= limit_s
-
     def _end_stalled(
         self, view: WorkerView, run: RunView, now_s: float
     ) -> None:
@@ -1067,6 +988,25 @@
         ]
         return _placement.has_place(work, others)
 
+    def _move_lasting(self, now_s: float) -> None:
+        """Stop lasting tasks on workers that drain, while they have a place.
+
+        They end with the worker in any case, and later than this.
+        """
+        for view in self.workers.values():
+            if not view.is_draining or view.suspect_since_s is not None:
+                continue
+            for run in list(view.runs.values()):
+                is_movable = run.phase is RunPhase.RUNNING
+                if not (run.step.is_lasting and is_movable):
+                    continue
+                work = self.index.find(run.key)
+                if work is None:
+                    continue
+                workers = self.usable_workers(work.job)
+                if _placement.has_place(work, workers):
+                    self.stop_run(view, run, now_s)
+
     def _forget_finished(self, now_s: float) -> None:
         old = [
             job_id
--- /dev/null
+++ b/greengagering/coordination/jobs/_life_book.py
@@ -0,0 +1,73 @@
+"""The lives of workers that the leader knows, by name and by address."""
+
+from greengagering.coordination.jobs._worker_view import WorkerView
+from greengagering import state
+
+
+class LifeBook:
+    """Finds lives and their successors in time that doesn't grow with them.
+
+    Attributes:
+        views: every life by its key.
+    """
+
+    def __init__(self) -> None:
+        self.views: dict[str, WorkerView] = {}
+        self._by_worker: dict[str, list[WorkerView]] = {}
+        self._by_address: dict[str, list[WorkerView]] = {}
+
+    def clear(self) -> None:
+        """Forget every life."""
+        self.views.clear()
+        self._by_worker.clear()
+        self._by_address.clear()
+
+    def add(self, view: WorkerView) -> None:
+        """Add a life."""
+        self.views[view.key] = view
+        facts = view.facts
+        self._by_worker.setdefault(facts.worker_id, []).append(view)
+        self._by_address.setdefault(facts.address, []).append(view)
+
+    def remove(self, key: str) -> WorkerView | None:
+        """Remove a life, and return it."""
+        view = self.views.pop(key, None)
+        if view is not None:
+            facts = view.facts
+            _remove(self._by_worker, facts.worker_id, view)
+            _remove(self._by_address, facts.address, view)
+        return view
+
+    def newest(self, worker_id: str) -> WorkerView | None:
+        """Return a worker's latest life, or None."""
+        return max(
+            self._by_worker.get(worker_id, ()),
+            key=lambda view: view.facts.born_ms,
+            default=None,
+        )
+
+    def related(self, facts: state.WorkerFacts) -> list[WorkerView]:
+        """Return the lives that share a name or an address with one."""
+        found = list(self._by_worker.get(facts.worker_id, ()))
+        found += [
+            view
+            for view in self._by_address.get(facts.address, ())
+            if view not in found
+        ]
+        return [view for view in found if view.key != facts.key]
+
+    def is_outdated(self, facts: state.WorkerFacts) -> bool:
+        """Tell whether a later life is known under this name or address."""
+        return any(
+            view.facts.born_ms > facts.born_ms for view in self.related(facts)
+        )
+
+
+def _remove(
+    book: dict[str, list[WorkerView]], name: str, view: WorkerView
+) -> None:
+    left = [other for other in book[name] if other is not view]
+    if left:
+        book[name] = left
+    else:
+        del book[name]
--- a/greengagering/coordination/jobs/_pool_plan.py
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -5,8 +5,8 @@
 import math
 
 from greengagering.coordination.jobs._director import JobDirector
-from greengagering.coordination.jobs._director import PoolNeed
 from greengagering.coordination.jobs import _machines as machines
+from greengagering.coordination.jobs._pool_need import PoolNeed
 from greengagering.coordination.jobs._worker_view import WorkerView
 from greengagering import state
 
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -113,6 +113,7 @@
         granted_at_s: when the newest grant was sent.
         is_over: its end was proposed.
         blocked_until_s: it gets no new run before, after a refusal.
+        left_at_s: when it said that it ends now, or infinity.
         strays: runs that it lists and that were not allotted to it.
         failure_streak: failures since the last success.
         quarantined_until_s: a failing worker is not probed before.
@@ -140,6 +141,7 @@
         self.granted_at_s = float('-inf')
         self.is_over = False
         self.blocked_until_s = float('-inf')
+        self.left_at_s = float('inf')
         self.strays: frozenset[str] = frozenset()
         self.poisons: dict[str, state.RunKey] = {}
         self.is_poisoned = False
