Tell a change of members in the log, and send nothing to a replaced replica

The leader also went on sending to the lost replica's name at the newcomer's address. Change: a line for each change of members; nothing is sent to a voter at whose address a newer replica is.

--- a/greengagering/coordination/agreement/_healing.py
+++ b/greengagering/coordination/agreement/_healing.py
@@ -40,10 +40,13 @@
 
     Attributes:
         voter_count: voters wanted.
+        replaced: voters at whose address a newer replica is, so that what is
+            sent to them would reach that one.
     """
 
     def __init__(self, voter_count: int) -> None:
         self.voter_count = voter_count
+        self.replaced: frozenset[str] = frozenset()
         self._candidates: dict[str, Candidate] = {}
         self._led_since_s = float('-inf')
         self._led_term = 0
@@ -122,6 +125,7 @@
                 replaced.append(voter)
             elif self._is_dead(replica, voter, now_s, DEAD_AFTER_S):
                 dead.append(voter)
+        self.replaced = frozenset(replaced)
         return replaced + dead
 
     def _is_dead(
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -143,6 +143,7 @@
         self._known_addresses: dict[str, str] = {}
         self._known_role = coordination.Role.FOLLOWER
         self._known_fault = ''
+        self._known_members = self.replica.membership
 
     async def start(self) -> None:
         """Listen for other processes and begin to take part.
@@ -383,9 +384,11 @@
 
     def _send_outbox(self) -> None:
         addresses = self._addresses()
+        healing = self.core.healing
+        replaced = healing.replaced if healing is not None else frozenset()
         for outgoing in self.replica.take_outbox():
             address = addresses.get(outgoing.receiver)
-            if address is not None:
+            if address is not None and outgoing.receiver not in replaced:
                 self.mesh.send(outgoing.receiver, address, outgoing.message)
         for to_entry in self.core.take_entry_outbox():
             self.mesh.send(
@@ -431,7 +434,21 @@
         self._waiters.clear()
         self._commits.clear()
 
+    def _note_members(self) -> None:
+        members = self.replica.membership
+        if members is self._known_members:
+            return
+        self._known_members = members
+        logs.info(
+            'members_changed',
+            voters=','.join(members.voters),
+            learners=','.join(members.learners),
+            index=self.replica.log.membership_index,
+            commit_index=self.replica.commit_index,
+        )
+
     def _note_role(self) -> None:
+        self._note_members()
         if self.replica.role is not self._known_role:
             self._known_role = self.replica.role
             logs.info(
