Give an order again that was not sent for want of a lease

Change: such an order is sent again once the lease is back. Conclusion: why the lease is lost for moments is looked at next.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -13,4 +13,4 @@
   Scenario: No task runs twice, too early, over its room or after its end, and no accepted job is lost
     When 300 schedules of the job search run from seed 0
     Then no schedule breaks a promise
-    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders and leaders
+    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, unsent and leaders
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -41,6 +41,7 @@
     crashes: int = 0
     rebirths: int = 0
     late_orders: int = 0
+    unsent: int = 0
     lapses: int = 0
     leaders: int = 0
 
@@ -94,6 +95,7 @@
         self.late_ratio = self.rng.choice((0, 0, 0.05))
         self.grants_from_arrival = self.rng.random() < 0.5
         self.lost_ratio = self.rng.choice((0, 0.02, 0.1))
+        self.unsent_ratio = self.rng.choice((0, 0.05))
         self.is_calm = False
         self.cut_workers: dict[str, float] = {}
         self.workers = {
@@ -371,6 +373,11 @@
     ) -> None:
         self._terms.add(core.jobs.fence)
         for order in core.jobs.take_orders():
+            if not self.is_calm and self.rng.random() < self.unsent_ratio:
+                # The lease was lost between the decision and the call.
+                self.result.unsent += 1
+                core.jobs.note_unsent(order, now_s)
+                continue
             grant = 0
             if isinstance(order, coordination.StartOrder):
                 grant = core.jobs.begin_start(order, now_s)
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -382,6 +382,22 @@
         if outcome is orders.OrderOutcome.NO_ANSWER:
             self._suspect(view, now_s, 'order')
 
+    def note_unsent(self, order: orders.Order, now_s: float) -> None:
+        """An order was not sent, as the lease was lost before.
+
+        This replica may have its lease again in the same term, and then
+        nobody else decides on the run.
+        """
+        view = self.workers.get(order.life.key)
+        run = view.runs.get(order.key.name) if view is not None else None
+        if view is None or run is None or order.fence != self.fence:
+            return
+        self.decide('order_unsent', run=run.key.name, life=view.key)
+        if isinstance(order, orders.PaceOrder):
+            run.ordered_percent = None
+        else:
+            self._retry_later(view, run, now_s)
+
     def _settle_start(
         self,
         view: WorkerView,
--- a/greengagering/transport/_order_runner.py
+++ b/greengagering/transport/_order_runner.py
@@ -73,11 +73,12 @@
     async def _carry_out(self, order: coordination.Order) -> None:
         lane = self._lanes.get(order.life.key)
         if lane is None:
+            # The life is over, and with it every run on it.
             return
         async with lane:
-            # Without a lease another replica may lead already; the orders
-            # that are left are decided anew by whoever leads then.
+            # Without a lease another replica may lead already.
             if not self._may_order():
+                self._director.note_unsent(order, clock.steady_s())
                 return
             grant = 0
             sent_at_s = clock.steady_s()
