--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -39,3 +39,16 @@
     Then it still knows entry-1, entry-2 and entry-3
     When the leader knows every entry that may have a lease, entry-1 and entry-2
     Then it knows entry-1 and entry-2
+
+  Scenario: Proposals gather while a batch is on its way
+    Given a leader of three with an empty log
+    When a proposal is flushed and 5 more follow within 10 ms
+    Then 1 batch was written since
+    When the first batch is acknowledged and the leader flushes
+    Then 2 batches were written since, the second with 5 entries
+
+  Scenario: A batch without an acknowledgement holds the next up for a moment only
+    Given a leader of three with an empty log
+    When a proposal is flushed and 5 more follow within 10 ms
+    And 20 ms pass and the leader flushes
+    Then 2 batches were written since, the second with 5 entries
--- /dev/null
+++ b/features/steps/batch_rule_steps.py
@@ -0,0 +1,85 @@
+"""Steps that count the batches that a leader writes."""
+
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.search import fakes
+from greengagering import coordination
+from greengagering import state
+
+VOTERS = ('control-1', 'control-2', 'control-3')
+
+
+def peer(name: str) -> coordination.ReplicaIdentity:
+    """Return the identity of a replica."""
+    return coordination.ReplicaIdentity(name, f'{name}-folder')
+
+
+def acknowledge(context: Any) -> None:
+    """Let control-2 acknowledge the whole log."""
+    replica = context.replica
+    response = coordination.AppendResponse(
+        replica.term, True, replica.log.last_index, 0, context.now_s
+    )
+    replica.receive(peer('control-2'), response, context.now_s)
+
+
+@given('a leader of three with an empty log')
+def elect(context: Any) -> None:
+    rng = random.Random(1)
+    context.now_s = 1.0
+    context.disk = fakes.FakeDisk(rng, 0.0)
+    replica = coordination.Replica(
+        peer('control-1'),
+        state.Membership(voters=VOTERS),
+        context.disk,
+        rng,
+        0.0,
+    )
+    context.replica = replica
+    replica.tick(context.now_s)
+    for is_pre in (True, False):
+        term = replica.term + is_pre
+        vote = coordination.VoteResponse(term, is_pre, True)
+        replica.receive(peer('control-2'), vote, context.now_s)
+    assert replica.is_leader
+    acknowledge(context)
+    # The identity that the acknowledgement bound is committed too.
+    replica.flush(context.now_s)
+    acknowledge(context)
+    context.writes = context.disk.writes
+
+
+@when('a proposal is flushed and {count:d} more follow within {ms:d} ms')
+def propose(context: Any, count: int, ms: int) -> None:
+    for number in range(count + 1):
+        context.replica.propose(b'x')
+        context.replica.flush(context.now_s + number * ms / 1000 / count)
+
+
+@when('the first batch is acknowledged and the leader flushes')
+def commit(context: Any) -> None:
+    acknowledge(context)
+    context.replica.flush(context.now_s)
+
+
+@when('{ms:d} ms pass and the leader flushes')
+def wait(context: Any, ms: int) -> None:
+    context.replica.flush(context.now_s + ms / 1000)
+
+
+@then('{count:d} batch was written since')
+def check_writes(context: Any, count: int) -> None:
+    assert context.disk.writes - context.writes == count
+
+
+@then('{count:d} batches were written since, the second with {size:d} entries')
+def check_batches(context: Any, count: int, size: int) -> None:
+    check_writes(context, count)
+    assert context.replica.log.last_index - size >= 1
+    entries = context.disk.load().entries
+    assert len(entries) == context.replica.log.last_index
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -52,6 +52,8 @@
         max_batch_bytes: payload in one message.
         snapshot_chunk_bytes: snapshot bytes in one message.
         max_pending_entries: uncommitted entries before proposals are refused.
+        flush_interval_s: time between two batches while the earlier is not
+            committed; twice a disk's sync, so that followers keep up.
     """
 
     heartbeat_s: float = 0.08
@@ -62,6 +64,7 @@
     max_batch_bytes: int = 256 * 1024
     snapshot_chunk_bytes: int = 256 * 1024
     max_pending_entries: int = 10_000
+    flush_interval_s: float = 0.012
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +118,7 @@
         self._installed: state.Snapshot | None = None
         self._is_transfer = False
         self.term_start_index = 0
+        self._flushed_at_s = float('-inf')
         self._elected_at_s = now_s
         # A restarted replica may have promised a leader its patience just
         # before it stopped, so it waits before it helps to elect another.
@@ -170,9 +174,18 @@
         return Ok(index)
 
     def flush(self, now_s: float) -> None:
-        """Make queued proposals durable with one write and send them."""
+        """Make queued proposals durable with one write and send them.
+
+        While a batch is on its way, more proposals gather for the next: each
+        batch costs every follower a sync.
+        """
         if not self._proposals:
             return
+        is_busy = self.log.last_index > self.commit_index
+        due_s = self._flushed_at_s + self.options.flush_interval_s
+        if self.is_leader and is_busy and now_s < due_s:
+            return
+        self._flushed_at_s = now_s
         entries = self._proposals
         self._proposals = []
         if not self.is_leader:
--- a/greengagering/logs.py
+++ b/greengagering/logs.py
@@ -66,10 +66,11 @@
             self.left_out.clear()
 
     def _write(self, line: str) -> bool:
-        """Write a line unless the reader of the pipe is behind."""
+        """Write a line, unless its reader is behind or its file is full."""
         try:
             os.write(self._descriptor, f'{line}\n'.encode())
-        except (BlockingIOError, BrokenPipeError):
+        except OSError:
+            # There is nowhere left to tell it; the line is counted.
             return False
         return True
 
