--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -52,3 +52,10 @@
     When a proposal is flushed and 5 more follow within 10 ms
     And 20 ms pass and the leader flushes
     Then 2 batches were written since, the second with 5 entries
+
+  Scenario: A learner that lags by a few entries of a steady stream may vote
+    Given a leader of three with an empty log
+    When control-4 learns and lags by 20 entries
+    Then it may become a voter
+    When control-4 learns and lags by 100 entries
+    Then it may not become a voter
--- a/features/steps/batch_rule_steps.py
+++ b/features/steps/batch_rule_steps.py
@@ -47,9 +47,10 @@
         vote = coordination.VoteResponse(term, is_pre, True)
         replica.receive(peer('control-2'), vote, context.now_s)
     assert replica.is_leader
-    acknowledge(context)
-    # The identity that the acknowledgement bound is committed too.
-    replica.flush(context.now_s)
+    # The identity that an acknowledgement binds is committed too.
+    for _ in range(2):
+        acknowledge(context)
+        replica.flush(context.now_s)
     acknowledge(context)
     context.writes = context.disk.writes
 
@@ -72,6 +73,64 @@
     context.replica.flush(context.now_s + ms / 1000)
 
 
+@when('{name} learns and lags by {count:d} entries')
+def lag(context: Any, name: str, count: int) -> None:
+    replica = context.replica
+    if name not in replica.membership.learners:
+        wanted = state.Membership(
+            VOTERS, (name,), replica.membership.incarnations
+        )
+        refused = replica.propose_membership(wanted, context.now_s).err()
+        assert refused is None, refused
+        context.now_s += 0.1
+        replica.flush(context.now_s)
+        acknowledge(context)
+    level = replica.log.last_index
+    for _ in range(count):
+        replica.propose(b'x')
+    context.now_s += 0.1
+    replica.flush(context.now_s)
+    acknowledge(context)
+    response = coordination.AppendResponse(
+        replica.term, True, level, 0, context.now_s
+    )
+    replica.receive(peer(name), response, context.now_s)
+    # Its identity, now bound, is committed too.
+    for _ in range(2):
+        context.now_s += 0.1
+        replica.flush(context.now_s)
+        acknowledge(context)
+        replica.receive(
+            peer(name),
+            coordination.AppendResponse(
+                replica.term, True, level, 0, context.now_s
+            ),
+            context.now_s,
+        )
+    context.learner = name
+
+
+def find_refusal(context: Any) -> Any:
+    """Return why the learner may not vote, or None."""
+    present = context.replica.membership
+    wanted = state.Membership(
+        (*VOTERS, context.learner), (), present.incarnations
+    )
+    return context.replica.propose_membership(wanted, context.now_s).err()
+
+
+@then('it may not become a voter')
+def check_refused(context: Any) -> None:
+    assert 'must catch up' in str(find_refusal(context))
+
+
+@then('it may become a voter')
+def check_allowed(context: Any) -> None:
+    refusal = find_refusal(context)
+    assert refusal is None, refusal
+    context.replica._proposals.clear()
+
+
 @then('{count:d} batch was written since')
 def check_writes(context: Any, count: int) -> None:
     assert context.disk.writes - context.writes == count
--- a/greengagering/coordination/agreement/_healing.py
+++ b/greengagering/coordination/agreement/_healing.py
@@ -81,7 +81,7 @@
             if self._is_dead(replica, learner, now_s, LEARNER_PATIENCE_S):
                 return MembershipStep(_membership.without(present, learner))
             is_wanted = len(present.voters) <= self.voter_count
-            if is_wanted and replica.is_in_step(learner, now_s):
+            if is_wanted and replica.is_near(learner, now_s):
                 return MembershipStep(_membership.with_voter(present, learner))
         return self._next_learner(present, fresh)
 
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -52,6 +52,8 @@
         max_batch_bytes: payload in one message.
         snapshot_chunk_bytes: snapshot bytes in one message.
         max_pending_entries: uncommitted entries before proposals are refused.
+        max_lag_entries: entries that a replica may lag behind what is
+            committed and still become a voter; a few batches.
         flush_interval_s: time between two batches while the earlier is not
             committed; twice a disk's sync, so that followers keep up.
     """
@@ -64,6 +66,7 @@
     max_batch_bytes: int = 256 * 1024
     snapshot_chunk_bytes: int = 256 * 1024
     max_pending_entries: int = 10_000
+    max_lag_entries: int = 64
     flush_interval_s: float = 0.012
 
 
@@ -331,7 +334,7 @@
         if not wanted.voters:
             return 'a cluster needs a voter'
         for voter in set(wanted.voters) - set(present.voters):
-            if not self.is_in_step(voter, now_s):
+            if not self.is_near(voter, now_s):
                 return f'{voter} must catch up as a learner first'
         return self._find_quorum_problem(wanted, now_s)
 
@@ -339,7 +342,7 @@
         self, wanted: state.Membership, now_s: float
     ) -> str:
         """Refuse voters of whom no majority is in step right now."""
-        in_step = [v for v in wanted.voters if self.is_in_step(v, now_s)]
+        in_step = [v for v in wanted.voters if self.is_near(v, now_s)]
         needed = wanted.quorum_size()
         if len(in_step) < needed:
             return (
@@ -348,6 +351,23 @@
             )
         return ''
 
+    def is_near(self, replica_id: str, now_s: float) -> bool:
+        """Tell whether a replica answers and lags by a few batches at most.
+
+        Under a steady stream of entries a follower is hardly ever level with
+        what was committed just now.
+        """
+        if replica_id == self.identity.replica_id:
+            return True
+        progress = self.progress.get(replica_id)
+        if progress is None:
+            return False
+        is_heard = (
+            now_s < progress.acked_sent_at_s + self.options.election_max_s
+        )
+        lag = self.commit_index - progress.match_index
+        return is_heard and lag <= self.options.max_lag_entries
+
     def is_in_step(self, replica_id: str, now_s: float) -> bool:
         """Tell whether a replica answers and holds all that is committed.
 
