Take the platform's word that a machine is lost for the end of its worker

Change: a silent life ends when a list read since says that its machine is down, gone or another worker's. Result: the new scenario fails before and passes after; a worker that is only cut off keeps its tasks.

--- a/features/steps/machine_rule_steps.py
+++ b/features/steps/machine_rule_steps.py
@@ -80,6 +80,41 @@
     wave_over_all(context, at_once, seconds)
 
 
+@when(
+    'it runs for {seconds:g} s and the machine of {name} is lost with an '
+    'order open'
+)
+def lose_machine(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    open_order(context, seconds, name)
+    world.workers[name].crash()
+    world.keeps_machines = True
+    world.machines[name] = dataclasses.replace(
+        world.machines[name],
+        status=coordination.MachineState.DOWN,
+        worker_id='',
+    )
+
+
+@when('it runs for {seconds:g} s and {name} is cut off with an order open')
+def cut_machine(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    open_order(context, seconds, name)
+    world.cut_workers[name] = world.now_s + 60
+
+
+def open_order(context: Any, seconds: float, name: str) -> None:
+    """Leave an order to start without an answer at a worker."""
+    world = world_of(context)
+    world.advance(seconds)
+    context.start_count = world.ledger.start_count
+    assert name in world.running(context.job_id).values()
+    view = world.leader().jobs.newest_life(name)
+    assert view is not None
+    now_s = world.leader_node().clock.read(world.now_s)
+    view.begin_grant(now_s, 10.0)
+
+
 @when('a wave over a machine that is not there is accepted')
 def wave_over_missing(context: Any) -> None:
     accept_wave(context, ('worker-9',), 1, 10)
--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -94,6 +94,7 @@
         self._lists_s: list[float] = []
         self._calls: list[machines.MachineCall] = []
         self._wave_started_s: dict[int, float] = {}
+        self._machine_of: dict[str, str] = {}
 
     @property
     def jobs(self) -> state.JobsState:
@@ -140,6 +141,7 @@
         self._is_listing = False
         if listed is None:
             return
+        self._end_lost_lives({machine.name: machine for machine in listed})
         self._listed_once = True
         self._lists_s = [*self._lists_s[-LISTS_WITHOUT:], now_s]
         self.machines = {machine.name: machine for machine in listed}
@@ -150,6 +152,31 @@
             ):
                 del self.open[opened.duty.machine]
 
+    def _end_lost_lives(self, listed: dict[str, machines.Machine]) -> None:
+        """End silent lives whose machine the platform says is not theirs.
+
+        A worker that can't be reached may run on; one whose machine is down,
+        gone or another worker's can't. Its lease may be open for long.
+        """
+        for machine in listed.values():
+            if machine.worker_id:
+                self._machine_of[machine.worker_id] = machine.name
+        for view in list(self._director.workers.values()):
+            suspect_s = view.suspect_since_s
+            if suspect_s is None or suspect_s >= self._listed_at_s:
+                continue
+            name = self._machine_of.get(view.facts.worker_id)
+            if name is None:
+                continue
+            present = listed.get(name)
+            is_lost = (
+                present is None
+                or present.status is machines.MachineState.DOWN
+                or present.worker_id not in ('', view.facts.worker_id)
+            )
+            if is_lost:
+                self._director.end_life(view, 'machine lost')
+
     def note_duty(
         self,
         order: machines.DutyOrder,
@@ -202,7 +229,17 @@
             len(wave.begun) < len(wave.wave.machines)
             for wave in self.jobs.waves.values()
         )
-        if self.open or has_wave or not self._listed_once:
+        has_silent = any(
+            view.suspect_since_s is not None and view.runs
+            for view in self._director.workers.values()
+        )
+        # A worker's machine must be known before the worker falls silent.
+        has_new = any(
+            view.seen_at_s > self._listed_at_s
+            for view in self._director.workers.values()
+        )
+        is_urgent = self.open or has_wave or has_silent or has_new
+        if is_urgent or not self._listed_once:
             interval_s = LIST_INTERVAL_S
         if self._is_listing or now_s < self._listed_at_s + interval_s:
             return
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -105,6 +105,7 @@
         is_read: its lists were read under this leader's fence.
         is_draining: it takes no new run.
         is_reserved: its machine is being emptied for upkeep or a move.
+        seen_at_s: when the leader first knew of it.
         heard_at_s: when it last answered or reported.
         suspect_since_s: when it first failed to answer, or None.
         sequence: number of its newest report.
@@ -133,6 +134,7 @@
         self.is_read = False
         self.is_draining = False
         self.is_reserved = False
+        self.seen_at_s = now_s
         self.heard_at_s = now_s
         self.suspect_since_s: float | None = None
         self.sequence = -1
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -104,7 +104,7 @@
         )
 
 
-STOP_SHARE = 0.8
+STOP_SHARE = 0.5
 """Share of the grace period after which a stopping process gives up what is
 still in flight, so that it can close in order."""
 
