--- a/features/steps/machine_rule_steps.py
+++ b/features/steps/machine_rule_steps.py
@@ -26,7 +26,8 @@
 @given('every worker has a machine')
 def give_machines(context: Any) -> None:
     world_of(context).add_machines()
-    world_of(context).advance(1)
+    # The list of machines is read every 5 s.
+    world_of(context).advance(6)
 
 
 @given('a plan in which service-a has a standby pool')
