Serve one copy of answers, leader check, log level and room check

Cause: reading the change again: both apps of the adapter built the same answers, six handlers began with the same check for the leader, three settings models checked the log level each, and placement checked room beside WorkerView.fits. An outcome of a duty that could not be proposed left no line. Change: _responses.py, one wrapper for handlers at the leader, one type for log levels, one check of room; a warning record_unproposed. Behaviour stays.

--- a/greengagering/coordination/jobs/_placement.py
+++ b/greengagering/coordination/jobs/_placement.py
@@ -123,12 +123,7 @@
         taken = self._taken.get(worker.key, 0) + 1
         if worker.is_failing and taken > 1 and self._has_sound:
             return False
-        cpu = 0 if step.fills else step.room.cpu_millicores
-        if (
-            cpu * taken > worker.free_cpu
-            or step.room.memory_mb * taken > worker.free_memory
-            or step.room.gpu_count * taken > worker.free_gpu
-        ):
+        if not worker.fits(step, taken):
             return False
         if not step.max_per_worker:
             return True
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -178,13 +178,12 @@
             and now_s >= self.blocked_until_s
         )
 
-    def fits(self, step: state.StepSpec) -> bool:
-        """Tell whether a task has room."""
-        cpu = 0 if step.fills else step.room.cpu_millicores
+    def fits(self, step: state.StepSpec, task_count: int = 1) -> bool:
+        """Tell whether tasks of a step have room together."""
         return (
-            cpu <= self.free_cpu
-            and step.room.memory_mb <= self.free_memory
-            and step.room.gpu_count <= self.free_gpu
+            _counted_cpu(step) * task_count <= self.free_cpu
+            and step.room.memory_mb * task_count <= self.free_memory
+            and step.room.gpu_count * task_count <= self.free_gpu
         )
 
     def add_run(self, run: RunView) -> None:
@@ -320,7 +319,11 @@
         )
 
     def _take(self, step: state.StepSpec, sign: int) -> None:
-        if not step.fills:
-            self.free_cpu -= sign * step.room.cpu_millicores
+        self.free_cpu -= sign * _counted_cpu(step)
         self.free_memory -= sign * step.room.memory_mb
         self.free_gpu -= sign * step.room.gpu_count
+
+
+def _counted_cpu(step: state.StepSpec) -> int:
+    """Return the millicores of a task that count against a worker's room."""
+    return 0 if step.fills else step.room.cpu_millicores
--- a/greengagering/platform/_control_app.py
+++ b/greengagering/platform/_control_app.py
@@ -1,5 +1,8 @@
 """The platform's interface for workers and the operator."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+
 from aiohttp import web
 from result import Err
 
@@ -7,6 +10,7 @@
 from greengagering.platform import _formats
 from greengagering.platform import _plans
 from greengagering.platform import _reports
+from greengagering.platform import _responses
 from greengagering.platform import _waves
 from greengagering.protocol import errors as protocol_errors
 from greengagering import state
@@ -15,10 +19,16 @@
 MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
 MAX_REPORT_BYTES = 64 * 1024
 BODY_TIMEOUT_S = 3.0
+RETRY_AFTER_S = 1.0
+"""When to come back without a leader: an election takes less."""
+
 COMMITS_PER_REPORT = 3
 """A first report may add the worker, then say that it drains."""
 
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
 class ControlApp:
     """Handlers for workers and the operator."""
 
@@ -29,20 +39,27 @@
         """Add the platform's calls to the product's own interface."""
         app.add_routes(
             [
-                web.post('/instances/{id}/heartbeat', self.take_heartbeat),
-                web.post('/instances/{id}/leave', self.take_leave),
-                web.post('/config/replace', self.replace_configuration),
-                web.get('/config/read', self.read_configuration),
-                web.post('/wave-start', self.start_wave),
-                web.get('/wave-get/{number}', self.show_wave),
+                web.post(
+                    '/instances/{id}/heartbeat',
+                    self._at_leader(self.take_heartbeat),
+                ),
+                web.post(
+                    '/instances/{id}/leave', self._at_leader(self.take_leave)
+                ),
+                web.post(
+                    '/config/replace',
+                    self._at_leader(self.replace_configuration),
+                ),
+                web.get(
+                    '/config/read', self._at_leader(self.read_configuration)
+                ),
+                web.post('/wave-start', self._at_leader(self.start_wave)),
+                web.get('/wave-get/{number}', self._at_leader(self.show_wave)),
             ]
         )
 
     async def take_heartbeat(self, request: web.Request) -> web.Response:
         """Take a worker's report, and commit what it changes."""
-        elsewhere = self._find_elsewhere(request)
-        if elsewhere is not None:
-            return elsewhere
         body = await control.read_body(
             request, MAX_REPORT_BYTES, BODY_TIMEOUT_S
         )
@@ -53,7 +70,7 @@
             report = _reports.parse_heartbeat(worker_id, body)
         except protocol_errors.InvalidInputError as error:
             logs.info('report_unreadable', worker=worker_id, cause=str(error))
-            return _error(400, str(error))
+            return _responses.error_response(400, str(error))
         for _ in range(COMMITS_PER_REPORT):
             record = self._node.core.jobs.note_report(
                 report, self._node.now_s()
@@ -62,25 +79,21 @@
                 break
             if isinstance(await self._node.commit(record), Err):
                 return _unavailable()
-        return _json({'heartbeatUrl': self._node.settings.http_address})
+        return _responses.json_response(
+            {'heartbeatUrl': self._node.settings.http_address}
+        )
 
     async def take_leave(self, request: web.Request) -> web.Response:
         """A worker ends now."""
-        elsewhere = self._find_elsewhere(request)
-        if elsewhere is not None:
-            return elsewhere
         self._node.core.jobs.note_left(
             request.match_info['id'], self._node.now_s()
         )
-        return _json({})
+        return _responses.json_response({})
 
     async def replace_configuration(
         self, request: web.Request
     ) -> web.Response:
         """Accept a configuration; an older one changes nothing."""
-        elsewhere = self._find_elsewhere(request)
-        if elsewhere is not None:
-            return elsewhere
         body = await control.read_body(
             request, MAX_CONFIGURATION_BYTES, BODY_TIMEOUT_S
         )
@@ -90,13 +103,13 @@
             plan = _plans.parse_plan(body)
         except protocol_errors.InvalidInputError as error:
             logs.info('plan_invalid', cause=str(error))
-            return _error(400, str(error))
+            return _responses.error_response(400, str(error))
         present = self._node.core.state.jobs.plan
         if present is not None and present.number >= plan.number:
             logs.info(
                 'plan_outdated', number=plan.number, present=present.number
             )
-            return _json({})
+            return _responses.json_response({})
         if isinstance(await self._node.commit(state.PlanReplaced(plan)), Err):
             return _unavailable()
         logs.info(
@@ -105,13 +118,10 @@
             queues=len(plan.queues),
             services=len(plan.services),
         )
-        return _json({})
+        return _responses.json_response({})
 
     async def read_configuration(self, request: web.Request) -> web.Response:
         """Show the newest configuration as it was sent."""
-        elsewhere = self._find_elsewhere(request)
-        if elsewhere is not None:
-            return elsewhere
         plan = self._node.core.state.jobs.plan
         if plan is None:
             return _unavailable()
@@ -119,9 +129,6 @@
 
     async def start_wave(self, request: web.Request) -> web.Response:
         """Accept an upkeep wave; sending it again is safe."""
-        elsewhere = self._find_elsewhere(request)
-        if elsewhere is not None:
-            return elsewhere
         body = await control.read_body(
             request, MAX_CONFIGURATION_BYTES, BODY_TIMEOUT_S
         )
@@ -131,7 +138,7 @@
             wave = _waves.parse_wave(body)
         except protocol_errors.InvalidInputError as error:
             logs.info('wave_invalid', cause=str(error))
-            return _error(400, str(error))
+            return _responses.error_response(400, str(error))
         if wave.number not in self._node.core.state.jobs.waves:
             record = state.WaveAccepted(wave, self._node.now_ms())
             if isinstance(await self._node.commit(record), Err):
@@ -143,20 +150,30 @@
                 deadline_s=wave.deadline_s,
                 max_down=wave.max_down_count,
             )
-        return _json({})
+        return _responses.json_response({})
 
     async def show_wave(self, request: web.Request) -> web.Response:
         """Show whether a wave is done."""
-        elsewhere = self._find_elsewhere(request)
-        if elsewhere is not None:
-            return elsewhere
         text = request.match_info['number']
         waves = self._node.core.state.jobs.waves
         wave = waves.get(int(text)) if text.isdigit() else None
         if wave is None:
-            return _error(404, f'no wave {text}')
+            return _responses.error_response(404, f'no wave {text}')
         is_done = self._node.core.jobs.is_wave_done(wave)
-        return _json({'state': 'succeeded' if is_done else 'running'})
+        return _responses.json_response(
+            {'state': 'succeeded' if is_done else 'running'}
+        )
+
+    def _at_leader(self, handler: Handler) -> Handler:
+        """Return a handler that points elsewhere unless this replica leads."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            elsewhere = self._find_elsewhere(request)
+            if elsewhere is not None:
+                return elsewhere
+            return await handler(request)
+
+        return handle
 
     def _find_elsewhere(self, request: web.Request) -> web.Response | None:
         """Return the way to the leader, where this replica isn't it."""
@@ -172,19 +189,7 @@
         return web.Response(status=307, headers={'Location': location})
 
 
-def _json(body: dict[str, object], status: int = 200) -> web.Response:
-    return web.Response(
-        status=status,
-        body=_formats.write_body(body),
-        content_type=_formats.JSON_TYPE,
-    )
-
-
-def _error(status: int, message: str) -> web.Response:
-    return _json({'error': message}, status)
-
-
 def _unavailable() -> web.Response:
-    response = _error(503, 'no control process leads just now')
-    response.headers['Retry-After'] = '1'
-    return response
+    return _responses.error_response(
+        503, 'no control process leads just now', RETRY_AFTER_S
+    )
--- a/greengagering/platform/_front_app.py
+++ b/greengagering/platform/_front_app.py
@@ -4,8 +4,8 @@
 
 from greengagering import coordination
 from greengagering import logs
-from greengagering.platform import _formats
 from greengagering.platform import _jobs
+from greengagering.platform import _responses
 from greengagering.protocol import errors as protocol_errors
 from greengagering import state
 from greengagering.transport import gateway
@@ -58,7 +58,9 @@
     async def _handle(self, request: web.Request) -> web.Response:
         kind = _KINDS.get(request.method)
         if kind is None:
-            return _error(405, f'method {request.method} is not served')
+            return _responses.error_response(
+                405, f'method {request.method} is not served'
+            )
         job_id = _jobs.find_job_id(request.path)
         spec = None
         if kind is coordination.CallKind.SUBMIT:
@@ -68,7 +70,7 @@
             spec = parsed
         elif not job_id:
             if kind is coordination.CallKind.CANCEL:
-                return _error(404, 'the path names no job')
+                return _responses.error_response(404, 'the path names no job')
             kind = coordination.CallKind.COUNT
         host = request.host.partition(':')[0]
         answer = await self._node.call(
@@ -85,12 +87,12 @@
         if isinstance(body, web.Response):
             return body
         if not job_id:
-            return _error(404, 'the path names no job')
+            return _responses.error_response(404, 'the path names no job')
         try:
             return _jobs.parse_job(job_id, body)
         except protocol_errors.InvalidInputError as error:
             logs.info('job_invalid', job=job_id, cause=str(error))
-            return _error(400, str(error))
+            return _responses.error_response(400, str(error))
 
     def _find_deadline_s(self, request: web.Request) -> float:
         settings = self._node.settings
@@ -116,29 +118,11 @@
                 detail=answer.detail,
                 leader_id=self._node.core.leader_id,
             )
-            return _error(
+            return _responses.error_response(
                 status, answer.detail or answer.outcome, answer.retry_after_s
             )
         if kind is coordination.CallKind.SHOW:
-            return _json({'state': answer.job_state})
+            return _responses.json_response({'state': answer.job_state})
         if kind is coordination.CallKind.COUNT:
-            return _json({'pending': answer.pending_count})
-        return _json({})
-
-
-def _json(body: dict[str, object], status: int = 200) -> web.Response:
-    return web.Response(
-        status=status,
-        body=_formats.write_body(body),
-        content_type=_formats.JSON_TYPE,
-    )
-
-
-def _error(
-    status: int, message: str, retry_after_s: float = 0.0
-) -> web.Response:
-    response = _json({'error': message}, status)
-    if retry_after_s > 0:
-        # The header's unit is whole seconds, so a shorter time rounds up.
-        response.headers['Retry-After'] = str(int(retry_after_s + 0.999))
-    return response
+            return _responses.json_response({'pending': answer.pending_count})
+        return _responses.json_response({})
--- /dev/null
+++ b/greengagering/platform/_responses.py
@@ -0,0 +1,25 @@
+"""Answers in the platform's format."""
+
+from aiohttp import web
+
+from greengagering.platform import _formats
+
+
+def json_response(body: dict[str, object], status: int = 200) -> web.Response:
+    """Return an answer with a JSON body."""
+    return web.Response(
+        status=status,
+        body=_formats.write_body(body),
+        content_type=_formats.JSON_TYPE,
+    )
+
+
+def error_response(
+    status: int, message: str, retry_after_s: float = 0.0
+) -> web.Response:
+    """Return an error answer; a time to come back of 0 leaves it out."""
+    response = json_response({'error': message}, status)
+    if retry_after_s > 0:
+        # The header's unit is whole seconds, so a shorter time rounds up.
+        response.headers['Retry-After'] = str(int(retry_after_s + 0.999))
+    return response
--- a/greengagering/protocol/_settings.py
+++ b/greengagering/protocol/_settings.py
@@ -29,6 +29,20 @@
     return value.rstrip('/')
 
 
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+def check_log_level(value: str) -> str:
+    """Return a known log level.
+
+    Raises:
+        ValueError: the level is unknown.
+    """
+    if value not in LOG_LEVELS:
+        raise ValueError(f'must be one of {", ".join(LOG_LEVELS)}')
+    return value
+
+
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 Url = Annotated[str, pydantic.AfterValidator(_check_url)]
 Name = Annotated[
@@ -37,6 +51,7 @@
         pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*$', max_length=63
     ),
 ]
+LogLevel = Annotated[str, pydantic.AfterValidator(check_log_level)]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
 
 
@@ -87,12 +102,7 @@
     entry_lease_s: Seconds = 1.8
     clock_drift_ratio: Annotated[float, pydantic.Field(ge=0, lt=0.5)] = 0.05
     stop_timeout_s: Seconds = 10.0
-    log_level: str = 'info'
-
-    @pydantic.field_validator('log_level')
-    @classmethod
-    def _known_level(cls, value: str) -> str:
-        return check_log_level(value)
+    log_level: LogLevel = 'info'
 
     @pydantic.model_validator(mode='after')
     def _consistent(self) -> 'ControlSettings':
@@ -151,12 +161,7 @@
     max_deadline_s: Seconds = 60.0
     body_timeout_s: Seconds = 3.0
     stop_timeout_s: Seconds = 4.0
-    log_level: str = 'info'
-
-    @pydantic.field_validator('log_level')
-    @classmethod
-    def _known_level(cls, value: str) -> str:
-        return check_log_level(value)
+    log_level: LogLevel = 'info'
 
     @pydantic.field_validator('seeds')
     @classmethod
@@ -203,12 +208,7 @@
     max_deadline_s: Seconds = 3600.0
     body_timeout_s: Seconds = 10.0
     stop_timeout_s: Seconds = 30.0
-    log_level: str = 'info'
-
-    @pydantic.field_validator('log_level')
-    @classmethod
-    def _known_level(cls, value: str) -> str:
-        return check_log_level(value)
+    log_level: LogLevel = 'info'
 
     @pydantic.field_validator('controls')
     @classmethod
@@ -228,20 +228,6 @@
         return self
 
 
-LOG_LEVELS = ('debug', 'info', 'warning', 'error')
-
-
-def check_log_level(value: str) -> str:
-    """Return a known log level.
-
-    Raises:
-        ValueError: the level is unknown.
-    """
-    if value not in LOG_LEVELS:
-        raise ValueError(f'must be one of {", ".join(LOG_LEVELS)}')
-    return value
-
-
 def load_settings(model: type[Settings], path: str) -> Settings:
     """Read and validate a settings file.
 
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -219,7 +219,14 @@
 
     def _propose(self, records: list[state.JobRecord]) -> None:
         for record in records:
-            self.core.propose_job_record(record, self.now_s())
+            proposed = self.core.propose_job_record(record, self.now_s())
+            if isinstance(proposed, Err):
+                # The duty stays open in the log, and is ordered again.
+                logs.warning(
+                    'record_unproposed',
+                    record=type(record).__name__,
+                    cause=str(proposed.err_value),
+                )
         self._loop.schedule()
 
     def has_lease(self) -> bool:
