Log the leader's lease, and send a ticket again after a 503 in a test

Its step took one 503 as final, which no operator does: the interface promises that sending again is safe and tells. Change: leader_lease_gained and leader_lease_lost with term, age of the quorum's newest answer and log position; the step sends a ticket again after a 503, at most five times, and requires a clear answer from then on. Ruled out: a lost ticket; the step still compares every answer with the history. Conclusion: the next occurrence shows its cause in the log.

--- a/features/steps/control_fault_steps.py
+++ b/features/steps/control_fault_steps.py
@@ -16,6 +16,12 @@
 
 ALL_RESOURCES = resource.RLIM_INFINITY
 
+BATCH_TICKETS = 50
+"""Tickets that are sent at once."""
+
+UNCLEAR_ANSWERS = 5
+"""Answers 503 to one ticket after which its sender gives up."""
+
 
 def plain_ticket(number: int, author: str = 'operator-a') -> dict[str, Any]:
     """Return a ticket that changes one of a few archive pools."""
@@ -84,6 +90,16 @@
     return await web.request('POST', url, body)
 
 
+async def _post_until_clear(system: Any, name: str, number: int) -> web.Answer:
+    """Send a ticket as an operator does, again after each 503."""
+    for _ in range(UNCLEAR_ANSWERS):
+        answer = await _post(system, name, number)
+        if answer.status != 503:
+            return answer
+        await asyncio.sleep(float(answer.fields['Retry-After']))
+    return answer
+
+
 @then('every ticket that was answered accepted is in the history, unchanged')
 def check_history(context: Any) -> None:
     page = context.system.ask_control('GET', '/v1/tickets').json()
@@ -262,10 +278,10 @@
 
     async def submit_all() -> list[web.Answer]:
         answers = []
-        for start in range(0, count, 50):
-            batch = numbers[start : start + 50]
+        for start in range(0, count, BATCH_TICKETS):
+            batch = numbers[start : start + BATCH_TICKETS]
             answers += await asyncio.gather(
-                *(_post(system, leader, number) for number in batch)
+                *(_post_until_clear(system, leader, n) for n in batch)
             )
         return answers
 
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -142,6 +142,7 @@
         # A newcomer's log names no member yet, and it must answer its leader.
         self._known_addresses: dict[str, str] = {}
         self._known_role = coordination.Role.FOLLOWER
+        self._known_lease = False
         self._known_fault = ''
         self._known_members = self.replica.membership
 
@@ -464,6 +465,7 @@
                 term=self.replica.term,
                 leader_id=self.replica.leader_id,
             )
+        self._note_lease()
         if self.replica.storage_fault != self._known_fault:
             self._known_fault = self.replica.storage_fault
             if self._known_fault:
@@ -471,6 +473,22 @@
             else:
                 logs.info('storage_recovered')
 
+    def _note_lease(self) -> None:
+        now_s = clock.steady_s()
+        has_lease = self.replica.has_lease(now_s)
+        if has_lease == self._known_lease:
+            return
+        self._known_lease = has_lease
+        contact_s = self.replica.quorum_contact_s(now_s)
+        logs.info(
+            'leader_lease_gained' if has_lease else 'leader_lease_lost',
+            term=self.replica.term,
+            is_leader=self.replica.is_leader,
+            quorum_heard_s_ago=round(now_s - contact_s, 3),
+            committed=self.replica.commit_index,
+            last_index=self.replica.log.last_index,
+        )
+
     async def _hand_over(self) -> None:
         ends_s = clock.steady_s() + self.settings.election_max_s
         while self.replica.is_leader and clock.steady_s() < ends_s:
