--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -59,3 +59,10 @@
     Then it may become a voter
     When control-4 learns and lags by 100 entries
     Then it may not become a voter
+
+  Scenario: A leader that hears its quorum late refuses tickets and leads on
+    Given three replicas under one leader
+    When nothing of its followers reaches it for 0.5 s
+    Then it refuses a ticket as not leader, and still leads the same term
+    When its followers reach it again for 0.3 s
+    Then it accepts the ticket in the same term
