--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -57,6 +57,10 @@
 LEAVE_GRACE_S = 1.0
 """Time from a worker's notice that it ends now until it has ended."""
 
+LOOK_SPACING_S = 0.08
+"""Time from a worker's listed end to the next look at it while nothing waits
+for room there, so that ends close together share a look."""
+
 STOP_GRACE_S = 1.0
 """Time in which a stopped run must have ended; workers take 0.9 s at most."""
 
@@ -90,6 +94,8 @@
         self.ending_counts: dict[str, int] = {}
         self._start_waits_s: list[float] = []
         self._woken: set[str] = set()
+        self._spaced_looks: dict[str, float] = {}
+        self._short_services: set[str] = set()
         self._is_plan_due = False
         self._planned_at_s = float('-inf')
         self._watched_at_s = float('-inf')
@@ -144,6 +150,8 @@
         self._proposals.clear()
         self._finished_at_s.clear()
         self._retries.clear()
+        self._spaced_looks.clear()
+        self._short_services.clear()
 
     def step(self, now_s: float, now_ms: int) -> list[state.JobRecord]:
         """Do what is due, and return the records to propose."""
@@ -153,6 +161,7 @@
         if self.index.add_due(self.jobs.jobs, now_s, now_ms):
             self._is_plan_due = True
         self._retry_orders(now_s)
+        self._wake_spaced(now_s)
         if now_s >= self._watched_at_s + WATCH_INTERVAL_S:
             self._watched_at_s = now_s
             self._end_stalls(now_s)
@@ -289,6 +298,8 @@
             return None
         if view.proposed_end > life.noted_end:
             return None
+        if now_s < self._spaced_looks.get(life_key, now_s):
+            return None
         is_idle = not (view.runs or view.strays)
         if view.is_read and is_idle and view.suspect_since_s is None:
             return None
@@ -354,11 +365,26 @@
                 running=len(answer.running),
                 ended=len(answer.ended),
             )
+        self._space_looks(view, answer, now_s)
         self._take_ends(view, answer, now_s)
         self._match_runs(view, answer, sent_at_s, now_s)
         self._orders += _sharing.find_paces(view, self.fence)
         self._is_plan_due = True
 
+    def _space_looks(
+        self, view: WorkerView, answer: orders.LookAnswer, now_s: float
+    ) -> None:
+        """Put the next look off, unless room that it may find is waited for."""
+        is_waited_for = view.facts.service in self._short_services
+        if answer.ended and not is_waited_for:
+            self._spaced_looks[view.key] = now_s + LOOK_SPACING_S
+
+    def _wake_spaced(self, now_s: float) -> None:
+        due = [k for k, at_s in self._spaced_looks.items() if at_s <= now_s]
+        for key in due:
+            del self._spaced_looks[key]
+            self._woken.add(key)
+
     def note_order(
         self,
         order: orders.Order,
@@ -1073,6 +1099,9 @@
                 key = self._reserve(work, placement, now_s)
                 runs.append(key)
                 life_keys.append(placement.worker.key)
+        self._short_services = {
+            self.service_of(work.job) for work in works if work.waiting
+        }
         for first in range(0, len(runs), MAX_RUNS_PER_RECORD):
             last = first + MAX_RUNS_PER_RECORD
             self._proposals.append(
