Scale pools' reserves with the fleet, and see a burst's onset sooner

Waves missed 3 of 92 machines: while a burst took every free machine, pools with lasting tasks got none to move to. Change: a pool keeps half of an even split of all machines; where many jobs come, the rate is also taken over 0.4 s; the pool that lacks the fewest machines is served first.

--- a/greengagering/coordination/jobs/_demand.py
+++ b/greengagering/coordination/jobs/_demand.py
@@ -7,6 +7,13 @@
 """Time over which the rate of new work is smoothed; a burst lasts seconds,
 and one job alone must not look like one."""
 
+ONSET_WINDOW_S = 0.4
+"""Time over which the rate is taken as well where many jobs come, so that a
+burst's onset is seen while there is time to bring machines."""
+
+MIN_ONSET_JOBS = 8.0
+"""Jobs within that time from which its rate is believed."""
+
 BURST_RATIO = 2.0
 """Rate over its long-term mean from which a service counts as bursting."""
 
@@ -36,6 +43,9 @@
         memory_mb: memory that this rate of work keeps in use.
         mean_cores: the rate over a longer time.
         jobs: jobs within the rate's window.
+        onset_cores: the rate over the short window of an onset.
+        onset_memory_mb: memory that this rate keeps in use.
+        onset_jobs: jobs within the short window.
         at_s: when these were last brought up to date.
         is_bursting: whether a burst is on.
         burst_at_s: when the newest burst began.
@@ -45,6 +55,9 @@
     memory_mb: float = 0.0
     mean_cores: float = 0.0
     jobs: float = 0.0
+    onset_cores: float = 0.0
+    onset_memory_mb: float = 0.0
+    onset_jobs: float = 0.0
     at_s: float = 0.0
     is_bursting: bool = False
     burst_at_s: float = float('-inf')
@@ -73,6 +86,9 @@
         load.memory_mb += memory_mb_s / RATE_WINDOW_S
         load.mean_cores += core_s / MEAN_WINDOW_S
         load.jobs += 1
+        load.onset_cores += core_s / ONSET_WINDOW_S
+        load.onset_memory_mb += memory_mb_s / ONSET_WINDOW_S
+        load.onset_jobs += 1
         self._watch_burst(service, load, now_s)
 
     def rate(self, service: str, now_s: float) -> tuple[float, float]:
@@ -81,7 +97,12 @@
         if load is None:
             return 0.0, 0.0
         _decay(load, now_s)
-        return load.cores, load.memory_mb
+        if load.onset_jobs < MIN_ONSET_JOBS:
+            return load.cores, load.memory_mb
+        return (
+            max(load.cores, load.onset_cores),
+            max(load.memory_mb, load.onset_memory_mb),
+        )
 
     def next_burst(self) -> tuple[str, float] | None:
         """Return which service is to burst next and when, or None."""
@@ -158,4 +179,8 @@
     load.cores *= fast
     load.memory_mb *= fast
     load.jobs *= fast
+    onset = math.exp(-elapsed_s / ONSET_WINDOW_S)
+    load.onset_cores *= onset
+    load.onset_memory_mb *= onset
+    load.onset_jobs *= onset
     load.mean_cores *= math.exp(-elapsed_s / MEAN_WINDOW_S)
--- a/greengagering/coordination/jobs/_pool_plan.py
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -15,9 +15,10 @@
 FILL_SHARE = 0.9
 """Share of a machine that tasks of mixed sizes fill in practice."""
 
-KEPT_MACHINES = 5
-"""Machines that a pool keeps without any work while no other pool is short,
-for the first work of its next burst, unless that is not due yet."""
+RESERVE_SHARE = 0.5
+"""Share of an even split of all machines over the pools that a pool keeps
+without any work while no other pool is short, for the first work of its next
+burst, unless that is not due yet."""
 
 LEAST_MACHINES = 2
 """Machines that a pool keeps in any case: one may be lost or go down."""
@@ -151,6 +152,8 @@
         now_s: float,
     ) -> None:
         needs = director.find_needs()
+        machine_count = sum(len(p.up) + p.arriving for p in pools.values())
+        reserve = math.ceil(RESERVE_SHARE * machine_count / len(pools))
         for name, pool in pools.items():
             if name in standby:
                 continue
@@ -162,7 +165,7 @@
                     for machine in other.up
                 ][:1]
             pool.needed = LEAST_MACHINES
-            pool.reserve = KEPT_MACHINES
+            pool.reserve = max(reserve, LEAST_MACHINES)
             if director.demand.is_resting(name, now_s):
                 pool.reserve = LEAST_MACHINES
             if not rooms:
@@ -205,12 +208,15 @@
     ) -> list[state.Duty]:
         """Return moves to the pools whose work needs more machines.
 
+        The pool that lacks the fewest is served first: that may be for the
+        lasting tasks of a machine that a wave waits for, and a pool in its
+        burst hardly misses a few.
         Machines that idle beyond their pool's reserve come first, as they
         would move in any case; then those that stand by, then other pools'
         reserves, then those that have the least left to do.
         """
         short = [n for n in pools if n not in standby and pools[n].missing]
-        short.sort(key=lambda name: -pools[name].missing)
+        short.sort(key=lambda name: pools[name].missing)
         beyond, reserves, busy = self._find_spare(pools, standby, director)
         standing_by = [m for name in standby for m in pools[name].up]
         donors = beyond + standing_by + reserves + busy
