Keep the lease of a worker that a new leader has only just read

The proof that a lease is over then rested on no grant at all, so the life was ended at once and a task started a second time. Change: the first reading counts as a grant: the predecessor may have granted until then, and nothing of it is carried out later. Ruled out: the fence; the worker refused the predecessor's orders.

--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -254,9 +254,12 @@
         """Take lists that were read under the leader's own fence.
 
         From now on the worker refuses whatever an earlier leader still has
-        on its way. A young life may have taken a lease by an order that was
-        meant for an earlier one under its name.
+        on its way, but it keeps the lease that it was granted until now. A
+        young life may have taken a lease by an order that was meant for an
+        earlier one under its name.
         """
+        if self._unknown_since_s is not None:
+            self._settled_at_s = max(self._settled_at_s, now_s)
         clock_ms = self.clock_ms(now_s)
         is_young = clock_ms is None or clock_ms < LONGEST_LEASE_S * 1000
         if not self.is_read and is_young:
