Survive SIGHUP while a process starts

The handler is set once the service starts, after 0.3 to 0.5 s of imports; until then the signal's default ends the process. Change: the program ignores SIGHUP from its first line on; the settings are read after that in any case. Test: platform_path.feature, a replica that is started and sent SIGHUP every 10 ms; it ends the process without the change. Conclusion: settings may change at any moment without an end of its own.

--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -204,6 +204,31 @@
     world.processes[name].send_signal(signal.SIGHUP)
 
 
+@when(
+    '{name} is killed, started again and sent SIGHUP every {gap_ms:d} ms for '
+    '{seconds:g} s'
+)
+def hang_up_early(
+    context: Any, name: str, gap_ms: int, seconds: float
+) -> None:
+    world = world_of(context)
+    world.kill(name)
+    world.start_control(name, is_first_start=False)
+    ends_s = time.monotonic() + seconds
+    # Python itself needs a moment before it can ignore a signal.
+    time.sleep(0.1)
+    while time.monotonic() < ends_s:
+        world.processes[name].send_signal(signal.SIGHUP)
+        time.sleep(gap_ms / 1000)
+
+
+@then('{name} runs and answers')
+def check_runs(context: Any, name: str) -> None:
+    world = world_of(context)
+    world.wait(lambda: world.dump(name) is not None, f'{name} answers')
+    assert world.processes[name].poll() is None
+
+
 @when('a job is handed in at a queue that is not there')
 def wrong_queue(context: Any) -> None:
     job_id, body = new_job(context, TASK)
--- a/greengagering/platform/__main__.py
+++ b/greengagering/platform/__main__.py
@@ -1,9 +1,15 @@
 """Programs on the platform: python3 -m greengagering.platform ROLE."""
 
-from greengagering import logs
-from greengagering.platform import _services
-from greengagering.platform import _settings
-from greengagering.programs import _run
+import signal
+
+# Changed settings may be announced while the imports below run. They are read
+# after that, and until then the signal must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from greengagering import logs  # noqa: E402
+from greengagering.platform import _services  # noqa: E402
+from greengagering.platform import _settings  # noqa: E402
+from greengagering.programs import _run  # noqa: E402
 
 
 class PlatformCommands:
