--- /dev/null
+++ b/features/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/features/soak/_callers.py
@@ -0,0 +1,218 @@
+"""Callers and an operator who use the system while it is shaken."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+import time
+from typing import Any
+
+import aiohttp
+
+from features.soak._system import SoakSystem
+from features.support import platform_workers
+from features.support import platform_world
+
+CALLERS = 4
+CALL_TIMEOUT_S = 3.0
+PATIENCE_S = 9.0
+"""Time after which a caller gives a job up."""
+
+PAUSE_S = 0.25
+"""Longest pause of a caller between two calls."""
+
+VISIBLE_S = 3.0
+"""Time from its acceptance until every entry must know a job."""
+
+CANCEL_S = 3.0
+"""Time from a cancel's acknowledgement until nothing of the job runs."""
+
+APPLY_S = 2.0
+"""Time from a configuration's acknowledgement until no read is older."""
+
+CHANGE_INTERVAL_S = 1.5
+
+
+@dataclasses.dataclass
+class SoakJob:
+    """What a caller knows of its job.
+
+    Attributes:
+        job_id: its id.
+        body: what was handed in.
+        accepted_at_s: when it was acknowledged, or None.
+        is_unclear: whether an attempt had no clear answer.
+        cancelled_at_s: when its cancel was acknowledged, or None.
+        is_cancel_sent: whether a cancel was sent.
+    """
+
+    job_id: str
+    body: bytes
+    accepted_at_s: float | None = None
+    is_unclear: bool = False
+    cancelled_at_s: float | None = None
+    is_cancel_sent: bool = False
+
+
+class SoakCallers:
+    """Hands in, asks, cancels and changes, and notes broken promises."""
+
+    def __init__(self, system: SoakSystem, rng: random.Random) -> None:
+        self._system = system
+        self._rng = rng
+        self.jobs: list[SoakJob] = []
+        self.violations: list[str] = []
+        self.acknowledged: list[tuple[float, int]] = []
+        self.sent_versions: dict[int, bytes] = {}
+        self._version = 3
+        self._is_ending = False
+
+    async def play(self, seconds: float) -> None:
+        """Call for a time."""
+        ends_s = time.monotonic() + seconds
+        await asyncio.gather(
+            *(self._call(ends_s) for _ in range(CALLERS)),
+            self._operate(ends_s),
+        )
+
+    def violate(self, text: str) -> None:
+        """Note a broken promise."""
+        self.violations.append(f'{time.monotonic():.3f} {text}')
+
+    async def _call(self, ends_s: float) -> None:
+        async with aiohttp.ClientSession() as session:
+            while time.monotonic() < ends_s:
+                draw = self._rng.random()
+                if draw < 0.5 or not self.jobs:
+                    await self._hand_in(session)
+                elif draw < 0.9:
+                    await self._ask(session, self._rng.choice(self.jobs))
+                else:
+                    await self._cancel(session, self._rng.choice(self.jobs))
+                await asyncio.sleep(self._rng.uniform(0, PAUSE_S))
+
+    async def _hand_in(self, session: aiohttp.ClientSession) -> None:
+        job_id = f'{len(self.jobs) + 1:016x}'
+        steps: list[dict[str, Any]] = [
+            {'count': self._rng.randint(1, 4), 'cpu': 500, 'estMs': 600},
+        ]
+        if self._rng.random() < 0.4:
+            steps.append({'count': 2, 'cpu': 500, 'estMs': 600, 'after': [0]})
+        body = platform_workers.job_body(*steps)
+        platform_workers.note_job(self._system.ledger, job_id, body)
+        job = SoakJob(job_id, body)
+        self.jobs.append(job)
+        gives_up_s = time.monotonic() + PATIENCE_S
+        while time.monotonic() < gives_up_s:
+            status = await self._send(session, 'POST', job, job.body)
+            if status == 200:
+                job.accepted_at_s = time.monotonic()
+                return
+            if status not in (429, 503):
+                job.is_unclear = True
+            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+
+    async def _ask(self, session: aiohttp.ClientSession, job: SoakJob) -> None:
+        sent_s = time.monotonic()
+        status = await self._send(session, 'GET', job)
+        accepted_s = job.accepted_at_s
+        if (
+            status == 410
+            and accepted_s is not None
+            and not job.is_cancel_sent
+            and sent_s > accepted_s + VISIBLE_S
+        ):
+            self.violate(f'accepted {job.job_id} is answered 410')
+
+    async def _cancel(
+        self, session: aiohttp.ClientSession, job: SoakJob
+    ) -> None:
+        job.is_cancel_sent = True
+        if await self._send(session, 'DELETE', job) == 200:
+            job.cancelled_at_s = job.cancelled_at_s or time.monotonic()
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        job: SoakJob,
+        body: bytes | None = None,
+    ) -> int:
+        entries = [n for n in self._system.proxies if n.startswith('entry')]
+        proxy = self._system.proxies[self._rng.choice(entries)]
+        address = f'{proxy.proxy_host}:{proxy.proxy_port}'
+        url = f'http://{address}{platform_world.PREFIX}{job.job_id}'
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                async with session.request(
+                    method,
+                    url,
+                    data=body,
+                    headers={'Host': platform_world.HOST},
+                ) as response:
+                    await response.read()
+                    if response.status in (429, 503) and not (
+                        response.headers.get('Retry-After')
+                    ):
+                        self.violate(f'{response.status} has no Retry-After')
+                    return response.status
+        return 0
+
+    async def _operate(self, ends_s: float) -> None:
+        async with aiohttp.ClientSession() as session:
+            while time.monotonic() < ends_s:
+                self._version += self._rng.randint(1, 3)
+                version = self._version
+                body = platform_world.configuration(version, f'/v{version}/')
+                self.sent_versions[version] = body
+                if await self._replace(session, body):
+                    self.acknowledged.append((time.monotonic(), version))
+                await self.read_version(session)
+                await asyncio.sleep(
+                    self._rng.uniform(0.2, 1) * CHANGE_INTERVAL_S
+                )
+
+    async def _replace(
+        self, session: aiohttp.ClientSession, body: bytes
+    ) -> bool:
+        gives_up_s = time.monotonic() + PATIENCE_S
+        while time.monotonic() < gives_up_s:
+            url = f'http://{self._pick_control()}/config/replace'
+            with contextlib.suppress(
+                aiohttp.ClientError, TimeoutError, OSError
+            ):
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    async with session.post(url, data=body) as response:
+                        if response.status == 200:
+                            return True
+                        if 400 <= response.status < 500:
+                            self.violate(f'refused {response.status}')
+                            return False
+            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+        return False
+
+    async def read_version(self, session: aiohttp.ClientSession) -> int | None:
+        """Read the configuration, and check that it is new enough."""
+        sent_s = time.monotonic()
+        url = f'http://{self._pick_control()}/config/read'
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                async with session.get(url) as response:
+                    content = await response.read()
+                    if response.status == 200:
+                        return self._check_read(content, sent_s)
+        return None
+
+    def _check_read(self, content: bytes, sent_s: float) -> int:
+        version: int = json.loads(content)['version']
+        due = [v for at_s, v in self.acknowledged if sent_s > at_s + APPLY_S]
+        if due and version < max(due):
+            self.violate(f'read {version} after {max(due)} was acknowledged')
+        sent = self.sent_versions.get(version)
+        if sent is not None and sent != content:
+            self.violate(f'version {version} is not read back as sent')
+        return version
+
+    def _pick_control(self) -> str:
+        return self._rng.choice(self._system.seeds)
--- /dev/null
+++ b/features/soak/_faults.py
@@ -0,0 +1,232 @@
+"""Faults that are injected into processes, links, disks and workers."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+import resource
+import signal
+import time
+
+from features.soak._system import SoakSystem
+from features.support import link_proxy
+
+SHORT_S = (0.3, 2.0)
+"""Length of faults that a leader change outlasts, and of some that don't."""
+
+LONG_S = (2.0, 6.0)
+
+OVERLAPPING_FAULTS = 3
+"""Faults that may be on at once."""
+
+JUNK_BYTES = 37
+"""Torn end of a write that was under way when the power went."""
+
+
+@dataclasses.dataclass
+class Repair:
+    """What ends a fault, and when."""
+
+    at_s: float
+    fault: str
+    undo: Callable[[], None]
+
+
+class FaultInjector:
+    """Draws faults one after the other; some overlap."""
+
+    def __init__(self, system: SoakSystem, rng: random.Random) -> None:
+        self._system = system
+        self._rng = rng
+        self._repairs: list[Repair] = []
+        self.account: list[str] = []
+
+    def step(self) -> None:
+        """End what is due, and perhaps begin a fault."""
+        now_s = time.monotonic()
+        due = [r for r in self._repairs if r.at_s <= now_s]
+        self._repairs = [r for r in self._repairs if r.at_s > now_s]
+        for repair in due:
+            self._note(f'end {repair.fault}')
+            repair.undo()
+        if len(self._repairs) < OVERLAPPING_FAULTS:
+            self._rng.choice(self._kinds())()
+
+    def end_all(self) -> None:
+        """End every fault."""
+        for repair in self._repairs:
+            self._note(f'end {repair.fault}')
+            repair.undo()
+        self._repairs.clear()
+
+    def _kinds(self) -> list[Callable[[], None]]:
+        return [
+            self._kill,
+            self._kill,
+            self._pause,
+            self._pause,
+            self._stop_and_restart,
+            self._reload,
+            self._power_loss,
+            self._lose_disk,
+            self._fill_disk,
+            self._crash_worker,
+            self._crash_worker,
+            self._delay_link,
+            self._reset_link,
+            self._silence_link,
+            self._silence_link,
+        ]
+
+    def _note(self, text: str) -> None:
+        self.account.append(f'{time.monotonic():.3f} {text}')
+
+    def _begin(
+        self,
+        fault: str,
+        length_s: tuple[float, float],
+        undo: Callable[[], None],
+    ) -> None:
+        self._note(f'begin {fault}')
+        ends_s = time.monotonic() + self._rng.uniform(*length_s)
+        self._repairs.append(Repair(ends_s, fault, undo))
+
+    def _pick_running(self) -> str | None:
+        names = self._system.running()
+        return self._rng.choice(names) if names else None
+
+    def _kill(self) -> None:
+        name = self._pick_running()
+        if name is not None:
+            self._system.kill(name)
+            self._begin(
+                f'kill {name}', SHORT_S, lambda: self._system.start(name)
+            )
+
+    def _pause(self) -> None:
+        name = self._pick_running()
+        if name is None:
+            return
+        process = self._system.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        self._begin(
+            f'pause {name}',
+            LONG_S if self._rng.random() < 0.4 else SHORT_S,
+            lambda: process.send_signal(signal.SIGCONT),
+        )
+
+    def _stop_and_restart(self) -> None:
+        name = self._pick_running()
+        if name is None:
+            return
+        self._system.ask_to_stop(name)
+        self._begin(
+            f'stop {name}', LONG_S, lambda: self._system.restart_stopped(name)
+        )
+
+    def _reload(self) -> None:
+        name = self._pick_running()
+        if name is not None:
+            self._note(f'reload {name}')
+            self._system.change_seeds(name, self._rng)
+
+    def _power_loss(self) -> None:
+        """End every control replica at once, some with a torn write."""
+        names = [
+            name
+            for name in self._system.running()
+            if name.startswith('control')
+        ]
+        for name in names:
+            self._system.kill(name)
+            if self._rng.random() < 0.5:
+                junk = self._rng.randbytes(JUNK_BYTES)
+                self._system.tear_last_segment(name, junk)
+
+        def restart() -> None:
+            for name in names:
+                self._system.start(name)
+
+        self._begin('power loss', SHORT_S, restart)
+
+    def _lose_disk(self) -> None:
+        name = self._system.pick_losable_disk(self._rng)
+        if name is None:
+            return
+        self._system.kill(name)
+        self._system.lose_disk(name)
+        self._begin(
+            f'lost disk of {name}',
+            SHORT_S,
+            lambda: self._system.start(name),
+        )
+
+    def _fill_disk(self) -> None:
+        names = [n for n in self._system.running() if n.startswith('control')]
+        if not names:
+            return
+        name = self._rng.choice(names)
+        process = self._system.processes[name]
+        self._limit_files(process.pid, self._system.segment_bytes(name) + 10)
+
+        def free() -> None:
+            if process.poll() is None:
+                self._limit_files(process.pid, resource.RLIM_INFINITY)
+
+        self._begin(f'full disk of {name}', LONG_S, free)
+
+    def _limit_files(self, pid: int, size: int) -> None:
+        limits = (size, resource.RLIM_INFINITY)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
+
+    def _crash_worker(self) -> None:
+        worker = self._rng.choice(self._system.workers).worker
+        if not worker.is_up:
+            return
+        worker.crash()
+        self._begin(
+            f'crash {worker.worker_id}',
+            SHORT_S,
+            lambda: worker.begin_life(time.monotonic()),
+        )
+
+    def _delay_link(self) -> None:
+        name, proxy = self._pick_link()
+        delay_s = self._rng.uniform(0.05, 0.4)
+        self._on_loop(lambda: proxy.set_delay(delay_s, delay_s))
+        self._begin(
+            f'delay {name} by {delay_s:.2f} s',
+            LONG_S,
+            lambda: self._on_loop(lambda: proxy.set_delay(0, 0)),
+        )
+
+    def _reset_link(self) -> None:
+        name, _ = self._pick_link()
+        self._note(f'reset {name}')
+        self._system.reset_link(name)
+
+    def _silence_link(self) -> None:
+        """Hold bytes back in one direction or both, without a sign."""
+        name, proxy = self._pick_link()
+
+        async def hold(data: bytes) -> bytes:
+            await asyncio.sleep(LONG_S[1])
+            return data
+
+        reads, writes = self._rng.choice(
+            ((hold, None), (None, hold), (hold, hold))
+        )
+        self._on_loop(lambda: proxy.set_content_processors(reads, writes))
+
+        def heal() -> None:
+            self._on_loop(lambda: proxy.set_content_processors(None, None))
+            self._system.reset_link(name)
+
+        self._begin(f'silence {name}', LONG_S, heal)
+
+    def _pick_link(self) -> tuple[str, link_proxy.LinkProxy]:
+        name = self._rng.choice(sorted(self._system.proxies))
+        return name, self._system.proxies[name]
+
+    def _on_loop(self, action: Callable[[], None]) -> None:
+        self._system.thread.loop.call_soon_threadsafe(action)
--- a/features/support/platform_workers.py
+++ b/features/support/platform_workers.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from features.search.replica_search import InvariantError
 from features.search import worker_fakes
 from greengagering import coordination
 from greengagering.platform import _jobs
@@ -36,6 +37,7 @@
         address: str,
         controls: list[str],
         ledger: worker_fakes.Ledger,
+        listen_address: str = '',
     ) -> None:
         self.worker = worker_fakes.FakeWorker(
             worker_id, random.Random(worker_id), ledger
@@ -44,15 +46,17 @@
         self.worker.begin_life(time.monotonic())
         self.state = 'ready'
         self.acknowledged: list[str] = []
+        self.violations: list[str] = []
         self._service = service
         self._address = address
+        self._listen_address = listen_address or address
         self._controls = controls
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listen and begin to report."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._guard])
         app.add_routes(
             [
                 web.post('/run-start', self.start_run),
@@ -62,7 +66,7 @@
         )
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        host, _, port = self._address.rpartition(':')
+        host, _, port = self._listen_address.rpartition(':')
         await web.TCPSite(self._runner, host, int(port)).start()
         self._tasks = [
             asyncio.ensure_future(self._tick()),
@@ -77,6 +81,22 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        """Answer nothing while down, and keep an account of broken rules."""
+        if not self.worker.is_up:
+            if request.transport is not None:
+                request.transport.abort()
+            raise web.HTTPServiceUnavailable
+        try:
+            response: web.StreamResponse = await handler(request)
+        except InvariantError as error:
+            self.violations.append(str(error))
+            raise
+        return response
+
     async def start_run(self, request: web.Request) -> web.Response:
         """Carry out an order to start."""
         body = await request.json()
@@ -150,6 +170,8 @@
         async with aiohttp.ClientSession() as session:
             while True:
                 for control in self._controls:
+                    if not self.worker.is_up:
+                        break
                     if await self._post_heartbeat(session, control):
                         break
                 await asyncio.sleep(HEARTBEAT_S)
