Read leases on their own clock in pages and dumps

Cause: leases run on CLOCK_BOOTTIME; pages compared them with the monotonic clock, which stands still while a machine is suspended, so a dump after a suspension showed a lease that was over. Change: the node's clock; no decision rests on it.

--- a/greengagering/transport/_control_pages.py
+++ b/greengagering/transport/_control_pages.py
@@ -1,7 +1,5 @@
 """Builds the pages that a control process shows to operators."""
 
-import time
-
 from greengagering import coordination
 from greengagering.protocol import pages
 from greengagering import state
@@ -59,7 +57,7 @@
     ]
     taken = set(progress.done) | {vm.name for vm in running}
     waiting = [vm for vm in targets if vm.name not in taken]
-    view = node.core.view(time.monotonic(), node.now_ms())
+    view = node.core.view(node.now_s(), node.now_ms())
     reasons = coordination.find_waiting(view, wave)
     return pages.WavePage(
         wave=name,
@@ -82,7 +80,7 @@
     wanted = node.core.state.fleet.control
     return pages.MembersPage(
         leader_id=node.replica.leader_id,
-        members=tuple(_member_pages(node, time.monotonic())),
+        members=tuple(_member_pages(node, node.now_s())),
         wanted=tuple(member.replica_id for member in wanted),
         waiting=node.core.membership_waiting,
     )
@@ -91,7 +89,7 @@
 def control_dump(node: ControlNode) -> pages.ControlDump:
     """Return the state of the process."""
     replica = node.replica
-    now_s = time.monotonic()
+    now_s = node.now_s()
     return pages.ControlDump(
         replica_id=replica.identity.replica_id,
         incarnation=replica.identity.incarnation,
@@ -121,7 +119,7 @@
     sessions = node.core.sessions
     if sessions is None:
         return ()
-    now_s = time.monotonic()
+    now_s = node.now_s()
     return tuple(
         pages.EntryLine(
             entry_id=session.entry_id,
@@ -146,7 +144,7 @@
 
 
 def _service_lines(node: ControlNode) -> list[pages.ServiceLine]:
-    view = node.core.view(time.monotonic(), node.now_ms())
+    view = node.core.view(node.now_s(), node.now_ms())
     counts = coordination.count_services(view).counts()
     budgets = node.core.state.fleet.budgets
     lines = []
