--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -38,7 +38,7 @@
 
 OFF_UPKEEP_S = 3.5
 """Time after which a machine that stands by is back from its upkeep once it is
-listed as up: the platform takes 2 s, and its list lags by 0.8 s."""
+listed as up: the platform takes 2 s, and the rest is for a list that lags."""
 
 WAVE_CYCLE_S = 4.5
 """Usual time to empty a machine, keep it down, and have it back."""
