Say three things once: a smoothed rate, taken moves, a refused argument

Cause: reading the change again. The demand's load kept the same three figures for each window by hand; taking donors stood three times, once inside a comprehension with a side effect; the operator's program built the same error in three ways, one by the type of its argument; the label of a step was checked in two ways; and a wave ordered its candidates at each step, also without room for one more. Change: _Rate, _take_moves, _refused, _labelled; no room, no ordering.

--- a/greengagering/coordination/jobs/_demand.py
+++ b/greengagering/coordination/jobs/_demand.py
@@ -35,33 +35,66 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Load:
-    """Smoothed work of one service.
+class _Rate:
+    """Work that was handed in, smoothed over a time.
 
     Attributes:
+        window_s: the time.
         cores: rate of new work, in cores.
         memory_mb: memory that this rate of work keeps in use.
-        mean_cores: the rate over a longer time.
-        jobs: jobs within the rate's window.
-        onset_cores: the rate over the short window of an onset.
-        onset_memory_mb: memory that this rate keeps in use.
-        onset_jobs: jobs within the short window.
-        at_s: when these were last brought up to date.
-        is_bursting: whether a burst is on.
-        burst_at_s: when the newest burst began.
+        jobs: jobs within the time.
     """
 
+    window_s: float
     cores: float = 0.0
     memory_mb: float = 0.0
-    mean_cores: float = 0.0
     jobs: float = 0.0
-    onset_cores: float = 0.0
-    onset_memory_mb: float = 0.0
-    onset_jobs: float = 0.0
-    at_s: float = 0.0
+
+    def add(self, core_s: float, memory_mb_s: float) -> None:
+        """Add a job."""
+        self.cores += core_s / self.window_s
+        self.memory_mb += memory_mb_s / self.window_s
+        self.jobs += 1
+
+    def decay(self, elapsed_s: float) -> None:
+        """Let time pass."""
+        left = math.exp(-elapsed_s / self.window_s)
+        self.cores *= left
+        self.memory_mb *= left
+        self.jobs *= left
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """Work that one service is handed.
+
+    Attributes:
+        at_s: when the rates were last brought up to date.
+        recent: over a time in which one job alone is no burst.
+        onset: over a time in which a burst's beginning shows.
+        mean: over some turns of demand.
+        is_bursting: whether a burst is on.
+        burst_at_s: when the newest burst began.
+    """
+
+    at_s: float
+    recent: _Rate = dataclasses.field(
+        default_factory=lambda: _Rate(RATE_WINDOW_S)
+    )
+    onset: _Rate = dataclasses.field(
+        default_factory=lambda: _Rate(ONSET_WINDOW_S)
+    )
+    mean: _Rate = dataclasses.field(
+        default_factory=lambda: _Rate(MEAN_WINDOW_S)
+    )
     is_bursting: bool = False
     burst_at_s: float = float('-inf')
 
+    @property
+    def rates(self) -> tuple[_Rate, ...]:
+        """Every rate."""
+        return self.recent, self.onset, self.mean
+
 
 class DemandTracker:
     """Follows the work handed in, and learns in which turns it comes.
@@ -82,13 +115,8 @@
         """Add the work of a job that was handed in."""
         load = self._loads.setdefault(service, _Load(at_s=now_s))
         _decay(load, now_s)
-        load.cores += core_s / RATE_WINDOW_S
-        load.memory_mb += memory_mb_s / RATE_WINDOW_S
-        load.mean_cores += core_s / MEAN_WINDOW_S
-        load.jobs += 1
-        load.onset_cores += core_s / ONSET_WINDOW_S
-        load.onset_memory_mb += memory_mb_s / ONSET_WINDOW_S
-        load.onset_jobs += 1
+        for rate in load.rates:
+            rate.add(core_s, memory_mb_s)
         self._watch_burst(service, load, now_s)
 
     def rate(self, service: str, now_s: float) -> tuple[float, float]:
@@ -97,11 +125,12 @@
         if load is None:
             return 0.0, 0.0
         _decay(load, now_s)
-        if load.onset_jobs < MIN_ONSET_JOBS:
-            return load.cores, load.memory_mb
+        recent, onset = load.recent, load.onset
+        if onset.jobs < MIN_ONSET_JOBS:
+            return recent.cores, recent.memory_mb
         return (
-            max(load.cores, load.onset_cores),
-            max(load.memory_mb, load.onset_memory_mb),
+            max(recent.cores, onset.cores),
+            max(recent.memory_mb, onset.memory_mb),
         )
 
     def next_burst(self) -> tuple[str, float] | None:
@@ -137,8 +166,9 @@
 
     def _watch_burst(self, service: str, load: _Load, now_s: float) -> None:
         _end_burst(load)
+        recent = load.recent
         is_high = (
-            load.cores >= _threshold(load) and load.jobs >= MIN_BURST_JOBS
+            recent.cores >= _threshold(load) and recent.jobs >= MIN_BURST_JOBS
         )
         if load.is_bursting or not is_high:
             return
@@ -164,23 +194,16 @@
 
 
 def _threshold(load: _Load) -> float:
-    return max(BURST_RATIO * load.mean_cores, MIN_BURST_CORES)
+    return max(BURST_RATIO * load.mean.cores, MIN_BURST_CORES)
 
 
 def _end_burst(load: _Load) -> None:
-    if load.cores < _threshold(load) / BURST_RATIO:
+    if load.recent.cores < _threshold(load) / BURST_RATIO:
         load.is_bursting = False
 
 
 def _decay(load: _Load, now_s: float) -> None:
     elapsed_s = max(now_s - load.at_s, 0.0)
     load.at_s = now_s
-    fast = math.exp(-elapsed_s / RATE_WINDOW_S)
-    load.cores *= fast
-    load.memory_mb *= fast
-    load.jobs *= fast
-    onset = math.exp(-elapsed_s / ONSET_WINDOW_S)
-    load.onset_cores *= onset
-    load.onset_memory_mb *= onset
-    load.onset_jobs *= onset
-    load.mean_cores *= math.exp(-elapsed_s / MEAN_WINDOW_S)
+    for rate in load.rates:
+        rate.decay(elapsed_s)
--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -288,14 +288,16 @@
         planned_s = max(time_left_s * WAVE_TIME_SHARE, WAVE_CYCLE_S)
         wanted = math.ceil(len(left) * WAVE_CYCLE_S / planned_s)
         room = min(wanted, wave.wave.max_down_count) - len(in_work)
+        self._mark_due(left)
+        if room <= 0:
+            return []
         candidates = [
             m
             for m in left
             if m not in self.open
             and self.machines[m].status is machines.MachineState.UP
         ]
-        self._mark_due(left)
-        for name in self._order_emptying(candidates, number)[: max(room, 0)]:
+        for name in self._order_emptying(candidates, number)[:room]:
             duty = state.Duty(name, state.DutyKind.UPKEEP, '', number)
             self._begin(duty, now_s)
         return []
--- a/greengagering/coordination/jobs/_placement.py
+++ b/greengagering/coordination/jobs/_placement.py
@@ -39,11 +39,7 @@
         Placements; for a gang all of its tasks or none. Room is not taken.
     """
     step = work.step
-    labelled = workers
-    if step.required_label:
-        labelled = [
-            w for w in workers if step.required_label in w.facts.labels
-        ]
+    labelled = _labelled(workers, step)
     has_sound = any(not worker.is_failing for worker in labelled)
     candidates = [
         worker
@@ -95,12 +91,19 @@
         )
 
 
+def _labelled(
+    workers: list[WorkerView], step: state.StepSpec
+) -> list[WorkerView]:
+    """Return the workers that have the label that a step requires."""
+    if not step.required_label:
+        return workers
+    return [w for w in workers if step.required_label in w.facts.labels]
+
+
 def has_place(work: StepWork, workers: list[WorkerView]) -> bool:
     """Tell whether one more task of a step would find a worker."""
     step = work.step
-    for worker in workers:
-        if step.required_label not in ('', *worker.facts.labels):
-            continue
+    for worker in _labelled(workers, step):
         if not worker.fits(step):
             continue
         count = worker.count_step(work.job.spec.job_id, work.step_key)
--- a/greengagering/coordination/jobs/_pool_plan.py
+++ b/greengagering/coordination/jobs/_pool_plan.py
@@ -220,19 +220,14 @@
         beyond, reserves, busy = self._find_spare(pools, standby, director)
         standing_by = [m for name in standby for m in pools[name].up]
         donors = beyond + standing_by + reserves + busy
-        moves = [
-            state.Duty(donors.pop(0).name, state.DutyKind.MOVE, name)
-            for name in short
-            for _ in range(min(pools[name].missing, len(donors)))
-        ]
+        moves: list[state.Duty] = []
+        for name in short:
+            moves += _take_moves(donors, name, pools[name].missing)
         taken = {move.machine for move in moves}
         free = [m for m in beyond + standing_by if m.name not in taken]
         for name, pool in pools.items():
-            if name in standby or pool.missing:
-                continue
-            for _ in range(min(pool.missing_reserve, len(free))):
-                donor = free.pop(0)
-                moves.append(state.Duty(donor.name, state.DutyKind.MOVE, name))
+            if name not in standby and not pool.missing:
+                moves += _take_moves(free, name, pool.missing_reserve)
         return moves
 
     def _find_spare(
@@ -275,7 +270,7 @@
         self, pools: dict[str, _Pool], standby: list[str], now_s: float
     ) -> list[state.Duty]:
         """Return moves of idle machines that no pool needs."""
-        moves = []
+        moves: list[state.Duty] = []
         for name, pool in pools.items():
             surplus = len(pool.up) - pool.kept
             if name in standby or surplus <= 0:
@@ -287,8 +282,14 @@
                 >= self._idle_since_s.get(machine.name, now_s)
                 + IDLE_BEFORE_MOVE_S
             ]
-            moves += [
-                state.Duty(machine.name, state.DutyKind.MOVE, standby[0])
-                for machine in idle[:surplus]
-            ]
+            moves += _take_moves(idle, standby[0], surplus)
         return moves
+
+
+def _take_moves(
+    donors: list[machines.Machine], pool: str, count: int
+) -> list[state.Duty]:
+    """Take the first donors, and return their moves to a pool."""
+    taken = donors[:count]
+    del donors[:count]
+    return [state.Duty(m.name, state.DutyKind.MOVE, pool) for m in taken]
--- a/greengagering/programs/ticket.py
+++ b/greengagering/programs/ticket.py
@@ -148,7 +148,8 @@
         except OSError as error:
             raise _unreadable(str(error.filename), error) from error
         if not lines:
-            raise _unreadable(str(name), f'no event in {len(files)} files')
+            message = f'no event in {len(files)} files'
+            raise _refused('name', str(name), message)
         for line in lines:
             print(line.format())
 
@@ -164,10 +165,9 @@
 
     async def _ticket(self, number: int) -> pages.TicketPage:
         if not isinstance(number, int):
-            field = protocol_errors.FieldError(
+            raise _refused(
                 'number', protocol.shorten(number), 'must be a whole number'
             )
-            raise protocol_errors.InvalidInputError('command line', [field])
         path = f'/v1/tickets/{number}'
         return await self._client.get(path, pages.TicketPage)
 
@@ -208,16 +208,18 @@
     return body
 
 
+def _refused(
+    field: str, value: str, message: str
+) -> protocol_errors.InvalidInputError:
+    """Return the error that names a wrong argument."""
+    error = protocol_errors.FieldError(field, value, message)
+    return protocol_errors.InvalidInputError('command line', [error])
+
+
 def _unreadable(
-    value: str, cause: OSError | str
+    file: str, error: OSError
 ) -> protocol_errors.InvalidInputError:
-    if isinstance(cause, str):
-        field = protocol_errors.FieldError('name', value, cause)
-    else:
-        field = protocol_errors.FieldError(
-            'file', value, cause.strerror or str(cause)
-        )
-    return protocol_errors.InvalidInputError('command line', [field])
+    return _refused('file', file, error.strerror or str(error))
 
 
 def main() -> None:
