Share the tests' set-up: drawn fleets, a lone replica, full disks

Cause: reading the change again. The surges and the short fleet stood in a feature and in a benchmark, a lone replica's core in a feature and in another benchmark, a full disk in a feature and in the soak, and the soak's GET beside its other requests; one of the soak's fields was never read. Change: demand_world.SHORT_FLEET and static_pools, fakes.lone_control, processes.fill_disk and newest_segment, one request function for the soak's callers; its last look at the jobs also asks for Retry-After.

--- a/benchmarks/demand_turns.py
+++ b/benchmarks/demand_turns.py
@@ -15,7 +15,6 @@
 from features.support import demand_world
 from greengagering.coordination.jobs import _director
 from greengagering.coordination.jobs import _placement
-from greengagering.coordination.jobs import _pool_plan
 from greengagering.coordination.jobs import _work_index
 
 DAYS = 6
@@ -23,29 +22,11 @@
 PATTERNS = {
     'turns, 34 s': demand_world.four_turns(),
     'turns, 50 s': demand_world.four_turns(day_s=50.0),
-    'surges, a third fewer machines': demand_world.four_turns(
-        day_s=50.0,
-        machines=(7, 8, 9, 9),
-        standby=0,
-        surges=(
-            ('lookup', 2.0, 4.0, 2.0),
-            ('match', 11.0, 5.0, 2.0),
-            ('status', 20.0, 4.0, 2.0),
-            ('scan', 28.0, 4.0, 1.6),
-        ),
-    ),
+    'surges, a third fewer machines': demand_world.SHORT_FLEET,
     'turns, 34 s, four times as large': demand_world.LARGE_FLEET,
 }
 
 
-@contextlib.contextmanager
-def _static_pools() -> Iterator[None]:
-    with mock.patch.object(
-        _pool_plan.PoolPlan, 'find_moves', lambda *_arguments: []
-    ):
-        yield
-
-
 @contextlib.contextmanager
 def _first_come() -> Iterator[None]:
     def rank(work: _work_index.StepWork, now_s: float) -> tuple[float, ...]:
@@ -68,7 +49,7 @@
     'as it is': contextlib.nullcontext,
     'first come, first served': _first_come,
     'first fit': _first_fit,
-    'static pools': _static_pools,
+    'static pools': demand_world.static_pools,
 }
 
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -34,17 +34,7 @@
     def __init__(self, size: int) -> None:
         self.size = size
         self.now_s = 0.0
-        rng = random.Random(1)
-        replica = coordination.Replica(
-            coordination.ReplicaIdentity('control-1', 'folder'),
-            state.Membership(voters=('control-1',)),
-            fakes.FakeDisk(rng, 0.0),
-            rng,
-            0.0,
-        )
-        self.core = coordination.ControlCore(
-            replica, coordination.LeaseOptions(), 0.0
-        )
+        self.core = fakes.lone_control()
         self.advance(3.0)
         self.submit(_pools_ticket(size))
         self.report_all()
--- a/features/search/fakes.py
+++ b/features/search/fakes.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from greengagering import coordination
 from greengagering import state
 from greengagering.state import errors as state_errors
 
@@ -171,3 +172,16 @@
     return SkewedClock(
         offset_s=rng.uniform(0, 1000), rate=rng.uniform(1 - half, 1 + half)
     )
+
+
+def lone_control() -> coordination.ControlCore:
+    """Return the core of a single replica with an empty disk."""
+    rng = random.Random(1)
+    replica = coordination.Replica(
+        coordination.ReplicaIdentity('control-1', 'folder'),
+        state.Membership(voters=('control-1',)),
+        FakeDisk(rng, 0.0),
+        rng,
+        0.0,
+    )
+    return coordination.ControlCore(replica, coordination.LeaseOptions(), 0.0)
--- a/features/soak/_callers.py
+++ b/features/soak/_callers.py
@@ -22,6 +22,9 @@
 PAUSE_S = 0.25
 """Longest pause of a caller between two calls."""
 
+RETRY_S = (0.05, 0.5)
+"""Range of the pause before something is sent again."""
+
 VISIBLE_S = 3.0
 """Time from its acceptance until every entry must know a job."""
 
@@ -67,7 +70,6 @@
         self.acknowledged: list[tuple[float, int]] = []
         self.sent_versions: dict[int, bytes] = {}
         self._version = 3
-        self._is_ending = False
 
     async def play(self, seconds: float) -> None:
         """Call for a time."""
@@ -120,7 +122,7 @@
                 return
             if status not in (429, 503):
                 job.is_unclear = True
-            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+            await asyncio.sleep(self._rng.uniform(*RETRY_S))
 
     async def _ask(self, session: aiohttp.ClientSession, job: SoakJob) -> None:
         sent_s = time.monotonic()
@@ -141,6 +143,13 @@
         if await self._send(session, 'DELETE', job) == 200:
             job.cancelled_at_s = job.cancelled_at_s or time.monotonic()
 
+    async def show(
+        self, session: aiohttp.ClientSession, job: SoakJob, entry: str
+    ) -> str:
+        """Return a job's state, or the status in its place."""
+        status, content = await self._request(session, 'GET', job, entry)
+        return str(json.loads(content)['state'] if status == 200 else status)
+
     async def _send(
         self,
         session: aiohttp.ClientSession,
@@ -149,8 +158,20 @@
         body: bytes | None = None,
     ) -> int:
         entries = [n for n in self._system.proxies if n.startswith('entry')]
-        proxy = self._system.proxies[self._rng.choice(entries)]
-        address = f'{proxy.proxy_host}:{proxy.proxy_port}'
+        entry = self._rng.choice(entries)
+        status, _ = await self._request(session, method, job, entry, body)
+        return status
+
+    async def _request(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        job: SoakJob,
+        entry: str,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a request; no clear answer is status 0."""
+        address = self._system.address_of(entry)
         url = f'http://{address}{platform_world.PREFIX}{job.job_id}'
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
             async with asyncio.timeout(CALL_TIMEOUT_S):
@@ -160,13 +181,13 @@
                     data=body,
                     headers={'Host': platform_world.HOST},
                 ) as response:
-                    await response.read()
+                    content = await response.read()
                     if response.status in (429, 503) and not (
                         response.headers.get('Retry-After')
                     ):
                         self.violate(f'{response.status} has no Retry-After')
-                    return response.status
-        return 0
+                    return response.status, content
+        return 0, b''
 
     async def _operate(self, ends_s: float) -> None:
         async with aiohttp.ClientSession() as session:
@@ -201,7 +222,7 @@
                         if 400 <= response.status < 500:
                             self.violate(f'refused {response.status}')
                             return False
-            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+            await asyncio.sleep(self._rng.uniform(*RETRY_S))
         return False
 
     async def read_version(self, session: aiohttp.ClientSession) -> int | None:
--- a/features/soak/_faults.py
+++ b/features/soak/_faults.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 import dataclasses
 import random
-import resource
 import signal
 import time
 
 from features.soak._system import SoakSystem
 from features.support import link_proxy
+from features.support import processes
 
 SHORT_S = (0.3, 2.0)
 """Length of faults that a leader change outlasts, and of some that don't."""
@@ -46,18 +46,19 @@
         now_s = time.monotonic()
         due = [r for r in self._repairs if r.at_s <= now_s]
         self._repairs = [r for r in self._repairs if r.at_s > now_s]
-        for repair in due:
-            self._note(f'end {repair.fault}')
-            repair.undo()
+        self._end(due)
         if len(self._repairs) < OVERLAPPING_FAULTS:
             self._rng.choice(self._kinds())()
 
     def end_all(self) -> None:
         """End every fault."""
-        for repair in self._repairs:
+        self._end(self._repairs)
+        self._repairs = []
+
+    def _end(self, repairs: list[Repair]) -> None:
+        for repair in repairs:
             self._note(f'end {repair.fault}')
             repair.undo()
-        self._repairs.clear()
 
     def _kinds(self) -> list[Callable[[], None]]:
         return [
@@ -132,11 +133,7 @@
 
     def _power_loss(self) -> None:
         """End every control replica at once, some with a torn write."""
-        names = [
-            name
-            for name in self._system.running()
-            if name.startswith('control')
-        ]
+        names = self._system.running_controls()
         for name in names:
             self._system.kill(name)
             if self._rng.random() < 0.5:
@@ -162,25 +159,21 @@
         )
 
     def _fill_disk(self) -> None:
-        names = [n for n in self._system.running() if n.startswith('control')]
+        names = self._system.running_controls()
         if not names:
             return
         name = self._rng.choice(names)
         process = self._system.processes[name]
-        self._limit_files(process.pid, self._system.segment_bytes(name) + 10)
+        processes.fill_disk(process.pid, self._system.data_folder(name))
         self._system.full_disks.add(name)
 
         def free() -> None:
             self._system.full_disks.discard(name)
             if process.poll() is None:
-                self._limit_files(process.pid, resource.RLIM_INFINITY)
+                processes.free_disk(process.pid)
 
         self._begin(f'full disk of {name}', LONG_S, free)
 
-    def _limit_files(self, pid: int, size: int) -> None:
-        limits = (size, resource.RLIM_INFINITY)
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
-
     def _crash_worker(self) -> None:
         worker = self._rng.choice(self._system.workers).worker
         if not worker.is_up:
--- a/features/soak/_system.py
+++ b/features/soak/_system.py
@@ -55,6 +55,10 @@
             if process.poll() is None and name not in self.ended_by_us
         ]
 
+    def running_controls(self) -> list[str]:
+        """Return the control replicas that no fault holds."""
+        return [n for n in self.running() if n.startswith('control')]
+
     def kill(self, name: str) -> None:
         """End a process without notice."""
         self.ended_by_us.add(name)
@@ -99,23 +103,18 @@
 
     def tear_last_segment(self, name: str, junk: bytes) -> None:
         """Leave a torn write at the end of a replica's newest segment."""
-        segments = sorted(self._data_folder(name).glob('segment-*'))
-        if segments:
-            with open(segments[-1], 'ab') as segment:
+        newest = processes.newest_segment(self.data_folder(name))
+        if newest is not None:
+            with open(newest, 'ab') as segment:
                 segment.write(junk)
 
-    def segment_bytes(self, name: str) -> int:
-        """Return the size of a replica's newest segment."""
-        segments = sorted(self._data_folder(name).glob('segment-*'))
-        return segments[-1].stat().st_size if segments else 0
-
     def pick_losable_disk(self, rng: random.Random) -> str | None:
         """Return a replica whose disk may go without losing too many.
 
         One loss is promised to be borne, so all replicas must run, and vote
         under the names of their present disks.
         """
-        names = [n for n in self.running() if n.startswith('control')]
+        names = self.running_controls()
         if len(names) < CONTROLS:
             return None
         dumps = [self.dump(name) for name in names]
@@ -133,24 +132,25 @@
             return None
         return rng.choice(names)
 
+    def address_of(self, name: str) -> str:
+        """Return where a worker or an entry is reached by others."""
+        proxy = self.proxies[name]
+        return f'{proxy.proxy_host}:{proxy.proxy_port}'
+
     def reset_link(self, name: str) -> None:
         """Cut the connections through a proxy."""
         self.thread.run(link_proxy.cut_connections(self.proxies[name]))
 
-    def _data_folder(self, name: str) -> pathlib.Path:
-        return self.folder / f'{name}-data'
-
     def _open_proxy(self, target: str) -> link_proxy.LinkProxy:
         return self.thread.run(link_proxy.open_proxy(target))
 
     def _start_proxied_worker(self, name: str) -> None:
         listen_address = ports.free_address()
-        proxy = self._open_proxy(listen_address)
-        self.proxies[name] = proxy
+        self.proxies[name] = self._open_proxy(listen_address)
         worker = platform_workers.HttpWorker(
             name,
             platform_world.SERVICE,
-            f'{proxy.proxy_host}:{proxy.proxy_port}',
+            self.address_of(name),
             self.seeds,
             self.ledger,
             listen_address,
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import dataclasses
-import json
 import pathlib
 import random
 import tempfile
@@ -119,12 +118,12 @@
         while left and time.monotonic() < ends_s:
             await asyncio.sleep(POLL_S)
             states = {
-                job.job_id: await _state(system, session, job.job_id)
+                job.job_id: await callers.show(session, job, 'entry-1')
                 for job in left
             }
             left = [j for j in left if states[j.job_id] != 'succeeded']
         for job in left:
-            shown = await _state(system, session, job.job_id)
+            shown = await callers.show(session, job, 'entry-1')
             callers.violate(f'accepted {job.job_id} is shown as {shown}')
         while time.monotonic() < ends_s and system.ledger.running:
             await asyncio.sleep(POLL_S)
@@ -135,27 +134,6 @@
             callers.violate('the configuration is not read back')
 
 
-async def _state(
-    system: SoakSystem, session: aiohttp.ClientSession, job_id: str
-) -> str:
-    proxy = system.proxies['entry-1']
-    url = (
-        f'http://{proxy.proxy_host}:{proxy.proxy_port}'
-        f'{platform_world.PREFIX}{job_id}'
-    )
-    try:
-        async with asyncio.timeout(2.0):
-            async with session.get(
-                url, headers={'Host': platform_world.HOST}
-            ) as response:
-                content = await response.read()
-                if response.status != 200:
-                    return str(response.status)
-                return str(json.loads(content)['state'])
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        return repr(error)
-
-
 def _check_end(system: SoakSystem, callers: SoakCallers) -> None:
     for worker in system.workers:
         for violation in worker.violations:
--- a/features/steps/batch_rule_steps.py
+++ b/features/steps/batch_rule_steps.py
@@ -8,16 +8,11 @@
 from behave import when
 
 from features.search import fakes
+from features.steps.replica_rule_steps import peer
+from features.steps.replica_rule_steps import VOTERS
 from greengagering import coordination
 from greengagering import state
 
-VOTERS = ('control-1', 'control-2', 'control-3')
-
-
-def peer(name: str) -> coordination.ReplicaIdentity:
-    """Return the identity of a replica."""
-    return coordination.ReplicaIdentity(name, f'{name}-folder')
-
 
 def acknowledge(context: Any) -> None:
     """Let control-2 acknowledge the whole log."""
--- a/features/steps/control_fault_steps.py
+++ b/features/steps/control_fault_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import resource
 import shutil
 from typing import Any
 
@@ -12,10 +11,9 @@
 
 from features.steps.whole_path_steps import call_url
 from features.support import ports
+from features.support import processes
 from features.support import web
 
-ALL_RESOURCES = resource.RLIM_INFINITY
-
 BATCH_TICKETS = 50
 """Tickets that are sent at once."""
 
@@ -308,16 +306,13 @@
         )
 
 
-def _limit(context: Any, name: str, size: int) -> None:
+def _fill(context: Any, name: str) -> None:
     pid = context.system.processes[name].pid
-    limits = (size, ALL_RESOURCES)
-    resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
+    processes.fill_disk(pid, context.folder / f'{name}-data')
 
 
-def _fill(context: Any, name: str) -> None:
-    folder = context.folder / f'{name}-data'
-    newest = sorted(folder.glob('segment-*'))[-1]
-    _limit(context, name, newest.stat().st_size + 10)
+def _free(context: Any, name: str) -> None:
+    processes.free_disk(context.system.processes[name].pid)
 
 
 @when("the data folder of the leader can't grow")
@@ -343,7 +338,7 @@
 
 @when('the data folder can grow again')
 def free_leader(context: Any) -> None:
-    _limit(context, context.silenced, ALL_RESOURCES)
+    _free(context, context.silenced)
 
 
 @when("the data folders of two replicas can't grow")
@@ -364,7 +359,7 @@
 @when('the data folders can grow again')
 def free_two(context: Any) -> None:
     for name in context.full:
-        _limit(context, name, ALL_RESOURCES)
+        _free(context, name)
 
 
 @then('ticket 2 is accepted when it is sent again')
--- a/features/steps/demand_turn_steps.py
+++ b/features/steps/demand_turn_steps.py
@@ -11,19 +11,10 @@
 from features.support import demand_world
 from greengagering import coordination
 from greengagering.coordination.jobs import _director
-from greengagering.coordination.jobs import _pool_plan
 from greengagering.coordination.jobs import _worker_view as worker_view
 
-SURGES = (
-    ('lookup', 2.0, 4.0, 2.0),
-    ('match', 11.0, 5.0, 2.0),
-    ('status', 20.0, 4.0, 2.0),
-    ('scan', 28.0, 4.0, 1.6),
-)
 FULL_SURGE = (('lookup', 2.0, 3.0, 3.0),)
 RESERVE = 5
-FEW_MACHINES = (7, 8, 9, 9)
-FEW_MACHINES_STANDBY = 0
 
 
 def _days(pattern: demand_world.DemandPattern, count: int) -> list[Any]:
@@ -51,11 +42,8 @@
     'and none in standby'
 )
 def play_surges(context: Any, count: int, day_s: int) -> None:
-    context.pattern = demand_world.four_turns(
-        day_s=float(day_s),
-        machines=FEW_MACHINES,
-        standby=FEW_MACHINES_STANDBY,
-        surges=SURGES,
+    context.pattern = dataclasses.replace(
+        demand_world.SHORT_FLEET, day_s=float(day_s)
     )
     context.days = _days(context.pattern, count)
 
@@ -72,7 +60,9 @@
 
 @given('a drawn day with surges and {count:d} lasting tasks in each queue')
 def draw_wave_day(context: Any, count: int) -> None:
-    pattern = demand_world.four_turns(lasting_count=count, surges=SURGES)
+    pattern = demand_world.four_turns(
+        lasting_count=count, surges=demand_world.SURGES
+    )
     context.world = demand_world.DemandWorld(pattern, seed=1)
 
 
@@ -93,6 +83,7 @@
     world.play_until(demand_world.QUIET_S + after_s)
     world.accept_wave(count, float(within_s), at_once)
     context.wave_at_s = world.now_s
+    context.wave = (count, at_once, within_s, after_s)
 
 
 @then('all its machines have begun their upkeep within {within_s:d} s')
@@ -114,7 +105,7 @@
         context.world = demand_world.DemandWorld(
             context.world.pattern, seed=seed
         )
-        accept_wave(context, 24, 9, within_s, 1)
+        accept_wave(context, *context.wave)
         check_wave(context, within_s)
 
 
@@ -177,9 +168,7 @@
 
 @then('no more is earned with machines that never move')
 def check_static(context: Any) -> None:
-    with mock.patch.object(
-        _pool_plan.PoolPlan, 'find_moves', lambda *_arguments: []
-    ):
+    with demand_world.static_pools():
         static = _days(context.pattern, len(context.days))
     earned = sum(day.earned for day in context.days)
     assert earned >= sum(day.earned for day in static), (context.days, static)
--- a/features/steps/lease_rule_steps.py
+++ b/features/steps/lease_rule_steps.py
@@ -1,6 +1,5 @@
 """Steps that let one leader answer an entry's report."""
 
-import random
 from typing import Any
 
 from behave import given
@@ -24,17 +23,7 @@
 
 @given('a leader without any ticket for {seconds:g} s')
 def lead_alone(context: Any, seconds: float) -> None:
-    rng = random.Random(1)
-    replica = coordination.Replica(
-        coordination.ReplicaIdentity('control-1', 'folder'),
-        state.Membership(voters=('control-1',)),
-        fakes.FakeDisk(rng, 0.0),
-        rng,
-        0.0,
-    )
-    context.core = coordination.ControlCore(
-        replica, coordination.LeaseOptions(), 0.0
-    )
+    context.core = fakes.lone_control()
     context.now_s = 0.0
     step(context, seconds + 1.0)
     assert context.core.confirmed_revision > 0
--- a/features/support/demand_world.py
+++ b/features/support/demand_world.py
@@ -5,12 +5,15 @@
 """
 
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import math
 import random
 from typing import Any
+from unittest import mock
 
 from greengagering import coordination
+from greengagering.coordination.jobs import _pool_plan
 from greengagering import state
 
 TICK_S = 0.02
@@ -36,6 +39,10 @@
 """Time for which the clairvoyant plan keeps a machine at least."""
 
 ROOM = state.Room(32_000, 131_072)
+REPORT_INTERVAL_S = 1.5
+LASTING_AT_S = 2.0
+"""Time at which the lasting jobs are handed in."""
+
 QUIET_S = 8.0
 """Time before the first turn, in which the system starts."""
 
@@ -119,6 +126,18 @@
     return DemandPattern(QUEUES, machines, standby, **fields)
 
 
+SURGES = (
+    ('lookup', 2.0, 4.0, 2.0),
+    ('match', 11.0, 5.0, 2.0),
+    ('status', 20.0, 4.0, 2.0),
+    ('scan', 28.0, 4.0, 1.6),
+)
+
+SHORT_FLEET = four_turns(
+    machines=(7, 8, 9, 9), standby=0, day_s=50.0, surges=SURGES
+)
+"""A third fewer machines, and more in each queue's turn than usual."""
+
 LARGE_FLEET = DemandPattern(
     (
         QueueShape('lookup', 17.5, 0.394, 1.6, 8, 0.64, 3100, 5000),
@@ -219,6 +238,15 @@
     run_s: dict[str, float]
 
 
+@contextlib.contextmanager
+def static_pools() -> Iterator[None]:
+    """Let no machine move, as a baseline."""
+    with mock.patch.object(
+        _pool_plan.PoolPlan, 'find_moves', lambda *_arguments: []
+    ):
+        yield
+
+
 class DemandWorld:
     """Plays one seeded day of a pattern."""
 
@@ -460,18 +488,22 @@
             may_miss=max(1, int(0.15 * pattern.lasting_count)),
         )
         spec = state.JobSpec(f'{shape.name}-lasting', 'text', (step,))
-        plan = self.jobs_state.plan
-        assert plan is not None
-        queue = next(q for q in plan.queues if q.name == shape.name)
-        self._commits.append((2.0, state.JobAccepted(spec, queue, 2000)))
+        accepted = state.JobAccepted(
+            spec, self._queue(shape), int(LASTING_AT_S * 1000)
+        )
+        self._commits.append((LASTING_AT_S, accepted))
 
     def _hand_in(self, job: _Job) -> None:
+        self._jobs[job.spec.job_id] = job
+        at_ms = int(self.now_s * 1000)
+        self._propose(
+            [state.JobAccepted(job.spec, self._queue(job.queue), at_ms)]
+        )
+
+    def _queue(self, shape: QueueShape) -> state.Queue:
         plan = self.jobs_state.plan
         assert plan is not None
-        queue = next(q for q in plan.queues if q.name == job.queue.name)
-        self._jobs[job.spec.job_id] = job
-        record = state.JobAccepted(job.spec, queue, int(self.now_s * 1000))
-        self._propose([record])
+        return next(q for q in plan.queues if q.name == shape.name)
 
     def _propose(self, records: list[state.JobRecord]) -> None:
         due_s = self.now_s + COMMIT_S
@@ -523,7 +555,7 @@
     def _report(self, worker: _Worker) -> None:
         if self.now_s < worker.reports_at_s:
             return
-        worker.reports_at_s = self.now_s + 1.5
+        worker.reports_at_s = self.now_s + REPORT_INTERVAL_S
         worker.sequence += 1
         report = coordination.WorkerReport(
             worker.facts, worker.sequence, int(self.now_s * 1000), False
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -71,7 +71,7 @@
         self.settings[name] = {
             'host': host,
             'data_centre': 'z-1',
-            'data_folder': str(self.folder / f'{name}-data'),
+            'data_folder': str(self.data_folder(name)),
             'http_address': f'{host}:{self.control_port}',
             'link_port': self.link_port,
             'seed_addresses': self.seeds,
@@ -121,7 +121,11 @@
 
     def lose_disk(self, name: str) -> None:
         """Remove the data of a replica that doesn't run."""
-        shutil.rmtree(self.folder / f'{name}-data')
+        shutil.rmtree(self.data_folder(name))
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """Return where a replica keeps its data."""
+        return self.folder / f'{name}-data'
 
     def call(
         self,
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,12 +1,15 @@
 """Real processes of the system under test."""
 
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
 
 SCRIPTS = pathlib.Path(sys.executable).parent
 STOP_TIMEOUT_S = 60.0
+BYTES_LEFT = 10
+"""Room on a full disk: less than any record takes."""
 
 
 class SystemProcess:
@@ -83,3 +86,25 @@
         if line.startswith(('SigIgn:', 'SigCgt:'))
     ]
     return any(mask & 1 << (signal.SIGHUP - 1) for mask in masks)
+
+
+def newest_segment(folder: pathlib.Path) -> pathlib.Path | None:
+    """Return the file that a replica's log grows in, or None."""
+    return max(folder.glob('segment-*'), default=None)
+
+
+def fill_disk(pid: int, folder: pathlib.Path) -> None:
+    """Let a process's newest segment, and any other file, hardly grow."""
+    segment = newest_segment(folder)
+    size = segment.stat().st_size if segment is not None else 0
+    _limit_files(pid, size + BYTES_LEFT)
+
+
+def free_disk(pid: int) -> None:
+    """Let a process's files grow again."""
+    _limit_files(pid, resource.RLIM_INFINITY)
+
+
+def _limit_files(pid: int, size: int) -> None:
+    limits = (size, resource.RLIM_INFINITY)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
