Pace the leader's steps and count log lines before making them

Cause: under load each message cost a whole step, lines above the limit were made and thrown away, and the keeper asked about every worker at each step. Change: after a long step inputs gather for as long, up to 10 ms. A line asks for its place before it is made. The keeper asks about every worker only when a list of machines may be due.

--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -228,6 +228,8 @@
         self._wave_started_s.clear()
 
     def _list_machines(self, now_s: float) -> None:
+        if self._is_listing or now_s < self._listed_at_s + LIST_INTERVAL_S:
+            return
         interval_s = IDLE_LIST_INTERVAL_S
         has_wave = any(
             len(wave.begun) < len(wave.wave.machines)
@@ -245,7 +247,7 @@
         is_urgent = self.open or has_wave or has_silent or has_new
         if is_urgent or not self._listed_once:
             interval_s = LIST_INTERVAL_S
-        if self._is_listing or now_s < self._listed_at_s + interval_s:
+        if now_s < self._listed_at_s + interval_s:
             return
         self._is_listing = True
         self._listed_at_s = now_s
@@ -266,7 +268,8 @@
     ) -> list[state.JobRecord]:
         number = wave.wave.number
         started_s = self._wave_started_s.setdefault(number, now_s)
-        left = [m for m in wave.wave.machines if m not in wave.begun]
+        begun = set(wave.begun)
+        left = [m for m in wave.wave.machines if m not in begun]
         left = [m for m in left if self._is_known(m, started_s)]
         gone = [m for m in left if m not in self.machines]
         if gone:
--- a/greengagering/logs.py
+++ b/greengagering/logs.py
@@ -24,6 +24,10 @@
 }
 
 
+_handlers: list['BoundedHandler'] = []
+"""The handler of this process, once logs are configured."""
+
+
 class BoundedHandler(logging.Handler):
     """Writes lines to standard output, few enough and without waiting.
 
@@ -38,27 +42,42 @@
         self._descriptor = descriptor
         self._counts: dict[str, int] = {}
         self._window_s = float('-inf')
+        self._told_s = float('-inf')
 
-    def emit(self, record: logging.LogRecord) -> None:
-        """Write a record, or count it."""
+    def admits(self, event: str) -> bool:
+        """Tell whether a line of an event may be written, or count it.
+
+        Asked before the line is made, as making it is the dearest part.
+        """
         now_s = time.monotonic()
         if now_s >= self._window_s + WINDOW_S:
             self._window_s = now_s
             self._counts.clear()
-            self._tell_left_out(record)
+        count = self._counts.get(event, 0) + 1
+        self._counts[event] = count
+        if count <= MAX_LINES_PER_EVENT_S:
+            return True
+        self.left_out[event] = self.left_out.get(event, 0) + 1
+        return False
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or count it."""
         event = record.msg
         if isinstance(event, dict):
             event = event.get('event', '')
-        event = str(event)
-        count = self._counts.get(event, 0) + 1
-        self._counts[event] = count
-        is_within = count <= MAX_LINES_PER_EVENT_S
-        if not (is_within and self._write(self.format(record))):
+        elif not self.admits(str(event)):
+            # Lines of libraries come here without having asked.
+            return
+        self._tell_left_out(record)
+        if not self._write(self.format(record)):
+            event = str(event)
             self.left_out[event] = self.left_out.get(event, 0) + 1
 
     def _tell_left_out(self, record: logging.LogRecord) -> None:
-        if not self.left_out:
+        now_s = time.monotonic()
+        if not self.left_out or now_s < self._told_s + WINDOW_S:
             return
+        self._told_s = now_s
         told = logging.makeLogRecord(record.__dict__)
         told.levelno, told.levelname = logging.WARNING, 'WARNING'
         told.msg = {'event': 'lines_left_out', **self.left_out}
@@ -94,6 +113,7 @@
     # here; before that, absl would put a warning in front of the first line.
     flags.FLAGS(['greengagering'])
     logging.root.handlers = [handler]
+    _handlers[:] = [handler]
     absl_logging.set_verbosity(_LEVELS[level])
     # Libraries log their own lines, of which only warnings help operators.
     for name in ('asyncio', 'aiohttp', 'aiomisc', 'grpclib', 'hpack'):
@@ -121,5 +141,7 @@
 
 
 def _log(level: int, event: str, fields: dict[str, Any]) -> None:
-    if absl_logging.vlog_is_on(level):
+    if not absl_logging.vlog_is_on(level):
+        return
+    if all(handler.admits(event) for handler in _handlers):
         absl_logging.log(level, {'event': event, **fields})
--- a/greengagering/transport/_step_loop.py
+++ b/greengagering/transport/_step_loop.py
@@ -2,16 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 import traceback
 
 from greengagering import logs
 
 TICK_S = 0.04
+MAX_GAP_S = 0.01
+"""Longest pause after a step; a callers' round trip takes as long."""
+
 METRICS_INTERVAL_S = 1.0
 
 
 class StepLoop:
-    """Folds all inputs of one turn of the loop into one step."""
+    """Folds all inputs of one turn of the loop into one step.
+
+    After a step that took long, inputs gather for as long, so that steps
+    leave half of the loop's time to what they wait for.
+    """
 
     def __init__(
         self, step: Callable[[], None], set_metrics: Callable[[], None]
@@ -19,6 +27,7 @@
         self._step = step
         self._set_metrics = set_metrics
         self._is_due = False
+        self._next_s = float('-inf')
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -36,13 +45,20 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def schedule(self) -> None:
-        """Step at the end of this turn of the loop."""
-        if not self._is_due:
-            self._is_due = True
-            asyncio.get_running_loop().call_soon(self._run)
+        """Step at the end of this turn of the loop, or after the pause."""
+        if self._is_due:
+            return
+        self._is_due = True
+        loop = asyncio.get_running_loop()
+        gap_s = self._next_s - loop.time()
+        if gap_s > 0:
+            loop.call_later(gap_s, self._run)
+        else:
+            loop.call_soon(self._run)
 
     def _run(self) -> None:
         self._is_due = False
+        started_s = time.monotonic()
         try:
             self._step()
         except Exception as error:
@@ -53,6 +69,9 @@
                 cause=repr(error),
                 where=traceback.format_exc(limit=-3).replace('\n', ' | '),
             )
+        ended_s = time.monotonic()
+        gap_s = min(ended_s - started_s, MAX_GAP_S)
+        self._next_s = asyncio.get_running_loop().time() + gap_s
 
 
 async def _repeat(action: Callable[[], None], interval_s: float) -> None:
