Let entries carry the leader's orders in fleets of more than 64 workers

Cause: one process made all calls to 272 workers. Change: entries offer themselves with their probes; the leader hands orders and looks in batches to one of them in the worker's data centre, chosen by rendezvous hashing. An agent sends only under its leader's term and a permission that is counted from its own offer and ends with the leader's lease, checked before each send. NOT_SENT tells that nothing was sent; a grant that was never sent is taken back. A silent agent is paused; its workers' next order goes another way, or direct. A run's age is told by its worker's own clock, so that a late reader stops nothing.

--- /dev/null
+++ b/features/steps/agent_rule_steps.py
@@ -0,0 +1,506 @@
+"""Steps that play a leader and its agents without any network."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from greengagering import clock
+from greengagering import coordination
+from greengagering import state
+from greengagering.transport._agent_client import AgentClient
+from greengagering.transport._agent_runner import AgentRunner
+
+START_S = 100.0
+AGENT_CLOCK_S = 7000.0
+"""Difference between an agent's clock and the leader's."""
+
+LEASE_S = 0.4
+AGENTS = 8
+TERM = 3
+DONE = coordination.OrderAnswer(coordination.OrderOutcome.DONE, 1000)
+
+
+def _life(number: int, data_centre: str = 'dc-1') -> state.WorkerFacts:
+    return state.WorkerFacts(
+        f'w{number}',
+        1,
+        'service-a',
+        f'10.0.0.1:{number}',
+        data_centre,
+        f'rack-{number // 8}',
+        (),
+        state.Room(32_000, 65_536),
+    )
+
+
+def _start(
+    number: int, data_centre: str = 'dc-1', fence: int = TERM
+) -> coordination.StartOrder:
+    key = state.RunKey(f'job-{number}', '0.0.0', 1)
+    life = _life(number, data_centre)
+    return coordination.StartOrder(life, key, 'text', 5000, fence, '')
+
+
+class Workers:
+    """Takes orders in place of workers."""
+
+    def __init__(self, answer_after_s: float = 0.0) -> None:
+        self.taken: list[coordination.Order] = []
+        self._answer_after_s = answer_after_s
+
+    async def start(
+        self, order: coordination.StartOrder
+    ) -> coordination.OrderAnswer:
+        """Take an order to start."""
+        self.taken.append(order)
+        if self._answer_after_s:
+            await asyncio.sleep(0)
+            VirtualClock.now_s += self._answer_after_s
+        return DONE
+
+    async def stop(
+        self, order: coordination.StopOrder
+    ) -> coordination.OrderAnswer:
+        """Take an order to stop."""
+        self.taken.append(order)
+        return DONE
+
+    async def pace(
+        self, order: coordination.PaceOrder
+    ) -> coordination.OrderAnswer:
+        """Take a pace."""
+        self.taken.append(order)
+        return DONE
+
+    async def look(
+        self, order: coordination.LookOrder
+    ) -> coordination.LookAnswer:
+        """Answer with empty lists."""
+        return coordination.LookAnswer(coordination.OrderOutcome.DONE)
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+class VirtualClock:
+    """The clock that the code under test reads, in seconds."""
+
+    now_s = START_S
+
+
+@contextlib.contextmanager
+def virtual_clock() -> Iterator[None]:
+    """Let the code under test read VirtualClock."""
+    steady_s = clock.steady_s
+    clock.steady_s = lambda: VirtualClock.now_s
+    VirtualClock.now_s = START_S
+    try:
+        yield
+    finally:
+        clock.steady_s = steady_s
+
+
+async def _turns(count: int = 12) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+class Leader:
+    """A leader's client with a roster of agents, and what it sent."""
+
+    def __init__(self, worker_count: int) -> None:
+        self.direct = Workers()
+        self.roster = coordination.AgentRoster()
+        self.sent: dict[str, list[coordination.AgentOrders]] = (
+            collections.defaultdict(list)
+        )
+        self.lease_end_s = START_S + LEASE_S
+        self.client = AgentClient(
+            self.direct,
+            self.roster,
+            lambda: worker_count,
+            lambda: self.lease_end_s,
+            lambda agent, batch: self.sent[agent.agent_id].append(batch),
+            'leader:1',
+        )
+        for number in range(AGENTS):
+            self.offer(f'entry-{number}', 'boot-1')
+
+    def offer(self, name: str, boot_id: str) -> None:
+        """Let an entry offer itself."""
+        sent_at_s = VirtualClock.now_s + AGENT_CLOCK_S
+        offer = coordination.AgentOffer(boot_id, 'dc-1', sent_at_s)
+        self.client.note_offer(name, name, offer, VirtualClock.now_s)
+
+    def home(self, number: int) -> str:
+        """Return the agent that carries a worker's orders, or ''."""
+        agent = self.roster.choose(_life(number), 272, VirtualClock.now_s)
+        return agent.agent_id if agent is not None else ''
+
+
+@given('a leader with {count:d} workers and agents in dc-1')
+def new_leader(context: Any, count: int) -> None:
+    context.worker_count = count
+    context.outcomes = []
+
+
+def _play(context: Any, action: Any) -> None:
+    """Run an action on a leader, under a virtual clock."""
+
+    async def run() -> None:
+        context.leader = Leader(context.worker_count)
+        await action(context.leader)
+        await context.leader.client.close()
+
+    with virtual_clock():
+        asyncio.run(run())
+
+
+@when('{count:d} orders to workers of {data_centre} are given at once')
+def give_orders(context: Any, count: int, data_centre: str) -> None:
+    async def act(leader: Leader) -> None:
+        tasks = [
+            asyncio.ensure_future(leader.client.start(_start(n, data_centre)))
+            for n in range(count)
+        ]
+        await _turns()
+        context.direct_count = len(leader.direct.taken)
+        for task in tasks:
+            task.cancel()
+
+    _play(context, act)
+
+
+@then('each agent gets one message, and they hold {count:d} orders')
+def check_batches(context: Any, count: int) -> None:
+    sent = context.leader.sent
+    assert len(sent) > 1, sent
+    assert all(len(batches) == 1 for batches in sent.values()), sent
+    assert sum(len(b.starts) for bs in sent.values() for b in bs) == count
+
+
+@then('no agent gets a message, and {count:d} orders are sent directly')
+def check_direct(context: Any, count: int) -> None:
+    assert not context.leader.sent, context.leader.sent
+    assert context.direct_count == count
+
+
+@when('one agent goes silent')
+def silence_agent(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        context.before = {n: leader.home(n) for n in range(200)}
+        VirtualClock.now_s += 2.0
+        for number in range(1, AGENTS):
+            leader.offer(f'entry-{number}', 'boot-1')
+        context.after = {n: leader.home(n) for n in range(200)}
+
+    _play(context, act)
+
+
+@then('only its workers are carried by others')
+def check_moved(context: Any) -> None:
+    for number, home in context.before.items():
+        if home == 'entry-0':
+            assert context.after[number] not in ('', 'entry-0')
+        else:
+            assert context.after[number] == home
+    assert 'entry-0' in context.before.values()
+
+
+async def _give_one(leader: Leader) -> 'asyncio.Task[Any]':
+    task = asyncio.ensure_future(leader.client.start(_start(0)))
+    await _turns()
+    return task
+
+
+@when('an agent leaves an order unanswered')
+def leave_unanswered(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        context.home = leader.home(0)
+        task = await _give_one(leader)
+        VirtualClock.now_s += 1.0
+        leader.offer(context.home, 'boot-1')
+        await asyncio.sleep(0.15)
+        context.outcome = (await task).outcome
+        context.next_home = leader.home(0)
+
+    _play(context, act)
+
+
+@when('an agent restarts with an order on its way')
+def restart_agent(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        context.home = leader.home(0)
+        task = await _give_one(leader)
+        leader.offer(context.home, 'boot-2')
+        await _turns()
+        assert task.done()
+        context.outcome = task.result().outcome
+
+    _play(context, act)
+
+
+@when('an agent withdraws with an order on its way and answers it')
+def withdraw_agent(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        context.home = leader.home(0)
+        task = await _give_one(leader)
+        now_s = VirtualClock.now_s
+        leader.client.note_offer(context.home, context.home, None, now_s)
+        number = leader.sent[context.home][0].starts[0][0]
+        leader.client.receive(
+            coordination.AgentAnswers(
+                context.home, 'boot-1', ((number, DONE),)
+            )
+        )
+        context.outcome = (await task).outcome
+        context.next_home = leader.home(0)
+
+    _play(context, act)
+
+
+@when("the leader's lease ends and an order is given")
+def end_lease(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        VirtualClock.now_s = leader.lease_end_s
+        context.outcome = (await leader.client.start(_start(0))).outcome
+
+    _play(context, act)
+
+
+@then('no agent gets a message, and the order counts as not sent')
+def check_unsent(context: Any) -> None:
+    assert not context.leader.sent, context.leader.sent
+    assert context.outcome is coordination.OrderOutcome.NOT_SENT
+
+
+@then('that order counts as perhaps sent')
+def check_uncertain(context: Any) -> None:
+    assert context.outcome is coordination.OrderOutcome.NO_ANSWER
+
+
+@then('that order counts as done')
+def check_done(context: Any) -> None:
+    assert context.outcome is coordination.OrderOutcome.DONE
+
+
+@then('the next order to that worker goes another way')
+def check_other_way(context: Any) -> None:
+    assert context.next_home != context.home
+
+
+@given('an agent with permission for {permit_s:g} s')
+def new_agent(context: Any, permit_s: float) -> None:
+    context.permit_s = permit_s
+
+
+def _batch(
+    context: Any,
+    *starts: coordination.StartOrder,
+    term: int = TERM,
+    boot_id: str = 'boot-1',
+) -> coordination.AgentOrders:
+    return coordination.AgentOrders(
+        address='leader:1',
+        boot_id=boot_id,
+        term=term,
+        offered_at_s=START_S,
+        permit_s=context.permit_s,
+        starts=tuple(enumerate(starts)),
+    )
+
+
+def _play_agent(context: Any, action: Any, answer_after_s: float = 0) -> None:
+    """Run an action on an agent, and keep what it sent and answered."""
+    context.workers = Workers(answer_after_s)
+    context.answers = []
+
+    def send(address: str, answers: coordination.AgentAnswers) -> None:
+        context.answers += answers.orders
+
+    async def run() -> None:
+        runner = AgentRunner('entry-0', 'boot-1', context.workers, send)
+        await action(runner)
+        await asyncio.sleep(0.05)
+        await runner.close()
+
+    with virtual_clock():
+        asyncio.run(run())
+
+
+@when('it is suspended for {seconds:g} s with an order at hand')
+def suspend_agent(context: Any, seconds: float) -> None:
+    async def act(runner: AgentRunner) -> None:
+        runner.receive(_batch(context, _start(0)))
+        # Its clock counts the time of the suspension.
+        VirtualClock.now_s += seconds
+        await _turns()
+
+    _play_agent(context, act)
+
+
+@when("a newer leader's orders arrive before an older one's")
+def replace_leader(context: Any) -> None:
+    async def act(runner: AgentRunner) -> None:
+        newer = _start(1, fence=TERM + 1)
+        runner.receive(_batch(context, newer, term=TERM + 1))
+        runner.receive(_batch(context, _start(0)))
+        await _turns()
+
+    _play_agent(context, act)
+
+
+@then("the older leader's order is not sent, and the leader is told so")
+def check_older(context: Any) -> None:
+    assert [o.fence for o in context.workers.taken] == [TERM + 1]
+    outcomes = [answer.outcome for _, answer in context.answers]
+    assert coordination.OrderOutcome.NOT_SENT in outcomes
+
+
+@then('the order is not sent, and the leader is told so')
+def check_not_sent(context: Any) -> None:
+    assert not context.workers.taken
+    outcomes = [answer.outcome for _, answer in context.answers]
+    assert outcomes == [coordination.OrderOutcome.NOT_SENT], outcomes
+
+
+@when('orders for its earlier process arrive')
+def send_to_earlier(context: Any) -> None:
+    async def act(runner: AgentRunner) -> None:
+        runner.receive(_batch(context, _start(0), boot_id='boot-0'))
+        await _turns()
+
+    _play_agent(context, act)
+
+
+@then('nothing is sent and nothing is answered')
+def check_dropped(context: Any) -> None:
+    assert not context.workers.taken
+    assert not context.answers
+
+
+@when('more orders come for one worker than it takes in 0.4 s')
+def crowd_worker(context: Any) -> None:
+    async def act(runner: AgentRunner) -> None:
+        starts = [_start(0)] * 20
+        runner.receive(_batch(context, *starts))
+        await _turns(200)
+
+    _play_agent(context, act, answer_after_s=0.05)
+
+
+@then('the orders that waited longer are not sent, and the leader is told so')
+def check_waited(context: Any) -> None:
+    sent = len(context.workers.taken)
+    unsent = [
+        answer
+        for _, answer in context.answers
+        if answer.outcome is coordination.OrderOutcome.NOT_SENT
+    ]
+    assert 4 <= sent <= 13, sent
+    assert sent + len(unsent) == 20, (sent, len(unsent))
+
+
+@given(
+    'an offer that took {delay_s:g} s to a leader whose lease has 0.4 s left'
+)
+def late_offer(context: Any, delay_s: float) -> None:
+    offer = coordination.AgentOffer('boot-1', 'dc-1', AGENT_CLOCK_S)
+    heard_at_s = START_S + delay_s
+    agent = coordination.Agent('entry-0', 'entry-0', offer, heard_at_s)
+    context.lease_end_s = heard_at_s + 0.4
+    context.permit = coordination.AgentPermit()
+    context.permit.note(
+        coordination.AgentOrders(
+            'leader:1',
+            'boot-1',
+            TERM,
+            offer.sent_at_s,
+            agent.permit_s(context.lease_end_s, heard_at_s),
+        )
+    )
+
+
+@then("the agent's permission has ended when that lease ends")
+def check_permit(context: Any) -> None:
+    # The offer was sent at START_S on the leader's clock.
+    lease_end_s = context.lease_end_s - START_S + AGENT_CLOCK_S
+    assert not context.permit.allows(TERM, lease_end_s)
+    assert context.permit.allows(TERM, AGENT_CLOCK_S + 0.3)
+
+
+@given('a leader alone that has read one worker')
+def lead_alone(context: Any) -> None:
+    jobs = state.JobsState()
+    queue = state.Queue('q', 'host', '/q/', 'service-a', attempt_limit=2)
+    plan = state.RoutePlan(
+        1, (queue,), (state.WorkerService('service-a'),), 1000, b''
+    )
+    step = state.StepSpec(1, state.Room(1000, 100), 1.0)
+    spec = state.JobSpec('job-0', 'text', (step,))
+    for record in (
+        state.PlanReplaced(plan),
+        state.LifeSeen(_life(0)),
+        state.JobAccepted(spec, queue, 0),
+    ):
+        state.apply_to_jobs(jobs, record)
+    director = coordination.JobDirector(jobs)
+    director.lead(TERM, 0.0, 0)
+    look = director.next_look(_life(0).key, 0.1)
+    assert look is not None
+    director.note_look(
+        look,
+        0,
+        coordination.LookAnswer(
+            coordination.OrderOutcome.DONE, 20_000, 1, (), ()
+        ),
+        0.1,
+        0.1,
+    )
+    context.director = director
+    context.now_s = 30.0
+    report = coordination.WorkerReport(_life(0), 1, 50_000, False)
+    director.note_report(report, context.now_s)
+
+
+@when('a start is not sent')
+def fail_to_send(context: Any) -> None:
+    director = context.director
+    view = director.workers[_life(0).key]
+    context.lapse_at_s = view.lapse_at_s()
+    for record in director.step(context.now_s, 30_000):
+        state.apply_to_jobs(director.jobs, record)
+        director.note_applied(record, context.now_s, 30_000)
+    orders = director.take_orders()
+    assert len(orders) == 1, orders
+    grant = director.begin_start(orders[0], context.now_s)
+    assert view.lapse_at_s() > context.lapse_at_s
+    answer = coordination.OrderAnswer(coordination.OrderOutcome.NOT_SENT)
+    director.note_order(orders[0], grant, answer, context.now_s)
+
+
+@then("the worker's lease is no longer open than before")
+def check_lapse(context: Any) -> None:
+    view = context.director.workers[_life(0).key]
+    assert view.lapse_at_s() == context.lapse_at_s
+    assert view.suspect_since_s is None
+
+
+@then('the next look grants a lease')
+def check_grant(context: Any) -> None:
+    look = context.director.next_look(_life(0).key, context.now_s + 0.1)
+    assert look is not None and look.until_ms
+
+
+@then('the start is ordered again')
+def check_again(context: Any) -> None:
+    director = context.director
+    director.step(context.now_s + 0.5, 30_500)
+    orders = director.take_orders()
+    assert [type(o) for o in orders] == [coordination.StartOrder], orders
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -67,7 +67,7 @@
 @given('an entry that knows the seeds {first} and {second}')
 def new_gateway(context: Any, first: str, second: str) -> None:
     context.gateway = coordination.JobGateway(
-        'entry-1', 'entry-1', (first, second)
+        'entry-1', 'entry-1', (first, second), 'boot-1', 'dc-1'
     )
     context.now_s = 100.0
     context.leading = ''
--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -73,6 +73,13 @@
 from greengagering.coordination.fleet._waves import WaveDecisions
 from greengagering.coordination.jobs._advice import Advice
 from greengagering.coordination.jobs._advice import Question
+from greengagering.coordination.jobs._agent_messages import AgentAnswers
+from greengagering.coordination.jobs._agent_messages import AgentMessage
+from greengagering.coordination.jobs._agent_messages import AgentOffer
+from greengagering.coordination.jobs._agent_messages import AgentOrders
+from greengagering.coordination.jobs._agents import Agent
+from greengagering.coordination.jobs._agents import AgentPermit
+from greengagering.coordination.jobs._agents import AgentRoster
 from greengagering.coordination.jobs._director import Decision
 from greengagering.coordination.jobs._director import JobDirector
 from greengagering.coordination.jobs._gateway import GatewayOutgoing
@@ -106,6 +113,13 @@
 
 __all__ = [
     'Advice',
+    'Agent',
+    'AgentAnswers',
+    'AgentMessage',
+    'AgentOffer',
+    'AgentOrders',
+    'AgentPermit',
+    'AgentRoster',
     'Question',
     'MachineKeeper',
     'DutyOrder',
--- a/greengagering/coordination/jobs/_director.py
+++ b/greengagering/coordination/jobs/_director.py
@@ -93,6 +93,7 @@
         self._decisions: list[Decision] = []
         self.ending_counts: dict[str, int] = {}
         self._start_waits_s: list[float] = []
+        self._voiding: dict[str, WorkerView] = {}
         self._woken: set[str] = set()
         self._spaced_looks: dict[str, float] = {}
         self._short_services: set[str] = set()
@@ -150,6 +151,7 @@
         self._proposals.clear()
         self._finished_at_s.clear()
         self._retries.clear()
+        self._voiding.clear()
         self._spaced_looks.clear()
         self._short_services.clear()
 
@@ -312,7 +314,7 @@
         if is_sound and is_grant_due and clock_ms is not None:
             until_ms = clock_ms + _to_ms(worker_view.LEASE_S)
         wait_ms = 0
-        if is_sound and not until_ms:
+        if is_sound and not (until_ms or view.is_list_due):
             wait_s = worker_view.LOOK_WAIT_S
             if _sharing.is_shared(view):
                 wait_s = _sharing.LOOK_S
@@ -343,6 +345,9 @@
         view = self.workers.get(order.life.key)
         if view is None or order.fence != self.fence:
             return
+        if answer.outcome is orders.OrderOutcome.NOT_SENT:
+            view.withdraw_grant(grant)
+            return
         is_read = answer.outcome is orders.OrderOutcome.DONE
         if grant and answer.outcome is not orders.OrderOutcome.NO_ANSWER:
             view.settle_grant(grant, now_s, is_carried_out=is_read)
@@ -355,6 +360,8 @@
         if view.suspect_since_s is not None:
             self.decide('worker_regained', life=view.key)
         is_first = not view.is_read
+        view.is_list_due = False
+        view.listed_clock_ms = answer.clock_ms
         view.note_clock(answer.clock_ms, now_s)
         view.note_read(now_s)
         if is_first:
@@ -396,6 +403,20 @@
         view = self.workers.get(order.life.key)
         if view is None or order.fence != self.fence:
             return
+        if answer.outcome is orders.OrderOutcome.NOT_SENT:
+            view.withdraw_grant(grant)
+            self.note_unsent(order, now_s)
+        else:
+            self._take_answer(view, order, grant, answer, now_s)
+
+    def _take_answer(
+        self,
+        view: WorkerView,
+        order: orders.Order,
+        grant: int,
+        answer: orders.OrderAnswer,
+        now_s: float,
+    ) -> None:
         outcome = answer.outcome
         run = view.runs.get(order.key.name)
         if view.is_clock_of_other(answer.clock_ms, now_s):
@@ -410,7 +431,7 @@
             view.note_clock(answer.clock_ms, now_s)
         match order:
             case orders.StartOrder():
-                self._settle_start(view, run, grant, outcome, now_s)
+                self._settle_start(view, run, grant, answer, now_s)
             case orders.PaceOrder():
                 if outcome is not orders.OrderOutcome.DONE and run is not None:
                     # The next reading of the lists orders it again.
@@ -441,14 +462,15 @@
         view: WorkerView,
         run: RunView | None,
         grant: int,
-        outcome: orders.OrderOutcome,
+        answer: orders.OrderAnswer,
         now_s: float,
     ) -> None:
+        outcome = answer.outcome
         if grant and outcome is not orders.OrderOutcome.NO_ANSWER:
             is_granted = outcome in _GRANTING
             view.settle_grant(grant, now_s, is_carried_out=is_granted)
         if run is not None:
-            self._note_start(view, run, outcome, now_s)
+            self._note_start(view, run, answer, now_s)
 
     def _note_stop(
         self,
@@ -645,7 +667,7 @@
         if run.phase is not RunPhase.ORDERED:
             return
         if job.status is not state.JobStatus.ACTIVE:
-            self._void(run)
+            self._void(view, run)
             return
         self._order_start(view, run, now_s)
 
@@ -681,15 +703,17 @@
         self,
         view: WorkerView,
         run: RunView,
-        outcome: orders.OrderOutcome,
+        answer: orders.OrderAnswer,
         now_s: float,
     ) -> None:
         kinds = orders.OrderOutcome
+        outcome, clock_ms = answer.outcome, answer.clock_ms
         if outcome is kinds.DONE:
             if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
                 run.phase = RunPhase.RUNNING
                 run.phase_at_s = now_s
                 run.started_at_s = now_s
+                run.started_clock_ms = clock_ms
                 work = self.index.find(run.key)
                 if work is not None and run.key.run == 1:
                     self._start_waits_s.append(now_s - work.since_s)
@@ -729,7 +753,7 @@
         else:
             view.note_failure(now_s)
             view.blocked_until_s = now_s + REFUSAL_PAUSE_S
-        self._void(run)
+        self._void(view, run)
 
     def _retry_later(
         self, view: WorkerView, run: RunView, now_s: float
@@ -775,13 +799,15 @@
     def _order_stop(self, view: WorkerView, run: RunView) -> None:
         self._orders.append(orders.StopOrder(view.facts, run.key, self.fence))
 
-    def _void(self, run: RunView) -> None:
+    def _void(self, view: WorkerView, run: RunView) -> None:
+        self._voiding[run.key.name] = view
         self._proposals.append(state.RunsVoided((run.key,)))
         run.phase = RunPhase.STOPPED
         run.phase_at_s = math.inf
 
     def _drop_run(self, key: state.RunKey) -> None:
-        for view in self.workers.values():
+        view = self._voiding.pop(key.name, None)
+        if view is not None:
             view.remove_run(key.name)
         self.index.note_task(key)
 
@@ -928,7 +954,7 @@
     ) -> None:
         ending = str(end.ending)
         self.ending_counts[ending] = self.ending_counts.get(ending, 0) + 1
-        ran_s = now_s - run.started_at_s if run and run.started_at_s else None
+        ran_s = view.ran_s(run) if run is not None else None
         if end.ending is state.RunEnding.DONE:
             view.note_success(_run_ratio(run, ran_s))
             work = self.index.find(end.key)
@@ -974,6 +1000,7 @@
                 run.phase = RunPhase.RUNNING
                 run.phase_at_s = now_s
                 run.started_at_s = now_s
+                run.started_clock_ms = answer.clock_ms
                 self._stop_if_unwanted(view, run, now_s)
         if not answer.is_complete:
             return
@@ -988,7 +1015,7 @@
             if is_settled or is_of_former_leader:
                 # Neither runs nor ended, and can't begin any more.
                 self.decide('run_absent', run=run.key.name, life=view.key)
-                self._void(run)
+                self._void(view, run)
 
     def _stop_stray(self, view: WorkerView, item: orders.ListedRun) -> None:
         self.decide('run_stray', run=item.key.name, life=view.key)
@@ -1006,7 +1033,10 @@
         for view in self.workers.values():
             if view.suspect_since_s is not None:
                 continue
-            for run in _stalls.find_stalled(view, self.index, now_s):
+            if _stalls.needs_lists(view, now_s):
+                view.is_list_due = True
+                self._woken.add(view.key)
+            for run in _stalls.find_stalled(view, self.index):
                 if self._has_better_place(view, run):
                     self._end_stalled(view, run, now_s)
 
@@ -1017,7 +1047,7 @@
             'run_stalled',
             run=run.key.name,
             life=view.key,
-            ran_s=round(now_s - run.started_at_s, 3),
+            ran_s=round(view.ran_s(run) or 0.0, 3),
             estimate_s=run.step.estimate_s,
         )
         view.note_failure(now_s, worker_view.QUARANTINE_STREAK)
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from greengagering.coordination.jobs import _agent_messages as agents
 from greengagering.coordination.jobs import _job_messages as messages
 from greengagering import state
 
@@ -61,10 +62,18 @@
     """
 
     def __init__(
-        self, entry_id: str, address: str, seeds: tuple[str, ...]
+        self,
+        entry_id: str,
+        address: str,
+        seeds: tuple[str, ...],
+        boot_id: str,
+        data_centre: str,
     ) -> None:
         self.entry_id = entry_id
         self.address = address
+        self.is_offering = True
+        self._boot_id = boot_id
+        self._data_centre = data_centre
         self.leader_address = ''
         self.leader_id = ''
         self.max_body_bytes = 0
@@ -149,6 +158,12 @@
         del self.open_calls[message.call_id]
         self._answers.append(message)
 
+    def withdraw_offer(self, now_s: float) -> None:
+        """Carry no more orders than were taken already."""
+        self.is_offering = False
+        if self.leader_address:
+            self._send_probe(self.leader_address, now_s)
+
     def step(self, now_s: float) -> None:
         """Probe, send again, and give up what can't be answered in time."""
         self._probe(now_s)
@@ -195,7 +210,7 @@
         is_due = now_s >= self._hinted_at_s + SEARCH_INTERVAL_S
         if status.leader_address and is_due and not self.has_leader(now_s):
             self._hinted_at_s = now_s
-            self._send_probe(status.leader_address)
+            self._send_probe(status.leader_address, now_s)
 
     def _probe(self, now_s: float) -> None:
         has_leader = self.has_leader(now_s)
@@ -204,13 +219,16 @@
             return
         self._probed_at_s = now_s
         if has_leader:
-            self._send_probe(self.leader_address)
+            self._send_probe(self.leader_address, now_s)
             return
         for address in dict.fromkeys((*self._members, *self._seeds)):
-            self._send_probe(address)
+            self._send_probe(address, now_s)
 
-    def _send_probe(self, address: str) -> None:
-        probe = messages.ControlProbe(self.entry_id, self.address)
+    def _send_probe(self, address: str, now_s: float) -> None:
+        offer = None
+        if self.is_offering:
+            offer = agents.AgentOffer(self._boot_id, self._data_centre, now_s)
+        probe = messages.ControlProbe(self.entry_id, self.address, offer=offer)
         self._outbox.append(GatewayOutgoing(address, probe))
 
     def _send(self, opened: OpenCall, now_s: float) -> None:
--- a/greengagering/coordination/jobs/_job_messages.py
+++ b/greengagering/coordination/jobs/_job_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from greengagering.coordination.jobs import _agent_messages as agents
 from greengagering import state
 
 
@@ -84,12 +85,14 @@
         address: where it hears the answer, as host:port.
         joining_id: set by a control replica that wants to become a member.
         number: echoed by the answer.
+        offer: set by an entry that would carry orders to workers.
     """
 
     sender_id: str
     address: str
     joining_id: str = ''
     number: int = 0
+    offer: agents.AgentOffer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/coordination/jobs/_orders.py
+++ b/greengagering/coordination/jobs/_orders.py
@@ -10,6 +10,7 @@
     """What became of an order to a worker.
 
     NO_ANSWER: it may have been carried out, or may still be.
+    NOT_SENT: it was never sent to the worker.
     FENCED: the worker obeys a newer leader.
     OLD_RUN: this run, or a later one, has ended or was stopped there.
     LATE: the lease that the order asks for has passed already.
@@ -22,6 +23,7 @@
 
     DONE = 'done'
     NO_ANSWER = 'no_answer'
+    NOT_SENT = 'not_sent'
     FENCED = 'fenced'
     OLD_RUN = 'old_run'
     LATE = 'late'
--- a/greengagering/coordination/jobs/_worker_view.py
+++ b/greengagering/coordination/jobs/_worker_view.py
@@ -28,6 +28,10 @@
 """Longest time after which an unanswered order may still be carried out, by
 the users' list of disturbances."""
 
+ORDER_HOLD_S = 1.5
+"""Longest time from a decision to send an order until it is sent, by the
+leader or by an agent; later ones are not sent at all."""
+
 WORKER_CLOCK_RATIO = 0.98
 """A worker's clock runs at this speed at least, by the worker's interface."""
 
@@ -72,6 +76,7 @@
         phase: how far its order has come.
         phase_at_s: when the phase began.
         started_at_s: when the worker confirmed the start, or 0.
+        started_clock_ms: the worker's clock in that answer, or None.
         is_listed: whether the worker has listed it as running.
         percent: share of full speed that it works at, as listed.
         ordered_percent: share that was last ordered, or None.
@@ -85,6 +90,7 @@
     phase: RunPhase
     phase_at_s: float
     started_at_s: float = 0.0
+    started_clock_ms: int | None = None
     is_listed: bool = False
     percent: int = 100
     ordered_percent: int | None = None
@@ -124,6 +130,8 @@
             and has not confirmed yet, by run name.
         is_poisoned: its successor was told which runs to refuse.
         poisoned_at_s: when this life was last told to refuse runs.
+        listed_clock_ms: its clock in its newest lists, or None.
+        is_list_due: its lists are wanted without a wait for an end.
     """
 
     def __init__(self, facts: state.WorkerFacts, now_s: float) -> None:
@@ -150,6 +158,8 @@
         self.poisons: dict[str, state.RunKey] = {}
         self.is_poisoned = False
         self.poisoned_at_s = float('-inf')
+        self.listed_clock_ms: int | None = None
+        self.is_list_due = False
         self._grant_number = 0
         self._open_grants: dict[int, float] = {}
         self._settled_at_s = float('-inf')
@@ -201,6 +211,16 @@
             self._take(run.step, -1)
         return run
 
+    def ran_s(self, run: RunView) -> float | None:
+        """Return how long a run had gone on at the newest lists.
+
+        By the worker's own clock, so that lists which come late, or are read
+        late, make no run look longer than it is.
+        """
+        if run.started_clock_ms is None or self.listed_clock_ms is None:
+            return None
+        return (self.listed_clock_ms - run.started_clock_ms) / 1000
+
     def note_clock(self, clock_ms: int | None, received_at_s: float) -> None:
         """Take a reading of the worker's clock.
 
@@ -232,7 +252,8 @@
         """
         self.granted_at_s = now_s
         self._grant_number += 1
-        lapse_s = now_s + LATE_ORDER_S + lease_s / WORKER_CLOCK_RATIO
+        late_s = ORDER_HOLD_S + LATE_ORDER_S
+        lapse_s = now_s + late_s + lease_s / WORKER_CLOCK_RATIO
         self._open_grants[self._grant_number] = lapse_s
         return self._grant_number
 
@@ -250,6 +271,11 @@
         if is_carried_out:
             self._settled_at_s = now_s
 
+    def withdraw_grant(self, number: int) -> None:
+        """A grant was never sent, so the next one is due now."""
+        if self._open_grants.pop(number, None) is not None:
+            self.granted_at_s = float('-inf')
+
     def note_read(self, now_s: float) -> None:
         """Take lists that were read under the leader's own fence.
 
@@ -274,7 +300,8 @@
         ends = [self._settled_at_s + lease_s, self._mixed_lapse_s]
         ends += self._open_grants.values()
         if self._unknown_since_s is not None:
-            ends.append(self._unknown_since_s + LATE_ORDER_S + lease_s)
+            late_s = ORDER_HOLD_S + LATE_ORDER_S
+            ends.append(self._unknown_since_s + late_s + lease_s)
         return max(ends)
 
     def note_heard(self, now_s: float) -> None:
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -73,9 +73,10 @@
     ) -> None:
         super().__init__()
         from greengagering.platform import _front_app
+        from greengagering.platform import _worker_calls
         from greengagering.transport import gateway
 
-        self._node = gateway.GatewayNode(settings)
+        self._node = gateway.GatewayNode(settings, _worker_calls.WorkerCalls())
         front = _front_app.FrontApp(self._node)
         metrics = gateway.create_metrics_app(self._node.metrics.registry)
         self._servers = [
--- a/greengagering/protocol/_link_codec.py
+++ b/greengagering/protocol/_link_codec.py
@@ -17,6 +17,7 @@
     | coordination.OutcomeRequest
     | coordination.OutcomeResponse
     | coordination.JobMessage
+    | coordination.AgentMessage
 )
 
 _KINDS: dict[str, type[Any]] = {
@@ -44,6 +45,8 @@
         coordination.JobAnswer,
         coordination.ControlProbe,
         coordination.ControlStatus,
+        coordination.AgentOrders,
+        coordination.AgentAnswers,
     )
 }
 
--- /dev/null
+++ b/greengagering/transport/_agent_client.py
@@ -0,0 +1,222 @@
+"""Sends the leader's orders through agents near the workers."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from greengagering import clock
+from greengagering import coordination
+from greengagering import logs
+from greengagering.transport._worker_client import WorkerClient
+
+ANSWER_TIMEOUT_S = 0.9
+"""Longest time for an answer through an agent: its own time-out towards the
+worker, its queue, and the way there and back."""
+
+SWEEP_INTERVAL_S = 0.1
+"""Time between two searches for orders whose time is over."""
+
+_outcomes = coordination.OrderOutcome
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """An order that an agent carries."""
+
+    agent_id: str
+    boot_id: str
+    ends_s: float
+    is_look: bool
+    answer: asyncio.Future[Any]
+
+
+class AgentClient:
+    """Calls workers through agents, or directly where none is near.
+
+    See WorkerClient for the methods. Orders of one turn of the loop to one
+    agent share a message.
+    """
+
+    def __init__(
+        self,
+        direct: WorkerClient,
+        roster: coordination.AgentRoster,
+        count_workers: Callable[[], int],
+        lease_end_s: Callable[[], float],
+        send: Callable[[coordination.Agent, coordination.AgentOrders], None],
+        address: str,
+    ) -> None:
+        self._direct = direct
+        self._roster = roster
+        self._count_workers = count_workers
+        self._lease_end_s = lease_end_s
+        self._send = send
+        self._address = address
+        self._number = 0
+        self._pending: dict[int, _Pending] = {}
+        self._outgoing: dict[str, list[tuple[int, Any]]] = {}
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(
+        self, order: coordination.StartOrder
+    ) -> coordination.OrderAnswer:
+        """Start a run."""
+        agent = self._choose(order)
+        if agent is None:
+            return await self._direct.start(order)
+        return await self._carry(agent, order)
+
+    async def stop(
+        self, order: coordination.StopOrder
+    ) -> coordination.OrderAnswer:
+        """Stop a run."""
+        agent = self._choose(order)
+        if agent is None:
+            return await self._direct.stop(order)
+        return await self._carry(agent, order)
+
+    async def pace(
+        self, order: coordination.PaceOrder
+    ) -> coordination.OrderAnswer:
+        """Change the share of full speed at which a run works."""
+        agent = self._choose(order)
+        if agent is None:
+            return await self._direct.pace(order)
+        return await self._carry(agent, order)
+
+    async def look(
+        self, order: coordination.LookOrder
+    ) -> coordination.LookAnswer:
+        """Return a worker's lists."""
+        agent = self._choose(order)
+        if agent is None:
+            return await self._direct.look(order)
+        return await self._carry(agent, order)
+
+    async def close(self) -> None:
+        """Give up what is on its way."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            await asyncio.gather(self._sweeper, return_exceptions=True)
+        for number in list(self._pending):
+            self._settle(number, _outcomes.NO_ANSWER)
+        await self._direct.close()
+
+    def note_offer(
+        self,
+        agent_id: str,
+        address: str,
+        offer: coordination.AgentOffer | None,
+        now_s: float,
+    ) -> None:
+        """Take an entry's offer to carry orders, or its withdrawal."""
+        is_new = agent_id not in self._roster.agents
+        ended = self._roster.note_offer(agent_id, address, offer, now_s)
+        if ended:
+            logs.info('agent_restarted', agent=agent_id)
+            self._give_up(agent_id, ended)
+        elif offer is not None and is_new:
+            logs.info('agent_offered', agent=agent_id, at=offer.data_centre)
+        elif offer is None and not is_new:
+            logs.info('agent_withdrawn', agent=agent_id)
+
+    def receive(self, message: coordination.AgentAnswers) -> None:
+        """Take an agent's answers; late ones change nothing."""
+        for number, answer in (*message.orders, *message.looks):
+            pending = self._pending.pop(number, None)
+            if pending is not None and not pending.answer.done():
+                pending.answer.set_result(answer)
+
+    def _choose(
+        self, order: coordination.Order | coordination.LookOrder
+    ) -> coordination.Agent | None:
+        return self._roster.choose(
+            order.life, self._count_workers(), clock.steady_s()
+        )
+
+    async def _carry(self, agent: coordination.Agent, order: Any) -> Any:
+        """Send an order through an agent and wait for its answer."""
+        if self._sweeper is None:
+            self._sweeper = asyncio.ensure_future(self._sweep())
+        loop = asyncio.get_running_loop()
+        self._number += 1
+        wait_s = getattr(order, 'wait_ms', 0) / 1000
+        pending = _Pending(
+            agent.agent_id,
+            agent.offer.boot_id,
+            clock.steady_s() + ANSWER_TIMEOUT_S + wait_s,
+            isinstance(order, coordination.LookOrder),
+            loop.create_future(),
+        )
+        self._pending[self._number] = pending
+        if not self._outgoing:
+            loop.call_soon(self._flush)
+        batch = self._outgoing.setdefault(agent.agent_id, [])
+        batch.append((self._number, order))
+        return await pending.answer
+
+    def _flush(self) -> None:
+        """Send the orders of this turn of the loop."""
+        outgoing, self._outgoing = self._outgoing, {}
+        now_s = clock.steady_s()
+        lease_end_s = self._lease_end_s()
+        for agent_id, batch in outgoing.items():
+            agent = self._roster.agents.get(agent_id)
+            if agent is None or now_s >= lease_end_s:
+                for number, _ in batch:
+                    self._settle(number, _outcomes.NOT_SENT)
+                continue
+            permit_s = agent.permit_s(lease_end_s, now_s)
+            for fence in {order.fence for _, order in batch}:
+                self._send(agent, self._batch(agent, fence, permit_s, batch))
+
+    def _batch(
+        self,
+        agent: coordination.Agent,
+        fence: int,
+        permit_s: float,
+        batch: list[tuple[int, Any]],
+    ) -> coordination.AgentOrders:
+        kinds: dict[type, list[tuple[int, Any]]] = {}
+        for number, order in batch:
+            if order.fence == fence:
+                kinds.setdefault(type(order), []).append((number, order))
+        return coordination.AgentOrders(
+            address=self._address,
+            boot_id=agent.offer.boot_id,
+            term=fence,
+            offered_at_s=agent.offer.sent_at_s,
+            permit_s=permit_s,
+            starts=tuple(kinds.get(coordination.StartOrder, ())),
+            stops=tuple(kinds.get(coordination.StopOrder, ())),
+            paces=tuple(kinds.get(coordination.PaceOrder, ())),
+            looks=tuple(kinds.get(coordination.LookOrder, ())),
+        )
+
+    def _give_up(self, agent_id: str, boot_id: str) -> None:
+        """An agent's process has ended; what it carried may have been sent."""
+        for number, pending in list(self._pending.items()):
+            if (pending.agent_id, pending.boot_id) == (agent_id, boot_id):
+                self._settle(number, _outcomes.NO_ANSWER)
+
+    def _settle(self, number: int, outcome: coordination.OrderOutcome) -> None:
+        pending = self._pending.pop(number, None)
+        if pending is None or pending.answer.done():
+            return
+        if pending.is_look:
+            pending.answer.set_result(coordination.LookAnswer(outcome))
+        else:
+            pending.answer.set_result(coordination.OrderAnswer(outcome))
+
+    async def _sweep(self) -> None:
+        """End the wait for answers whose time is over."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now_s = clock.steady_s()
+            for number, pending in list(self._pending.items()):
+                if now_s < pending.ends_s:
+                    continue
+                if self._roster.note_missed(pending.agent_id, now_s):
+                    logs.warning('agent_silent', agent=pending.agent_id)
+                self._settle(number, _outcomes.NO_ANSWER)
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -22,8 +22,10 @@
 from greengagering.transport import _addresses
 from greengagering.transport._adviser_client import AdviceRunner
 from greengagering.transport._adviser_client import AdviserClient
+from greengagering.transport._agent_client import AgentClient
 from greengagering.transport._job_desk import CommitResult
 from greengagering.transport._job_desk import JobDesk
+from greengagering.transport._laned_client import LanedClient
 from greengagering.transport._machine_client import MachineClient
 from greengagering.transport._machine_runner import MachineRunner
 from greengagering.transport._mesh import LinkSender
@@ -118,11 +120,20 @@
             coordination.ProposedTicket, asyncio.Future[CommitResult]
         ] = {}
         self.jobs = JobDesk(self.core, self.commit, self.now_ms, self.metrics)
+        self._agents: AgentClient | None = None
         self._runner: OrderRunner | None = None
         if workers is not None:
+            self._agents = AgentClient(
+                LanedClient(workers, self._may_send),
+                coordination.AgentRoster(),
+                lambda: len(self.core.jobs.workers),
+                lambda: self.replica.lease_end_s(self.now_s()),
+                self._send_to_agent,
+                settings.link_address,
+            )
             self._runner = OrderRunner(
                 self.core.jobs,
-                workers,
+                self._agents,
                 self.has_lease,
                 self._loop.schedule,
                 self.metrics,
@@ -243,6 +254,14 @@
         is_established = self.core.jobs.is_leading
         return is_established and self.replica.has_lease(self.now_s())
 
+    def _may_send(self, fence: int) -> bool:
+        return fence == self.core.jobs.fence and self.has_lease()
+
+    def _send_to_agent(
+        self, agent: coordination.Agent, batch: coordination.AgentOrders
+    ) -> None:
+        self.mesh.send(agent.address, agent.address, batch)
+
     def leader_address(self) -> str:
         """Return where the leader listens, or '' where it is unknown."""
         if self.replica.is_leader:
@@ -275,6 +294,10 @@
         elif isinstance(message, coordination.JobCall):
             self._begin_call(message)
             return
+        elif isinstance(message, coordination.AgentAnswers):
+            if self._agents is not None:
+                self._agents.receive(message)
+            return
         elif isinstance(message, coordination.ControlProbe):
             self._answer_probe(message, now_s)
             return
@@ -324,6 +347,10 @@
             self.core.healing.note_candidate(
                 probe.joining_id, probe.address, now_s
             )
+        elif is_leader and self._agents is not None:
+            self._agents.note_offer(
+                probe.sender_id, probe.address, probe.offer, now_s
+            )
         plan = self.core.state.jobs.plan
         status = coordination.ControlStatus(
             replica_id=self.replica_id,
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -9,11 +9,13 @@
 from greengagering import protocol
 from greengagering.protocol import links
 from greengagering import state
+from greengagering.transport._agent_runner import AgentRunner
 from greengagering.transport._mesh import LinkSender
 from greengagering.transport._mesh import Mesh
 from greengagering.transport import _metrics
 from greengagering.transport._peer_link import LinkIdentity
 from greengagering.transport._step_loop import StepLoop
+from greengagering.transport._worker_client import WorkerClient
 
 BOOT_ID_BYTES = 8
 STOP_POLL_S = 0.02
@@ -25,20 +27,31 @@
 class GatewayNode:
     """Passes calls, messages and time to a JobGateway."""
 
-    def __init__(self, settings: protocol.GatewaySettings) -> None:
+    def __init__(
+        self,
+        settings: protocol.GatewaySettings,
+        workers: WorkerClient,
+    ) -> None:
         self.settings = settings
         self.metrics = _metrics.create_gateway_metrics()
         self.is_stopping = False
         self.open_requests = 0
         boot_id = secrets.token_hex(BOOT_ID_BYTES)
         self.core = coordination.JobGateway(
-            settings.entry_id, settings.link_address, settings.seeds
+            settings.entry_id,
+            settings.link_address,
+            settings.seeds,
+            boot_id,
+            settings.data_centre,
         )
         self.mesh = Mesh(
             LinkIdentity(settings.cluster_id, settings.entry_id, boot_id),
             settings.link_address,
             self._on_message,
         )
+        self.agent = AgentRunner(
+            settings.entry_id, boot_id, workers, self._send_answers
+        )
         self._loop = StepLoop(self._step, self._set_metrics)
         self._waiters: dict[int, asyncio.Future[coordination.JobAnswer]] = {}
         self._had_leader = ''
@@ -62,6 +75,8 @@
     async def drain(self) -> None:
         """Fail readiness, and end what is in flight."""
         self.is_stopping = True
+        self.core.withdraw_offer(clock.steady_s())
+        self._loop.schedule()
         ends_s = clock.steady_s() + self.settings.stop_timeout_s
         await asyncio.sleep(BALANCER_NOTICE_S)
         while self.open_requests and clock.steady_s() < ends_s:
@@ -72,6 +87,7 @@
     async def stop(self) -> None:
         """Close every link."""
         await self._loop.stop()
+        await self.agent.close()
         await self.mesh.close()
         logs.info('entry_stopped', entry_id=self.settings.entry_id)
 
@@ -125,6 +141,9 @@
     def _on_message(
         self, sender: LinkSender, message: links.LinkMessage
     ) -> None:
+        if isinstance(message, coordination.AgentOrders):
+            self.agent.receive(message)
+            return
         if not isinstance(
             message, coordination.JobAnswer | coordination.ControlStatus
         ):
@@ -137,6 +156,11 @@
         self.core.receive(message, clock.steady_s())
         self._loop.schedule()
 
+    def _send_answers(
+        self, address: str, answers: coordination.AgentAnswers
+    ) -> None:
+        self.mesh.send(address, address, answers)
+
     def _step(self) -> None:
         now_s = clock.steady_s()
         self.core.step(now_s)
--- a/greengagering/transport/_order_runner.py
+++ b/greengagering/transport/_order_runner.py
@@ -9,9 +9,6 @@
 from greengagering.transport import _metrics
 from greengagering.transport._worker_client import WorkerClient
 
-ORDERS_AT_ONCE = 4
-"""Orders on their way to one worker, which bounds the connections to it."""
-
 LOOK_PAUSE_S = 0.3
 """Pause after a look without an answer; a few round trips."""
 
@@ -37,7 +34,6 @@
         self._metrics = metrics
         self._sessions: dict[str, asyncio.Task[None]] = {}
         self._wakeups: dict[str, asyncio.Event] = {}
-        self._lanes: dict[str, asyncio.Semaphore] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def step(self) -> None:
@@ -46,17 +42,18 @@
         for key in [key for key in self._sessions if key not in wanted]:
             self._sessions.pop(key).cancel()
             del self._wakeups[key]
-            del self._lanes[key]
         for key in wanted:
             if key not in self._sessions:
                 self._wakeups[key] = asyncio.Event()
-                self._lanes[key] = asyncio.Semaphore(ORDERS_AT_ONCE)
                 self._sessions[key] = asyncio.ensure_future(
                     self._watch_worker(key)
                 )
         for key in self._director.take_woken():
             if key in self._wakeups:
                 self._wakeups[key].set()
+        if not self._may_order():
+            # Another replica may lead; if none does, they go out later.
+            return
         for order in self._director.take_orders():
             task = asyncio.ensure_future(self._carry_out(order))
             self._tasks.add(task)
@@ -71,24 +68,19 @@
         await self._client.close()
 
     async def _carry_out(self, order: coordination.Order) -> None:
-        lane = self._lanes.get(order.life.key)
-        if lane is None:
-            # The life is over, and with it every run on it.
+        # Without a lease another replica may lead already.
+        if not self._may_order():
+            self._director.note_unsent(order, clock.steady_s())
             return
-        async with lane:
-            # Without a lease another replica may lead already.
-            if not self._may_order():
-                self._director.note_unsent(order, clock.steady_s())
-                return
-            grant = 0
-            sent_at_s = clock.steady_s()
-            if isinstance(order, coordination.StartOrder):
-                grant = self._director.begin_start(order, clock.steady_s())
-                answer = await self._client.start(order)
-            elif isinstance(order, coordination.StopOrder):
-                answer = await self._client.stop(order)
-            else:
-                answer = await self._client.pace(order)
+        grant = 0
+        sent_at_s = clock.steady_s()
+        if isinstance(order, coordination.StartOrder):
+            grant = self._director.begin_start(order, sent_at_s)
+            answer = await self._client.start(order)
+        elif isinstance(order, coordination.StopOrder):
+            answer = await self._client.stop(order)
+        else:
+            answer = await self._client.pace(order)
         answered_s = clock.steady_s()
         self._director.note_order(order, grant, answer, answered_s)
         kind = type(order).__name__
