Test late readers, background syncs and agents that hold orders back

Cause: three of the faults that others met could happen here in new ways: a run stopped because its leader read late, an entry committed before it is durable, an order sent late or twice by an agent.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -19,3 +19,8 @@
     When 300 schedules of the job search run from seed 0
     Then no schedule breaks a promise
     And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, unsent and leaders
+
+  Scenario: No task runs twice while agents hold orders back, leave them unsent or send them twice
+    When 200 schedules of the agent search run from seed 0
+    Then no schedule breaks a promise
+    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, held, doubled, unsent and leaders
--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -103,3 +103,15 @@
   Scenario: A stopped task goes on from its saved progress
     When a run that has saved progress p7 ends as stopped
     Then its next start carries p7
+
+  Scenario: A leader that is late to read ends stops no run as standing still
+    Given a leader with two workers, and a run of 1 s at one of them
+    When the leader is busy for 6 s, and its lists are of 0.9 s after the start
+    Then it stops no run
+    When its next lists show the run 9 s after the start
+    Then it stops that run
+
+  Scenario: A leader that is late asks for lists before it judges a run
+    Given a leader with two workers, and a run of 1 s at one of them
+    When the leader is busy for 6 s without any lists
+    Then it stops no run, and asks that worker for its lists at once
--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -66,3 +66,19 @@
     Then it refuses a ticket as not leader, and still leads the same term
     When its followers reach it again for 0.3 s
     Then it accepts the ticket in the same term
+
+  Scenario: A replaced leader confirms what it wrote only once it is durable
+    Given a leader of three that syncs in the background and has written an entry
+    When the next leader asks whether it holds that entry
+    Then it confirms the entry, and a crash leaves it there
+
+  Scenario: A leader alone commits nothing before its sync has ended
+    Given a leader of one that syncs in the background and has written an entry
+    Then nothing of it is committed
+    When the sync ends
+    Then the entry is committed
+
+  Scenario: A sync that ends in a later term counts for nothing
+    Given a leader of three that syncs in the background and has written an entry
+    When a sync that began under an earlier term ends
+    Then its log still waits for a sync
--- a/features/search/fakes.py
+++ b/features/search/fakes.py
@@ -28,6 +28,11 @@
         self._entries: list[state.LogEntry] = []
         self._unsynced: list[list[state.LogEntry]] = []
 
+    @property
+    def unsynced_count(self) -> int:
+        """Writes that no sync has covered."""
+        return len(self._unsynced)
+
     def load(self) -> state.StoredLog:
         """Return what survived; writes without a sync may have."""
         for entries in self._unsynced[: self._rng.randint(0, 3)]:
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -23,6 +23,13 @@
 LATE_MIN_S = 2.0
 LATE_MAX_S = 12.0
 ANSWER_TIMEOUT_S = 0.5
+AGENT_TIMEOUT_S = 0.9
+AGENT_HOLD_S = 1.0
+"""Longest time that an agent may hold an order back."""
+
+AGENT_FAULTS = (0.06, 0.05, 0.04)
+"""Shares of orders that an agent holds back, does not send, sends twice."""
+
 REPORT_INTERVAL_S = 1.5
 CONTROLS = ('control-0', 'control-1', 'control-2')
 QUEUE = state.Queue(
@@ -42,6 +49,8 @@
     rebirths: int = 0
     late_orders: int = 0
     unsent: int = 0
+    held: int = 0
+    doubled: int = 0
     lapses: int = 0
     leaders: int = 0
 
@@ -80,7 +89,8 @@
 class JobSearch:
     """One seeded schedule over three control replicas and some workers."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, has_agents: bool = False) -> None:
+        self.has_agents = has_agents
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.trace: list[str] = []
@@ -414,8 +424,44 @@
                 self.result.accepted += 1
         self.awaited = left
 
+    def _send_by_agent(self, trip: Trip) -> bool:
+        """Let an agent hold an order back, not send it, or send it twice.
+
+        Returns:
+            Whether nothing else is to be sent.
+        """
+        draw = self.rng.random()
+        held, unsent, doubled = AGENT_FAULTS
+        if draw < held:
+            # The leader gives the answer up before the agent sends.
+            self.result.held += 1
+            hold_s = self.rng.uniform(0.0, AGENT_HOLD_S)
+            if self.rng.random() < self.late_ratio:
+                hold_s += self.rng.uniform(LATE_MIN_S, LATE_MAX_S)
+            silent = dataclasses.replace(trip, is_silent=True)
+            self._push(self.now_s + hold_s, silent)
+            none = dataclasses.replace(trip, is_answer=True)
+            self._push(self.now_s + AGENT_TIMEOUT_S, none)
+            return True
+        if draw < held + unsent:
+            self.result.unsent += 1
+            outcome = coordination.OrderOutcome.NOT_SENT
+            answer: Any = coordination.OrderAnswer(outcome)
+            if isinstance(trip.order, coordination.LookOrder):
+                answer = coordination.LookAnswer(outcome)
+            back = dataclasses.replace(trip, answer=answer, is_answer=True)
+            self._push(self.now_s + self.rng.uniform(0.001, 0.4), back)
+            return True
+        if draw < held + unsent + doubled:
+            self.result.doubled += 1
+            silent = dataclasses.replace(trip, is_silent=True)
+            self._push(self.now_s + self.rng.uniform(0.001, 1.0), silent)
+        return False
+
     def _send(self, trip: Trip) -> None:
         """Put an order on its way; it may be lost, or come late."""
+        if self.has_agents and not self.is_calm and self._send_by_agent(trip):
+            return
         delay_s = self.rng.uniform(0.001, 0.02)
         draw = self.rng.random()
         answered_s = self.now_s + ANSWER_TIMEOUT_S
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -61,17 +61,28 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_agent_seed(seed: int) -> job_search.JobResult | SeedFailure:
+    """Run one schedule over jobs whose orders go through agents."""
+    try:
+        return job_search.JobSearch(seed, has_agents=True).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 SEARCHES: dict[str, Any] = {
     'replica': run_replica_seed,
     'syncing': run_syncing_seed,
     'control': run_control_seed,
     'job': run_job_seed,
+    'agent': run_agent_seed,
 }
 TOTALS: dict[str, Any] = {
     'replica': replica_search.SearchResult,
     'syncing': replica_search.SearchResult,
     'control': control_search.ControlResult,
     'job': job_search.JobResult,
+    'agent': job_search.JobResult,
 }
 
 
@@ -99,7 +110,7 @@
     """Run a search and print what it did.
 
     Args:
-        name: replica, syncing, control or job.
+        name: replica, syncing, control, job or agent.
         first_seed: first seed.
         count: number of schedules.
     """
--- /dev/null
+++ b/features/steps/late_reader_steps.py
@@ -0,0 +1,151 @@
+"""Steps that let a leader read workers' lists late, without any network."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from greengagering import coordination
+from greengagering import state
+
+TERM = 1
+START_S = 20.0
+START_CLOCK_MS = 40_000
+QUEUE = state.Queue('q', 'host', '/q/', 'service-a', attempt_limit=2)
+
+
+def _life(name: str) -> state.WorkerFacts:
+    return state.WorkerFacts(
+        name,
+        1,
+        'service-a',
+        f'{name}:1',
+        'dc-1',
+        'rack-1',
+        (),
+        state.Room(32_000, 65_536),
+    )
+
+
+def _apply(context: Any, records: list[state.JobRecord]) -> None:
+    director = context.director
+    for record in records:
+        state.apply_to_jobs(director.jobs, record)
+        director.note_applied(record, context.now_s, int(context.now_s * 1000))
+
+
+def _report(context: Any) -> None:
+    context.sequence += 1
+    for name in ('w1', 'w2'):
+        context.director.note_report(
+            coordination.WorkerReport(
+                _life(name), context.sequence, None, False
+            ),
+            context.now_s,
+        )
+
+
+def _read(
+    context: Any,
+    name: str,
+    clock_ms: int,
+    running: tuple[coordination.ListedRun, ...] = (),
+) -> None:
+    """Let the leader take a worker's lists."""
+    look = coordination.LookOrder(_life(name), TERM, 0, 0, 0)
+    done = coordination.OrderOutcome.DONE
+    answer = coordination.LookAnswer(done, clock_ms, 1, running, ())
+    context.director.note_look(look, 0, answer, context.now_s, context.now_s)
+
+
+def _step(context: Any) -> None:
+    """Let the leader decide, and keep the runs that it stops."""
+    director = context.director
+    _apply(context, director.step(context.now_s, int(context.now_s * 1000)))
+    context.stopped = [
+        order.key
+        for order in director.take_orders()
+        if isinstance(order, coordination.StopOrder)
+    ]
+
+
+@given('a leader with two workers, and a run of 1 s at one of them')
+def lead_with_run(context: Any) -> None:
+    jobs = state.JobsState()
+    context.sequence = 0
+    context.now_s = START_S
+    context.director = coordination.JobDirector(jobs)
+    plan = state.RoutePlan(
+        1, (QUEUE,), (state.WorkerService('service-a'),), 1000, b''
+    )
+    step = state.StepSpec(1, state.Room(1000, 100), 1.0)
+    spec = state.JobSpec('job-0', 'text', (step,))
+    for record in (
+        state.PlanReplaced(plan),
+        state.LifeSeen(_life('w1')),
+        state.LifeSeen(_life('w2')),
+        state.JobAccepted(spec, QUEUE, int(START_S * 1000)),
+    ):
+        state.apply_to_jobs(jobs, record)
+    director = context.director
+    director.lead(TERM, START_S, int(START_S * 1000))
+    for name in ('w1', 'w2'):
+        _read(context, name, START_CLOCK_MS)
+    _apply(context, director.step(START_S, int(START_S * 1000)))
+    (order,) = director.take_orders()
+    done = coordination.OrderOutcome.DONE
+    answer = coordination.OrderAnswer(done, START_CLOCK_MS)
+    director.note_order(order, 0, answer, START_S)
+    context.order = order
+
+
+def _listed(context: Any) -> tuple[coordination.ListedRun, ...]:
+    return (coordination.ListedRun(context.order.key, '', 100, None),)
+
+
+@when('the leader is busy for 6 s, and its lists are of 0.9 s after the start')
+def read_old_lists(context: Any) -> None:
+    context.now_s += 6.0
+    _report(context)
+    name = context.order.life.worker_id
+    _read(context, name, START_CLOCK_MS + 900, _listed(context))
+    _step(context)
+
+
+@when('the leader is busy for 6 s without any lists')
+def read_nothing(context: Any) -> None:
+    context.now_s += 6.0
+    _report(context)
+    context.director.take_woken()
+    _step(context)
+
+
+@when('its next lists show the run 9 s after the start')
+def read_new_lists(context: Any) -> None:
+    context.now_s += 3.0
+    _report(context)
+    name = context.order.life.worker_id
+    _read(context, name, START_CLOCK_MS + 9000, _listed(context))
+    _step(context)
+
+
+@then('it stops no run')
+def check_none_stopped(context: Any) -> None:
+    assert not context.stopped, context.stopped
+
+
+@then('it stops that run')
+def check_stopped(context: Any) -> None:
+    assert context.stopped == [context.order.key], context.stopped
+
+
+@then('it stops no run, and asks that worker for its lists at once')
+def check_asked(context: Any) -> None:
+    check_none_stopped(context)
+    key = context.order.life.key
+    assert key in context.director.take_woken()
+    context.now_s += 0.01
+    context.director.workers[key].granted_at_s = context.now_s
+    look = context.director.next_look(key, context.now_s)
+    assert look is not None and not look.wait_ms, look
--- a/features/steps/replica_rule_steps.py
+++ b/features/steps/replica_rule_steps.py
@@ -238,3 +238,86 @@
 def check_two(context: Any) -> None:
     names = [entry.entry_id for entry in context.entry.follower.entries]
     assert names == ['entry-1', 'entry-2'], names
+
+
+@given(
+    'a leader of {count} that syncs in the background and has written an entry'
+)
+def lead_with_unsynced(context: Any, count: str) -> None:
+    context.now_s = 100.0
+    context.disk = fakes.FakeDisk(random.Random(1), 0.0)
+    voters = VOTERS if count == 'three' else VOTERS[:1]
+    context.replica = coordination.Replica(
+        peer('control-1'),
+        state.Membership(voters=voters),
+        context.disk,
+        random.Random(1),
+        context.now_s,
+        coordination.ReplicaOptions(syncs_in_background=True),
+    )
+    replica = context.replica
+    context.now_s += 1.0
+    replica.tick(context.now_s)
+    for is_pre in (True, False):
+        if count == 'three':
+            replica.receive(
+                peer('control-2'),
+                coordination.VoteResponse(1, is_pre, True),
+                context.now_s,
+            )
+    assert replica.is_leader
+    replica.propose(b'x')
+    replica.flush(context.now_s + 0.02)
+    replica.take_outbox()
+    assert replica.is_sync_due()
+
+
+@when('the next leader asks whether it holds that entry')
+def ask_for_entry(context: Any) -> None:
+    log = context.replica.log
+    context.index = log.last_index
+    request = coordination.AppendRequest(
+        2, log.last_index, log.last_term, (), 0, 1.0
+    )
+    context.replica.receive(peer('control-2'), request, context.now_s)
+
+
+@then('it confirms the entry, and a crash leaves it there')
+def check_confirmed(context: Any) -> None:
+    (answer,) = context.replica.take_outbox()
+    assert answer.message.match_index == context.index, answer
+    assert not context.disk.unsynced_count
+    stored = context.disk.load().entries
+    assert stored[-1].index == context.index, stored
+
+
+@then('nothing of it is committed')
+def check_uncommitted(context: Any) -> None:
+    assert context.replica.commit_index == 0
+
+
+@when('the sync ends')
+def end_sync(context: Any) -> None:
+    replica = context.replica
+    index, term = replica.log.last_index, replica.term
+    context.disk.begin_sync()()
+    replica.note_synced(index, term, context.now_s)
+
+
+@then('the entry is committed')
+def check_committed(context: Any) -> None:
+    replica = context.replica
+    assert replica.commit_index == replica.log.last_index > 0
+
+
+@when('a sync that began under an earlier term ends')
+def end_earlier_sync(context: Any) -> None:
+    replica = context.replica
+    replica.note_synced(
+        replica.log.last_index, replica.term - 1, context.now_s
+    )
+
+
+@then('its log still waits for a sync')
+def check_waits(context: Any) -> None:
+    assert context.replica.is_sync_due()
