--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -106,7 +106,7 @@
 
   Scenario: A leader that is late to read ends stops no run as standing still
     Given a leader with two workers, and a run of 1 s at one of them
-    When the leader is busy for 6 s, and its lists are of 0.9 s after the start
+    When the leader is busy for 9 s, and its lists are of 0.9 s after the start
     Then it stops no run
     When its next lists show the run 9 s after the start
     Then it stops that run
--- a/features/steps/late_reader_steps.py
+++ b/features/steps/late_reader_steps.py
@@ -104,9 +104,9 @@
     return (coordination.ListedRun(context.order.key, '', 100, None),)
 
 
-@when('the leader is busy for 6 s, and its lists are of 0.9 s after the start')
+@when('the leader is busy for 9 s, and its lists are of 0.9 s after the start')
 def read_old_lists(context: Any) -> None:
-    context.now_s += 6.0
+    context.now_s += 9.0
     _report(context)
     name = context.order.life.worker_id
     _read(context, name, START_CLOCK_MS + 900, _listed(context))
