Split the director of jobs into one file a matter

Cause: _director.py held 1,230 lines and six matters. Change: moves only. LeaderCore holds what the parts share; Successions ends lives, RunOrders gives orders, ListReader looks, Displacement takes runs off workers, Allotment places. JobDirector keeps its interface. Tests patch the ranking where it is now.

--- a/benchmarks/demand_turns.py
+++ b/benchmarks/demand_turns.py
@@ -13,7 +13,7 @@
 import tabulate
 
 from features.support import demand_world
-from greengagering.coordination.jobs import _director
+from greengagering.coordination.jobs import _allotment
 from greengagering.coordination.jobs import _placement
 from greengagering.coordination.jobs import _work_index
 
@@ -32,7 +32,7 @@
     def rank(work: _work_index.StepWork, now_s: float) -> tuple[float, ...]:
         return (work.since_s,)
 
-    with mock.patch.object(_director, '_rank', rank):
+    with mock.patch.object(_allotment, '_rank', rank):
         yield
 
 
--- a/features/steps/demand_turn_steps.py
+++ b/features/steps/demand_turn_steps.py
@@ -10,7 +10,7 @@
 
 from features.support import demand_world
 from greengagering import coordination
-from greengagering.coordination.jobs import _director
+from greengagering.coordination.jobs import _allotment
 from greengagering.coordination.jobs import _worker_view as worker_view
 
 FULL_SURGE = (('lookup', 2.0, 3.0, 3.0),)
@@ -27,7 +27,7 @@
 
 
 def _rank_oldest_first(
-    work: _director.StepWork, now_s: float
+    work: _allotment.StepWork, now_s: float
 ) -> tuple[float, ...]:
     return (work.job.queue.priority, work.due_at_s)
 
@@ -135,7 +135,7 @@
     with mock.patch.object(
         worker_view.WorkerView, 'fits', autospec=True, side_effect=fits
     ) as asked:
-        world.director._plan(world.now_s)
+        world.director.allotment.plan(world.now_s)
     context.asked = asked.call_count
 
 
@@ -177,7 +177,7 @@
 
 @then('more is earned than by serving the oldest objective first')
 def check_order(context: Any) -> None:
-    with mock.patch.object(_director, '_rank', _rank_oldest_first):
+    with mock.patch.object(_allotment, '_rank', _rank_oldest_first):
         baseline = _days(context.pattern, len(context.days))
     earned = sum(day.earned for day in context.days)
     before = sum(day.earned for day in baseline)
--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -80,7 +80,7 @@
 from greengagering.coordination.jobs._agents import Agent
 from greengagering.coordination.jobs._agents import AgentPermit
 from greengagering.coordination.jobs._agents import AgentRoster
-from greengagering.coordination.jobs._director import Decision
+from greengagering.coordination.jobs._leader_core import Decision
 from greengagering.coordination.jobs._director import JobDirector
 from greengagering.coordination.jobs._gateway import GatewayOutgoing
 from greengagering.coordination.jobs._gateway import JobGateway
--- /dev/null
+++ b/greengagering/coordination/jobs/_allotment.py
@@ -0,0 +1,105 @@
+"""Allots waiting tasks to workers with room."""
+
+from greengagering.coordination.jobs._leader_core import LeaderCore
+from greengagering.coordination.jobs import _placement
+from greengagering.coordination.jobs._work_index import StepWork
+from greengagering.coordination.jobs._worker_view import RunPhase
+from greengagering.coordination.jobs._worker_view import RunView
+from greengagering.coordination.jobs._worker_view import WorkerView
+from greengagering import state
+
+MAX_RUNS_PER_RECORD = 400
+"""Runs in one record, so that one write stays short."""
+
+
+class Allotment:
+    """Pairs waiting tasks with workers, the most urgent first."""
+
+    def __init__(self, core: LeaderCore) -> None:
+        self._core = core
+
+    def plan(self, now_s: float) -> None:
+        """Allot waiting tasks to workers with room."""
+        usable: dict[str, list[WorkerView]] = {}
+        for view in self._core.workers.values():
+            if view.is_usable(now_s):
+                usable.setdefault(view.facts.service, []).append(view)
+        if not usable:
+            return
+        pools = {
+            service: _placement.PoolRoom(workers)
+            for service, workers in usable.items()
+        }
+        works = [
+            work
+            for steps in self._core.index.steps.values()
+            for work in steps.values()
+            if work.waiting
+        ]
+        works.sort(key=lambda work: _rank(work, now_s))
+        runs: list[state.RunKey] = []
+        life_keys: list[str] = []
+        for work in works:
+            pool = pools.get(self._core.service_of(work.job))
+            if pool is None or not pool.may_fit(work.step):
+                continue
+            workers = pool.workers
+            if work.job.queue.advice is not None:
+                workers = self._core.adviser.allowed(work, workers, now_s)
+            for placement in _placement.place_step(work, workers, now_s):
+                key = self._reserve(work, placement, now_s)
+                runs.append(key)
+                life_keys.append(placement.worker.key)
+            if work.waiting:
+                pool.measure()
+        self._core.short_services = {
+            self._core.service_of(work.job) for work in works if work.waiting
+        }
+        for first in range(0, len(runs), MAX_RUNS_PER_RECORD):
+            last = first + MAX_RUNS_PER_RECORD
+            self._core.proposals.append(
+                state.RunsAllotted(
+                    tuple(runs[first:last]), tuple(life_keys[first:last])
+                )
+            )
+
+    def _reserve(
+        self, work: StepWork, placement: _placement.Placement, now_s: float
+    ) -> state.RunKey:
+        job = work.job
+        task_key = f'{work.step_key}.{placement.index}'
+        run_number = _next_run(work, placement.index)
+        key = state.RunKey(job.spec.job_id, task_key, run_number)
+        self._core.index.note_proposed(key)
+        placement.worker.add_run(
+            RunView(key, work.step, RunPhase.ORDERED, now_s)
+        )
+        return key
+
+
+def _next_run(work: StepWork, index: int) -> int:
+    """Return a run number above all of the task's; one for a whole gang."""
+    indexes = [index]
+    if work.step.is_gang:
+        indexes = list(range(work.step.task_count))
+    runs = [0]
+    for member in indexes:
+        task = work.job.tasks.get(f'{work.step_key}.{member}')
+        if task is not None:
+            runs.append(task.run)
+    return max(runs) + 1
+
+
+def _rank(work: StepWork, now_s: float) -> tuple[float, ...]:
+    """Order steps: what must begin first to be in time comes first.
+
+    A job that is late already earns little whenever it is done, so it makes
+    way for those of its priority that can still be in time.
+    """
+    is_lasting = work.step.is_lasting
+    return (
+        now_s >= work.worthless_at_s and not is_lasting,
+        work.job.queue.priority,
+        work.is_late(now_s) and not is_lasting,
+        work.due_at_s - work.rest_s,
+    )
