--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -80,7 +80,6 @@
 from greengagering.coordination.jobs._agents import Agent
 from greengagering.coordination.jobs._agents import AgentPermit
 from greengagering.coordination.jobs._agents import AgentRoster
-from greengagering.coordination.jobs._leader_core import Decision
 from greengagering.coordination.jobs._director import JobDirector
 from greengagering.coordination.jobs._gateway import GatewayOutgoing
 from greengagering.coordination.jobs._gateway import JobGateway
@@ -92,6 +91,7 @@
 from greengagering.coordination.jobs._job_messages import JobMessage
 from greengagering.coordination.jobs._job_messages import JobOutcome
 from greengagering.coordination.jobs._keeper import MachineKeeper
+from greengagering.coordination.jobs._leader_core import Decision
 from greengagering.coordination.jobs._machines import DutyOrder
 from greengagering.coordination.jobs._machines import DutyOutcome
 from greengagering.coordination.jobs._machines import ListMachines
