Begin no sync once a leader has stepped down

Cause: found while reading the change: a leader that stepped down with entries that no sync had covered, or whose disk had failed, was due for another sync at each step and would have synced, or failed to, without a pause. Change: only a leader is due for a sync; a follower syncs what it holds when the next leader asks for it. An answer through an agent is waited for 1.1 s, as 0.4 s of queue and 0.5 s towards a silent worker left the agent no time to say so. Conclusion: a replica with a failed disk rests again.

--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -82,3 +82,8 @@
     Given a leader of three that syncs in the background and has written an entry
     When a sync that began under an earlier term ends
     Then its log still waits for a sync
+
+  Scenario: A leader whose sync fails steps down, and begins no sync after that
+    Given a leader of three that syncs in the background and has written an entry
+    When the sync fails
+    Then it leads no more, and no sync is due
--- a/features/steps/agent_rule_steps.py
+++ b/features/steps/agent_rule_steps.py
@@ -224,7 +224,7 @@
     async def act(leader: Leader) -> None:
         context.home = leader.home(0)
         task = await _give_one(leader)
-        VirtualClock.now_s += 1.0
+        VirtualClock.now_s += 1.2
         leader.offer(context.home, 'boot-1')
         await asyncio.sleep(0.15)
         context.outcome = (await task).outcome
--- a/features/steps/replica_rule_steps.py
+++ b/features/steps/replica_rule_steps.py
@@ -10,6 +10,7 @@
 from features.search import fakes
 from greengagering import coordination
 from greengagering import state
+from greengagering.state import errors as state_errors
 
 VOTERS = ('control-1', 'control-2', 'control-3')
 
@@ -321,3 +322,17 @@
 @then('its log still waits for a sync')
 def check_waits(context: Any) -> None:
     assert context.replica.is_sync_due()
+
+
+@when('the sync fails')
+def fail_sync(context: Any) -> None:
+    error = state_errors.StorageError('the fake disk refuses')
+    context.replica.note_sync_failed(error, context.now_s)
+
+
+@then('it leads no more, and no sync is due')
+def check_stepped_down(context: Any) -> None:
+    replica = context.replica
+    assert not replica.is_leader
+    assert replica.log.last_index > replica.log.synced_index
+    assert not replica.is_sync_due()
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -213,8 +213,12 @@
         self._broadcast(now_s)
 
     def is_sync_due(self) -> bool:
-        """Tell whether entries were written that no sync has covered."""
-        return self.log.last_index > self.log.synced_index
+        """Tell whether a leader's entries wait for a sync.
+
+        One that leads no more syncs what it holds when the next leader asks
+        for it; until then, and after a failure, another sync shows nothing.
+        """
+        return self.is_leader and self.log.last_index > self.log.synced_index
 
     def note_synced(self, index: int, term: int, now_s: float) -> None:
         """Take the end of a sync that was begun in a term.
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -10,9 +10,9 @@
 from greengagering import logs
 from greengagering.transport._worker_client import WorkerClient
 
-ANSWER_TIMEOUT_S = 0.9
-"""Longest time for an answer through an agent: its own time-out towards the
-worker, its queue, and the way there and back."""
+ANSWER_TIMEOUT_S = 1.1
+"""Longest time for an answer through an agent: 0.5 s towards the worker, 0.4 s
+in its queue, and the way there and back; a worker's silence is no agent's."""
 
 SWEEP_INTERVAL_S = 0.1
 """Time between two searches for orders whose time is over."""
