Expect no burst of a queue with a steady load after the first round of turns

Cause: found while reading the change: a queue that never bursts counted for ever as the one whose turn is due, and took the machines meant for the next burst. Change: once as many bursts were seen as there are services, the one whose burst is the longest ago is expected. Conclusion: deployments with steady queues get their bursts prepared.

--- a/features/demand_turns.feature
+++ b/features/demand_turns.feature
@@ -59,3 +59,8 @@
   Scenario: Work that is late already gives its machines up to work that can be in time
     Given a drawn day in which the second queue asks for three times the fleet in its turn
     Then the fourth queue earns 0.5 of its worth, though the second has a backlog
+
+  Scenario: A queue with a steady load is expected to burst only in the first round of turns
+    Given queues alpha and beta that burst by turns of 6 s, and gamma with a steady load
+    Then after 2 bursts gamma is expected next
+    And after 4 bursts alpha is expected next, and after 5 beta
--- a/features/steps/demand_turn_steps.py
+++ b/features/steps/demand_turn_steps.py
@@ -11,6 +11,7 @@
 from features.support import demand_world
 from greengagering import coordination
 from greengagering.coordination.jobs import _allotment
+from greengagering.coordination.jobs import _demand
 from greengagering.coordination.jobs import _worker_view as worker_view
 
 FULL_SURGE = (('lookup', 2.0, 3.0, 3.0),)
@@ -262,3 +263,39 @@
     for day in context.days:
         assert day.by_queue[names[3]] >= share, day.by_queue
         assert day.by_queue[names[1]] < share, day.by_queue
+
+
+@given(
+    'queues alpha and beta that burst by turns of {turn_s:d} s, and gamma '
+    'with a steady load'
+)
+def play_steady_load(context: Any, turn_s: int) -> None:
+    context.expected = {}
+    tracker = _demand.DemandTracker()
+    for tick in range(5 * turn_s * 10):
+        now_s = tick / 10
+        turn, in_turn_s = divmod(now_s, turn_s)
+        if in_turn_s < turn_s / 2:
+            name = ('alpha', 'beta')[int(turn) % 2]
+            tracker.note_work(name, 60.0, 100.0, now_s)
+        if tick % 10 == 0:
+            tracker.note_work('gamma', 20.0, 100.0, now_s)
+        prediction = tracker.next_bursts()
+        if prediction is not None:
+            context.expected[int(turn) + 1] = prediction[0]
+
+
+@then('after {count:d} bursts {name} is expected next')
+def check_expected(context: Any, count: int, name: str) -> None:
+    assert context.expected[count] == [name], context.expected
+
+
+@then(
+    'after {first:d} bursts {name} is expected next, and after {second:d} '
+    '{other}'
+)
+def check_both_expected(
+    context: Any, first: int, name: str, second: int, other: str
+) -> None:
+    check_expected(context, first, name)
+    check_expected(context, second, other)
--- a/greengagering/coordination/jobs/_demand.py
+++ b/greengagering/coordination/jobs/_demand.py
@@ -110,6 +110,7 @@
         self._loads: dict[str, _Load] = {}
         self._last_burst_s = float('-inf')
         self._gap_s: float | None = None
+        self._burst_count = 0
 
     def note_work(
         self, service: str, core_s: float, memory_mb_s: float, now_s: float
@@ -139,7 +140,8 @@
         """Return which services may burst next and when, or None.
 
         Services that have not burst yet come first, as each has its turn;
-        then the one whose burst is the longest ago.
+        then the one whose burst is the longest ago. A service that has not
+        burst in as many turns as there are services has a steady load.
         """
         if self._gap_s is None:
             return None
@@ -148,8 +150,10 @@
             for n, load in self._loads.items()
             if load.burst_at_s == -math.inf
         ]
-        oldest = min(self._loads, key=lambda n: self._loads[n].burst_at_s)
-        return fresh or [oldest], self._last_burst_s + self._gap_s
+        if not fresh or self._burst_count >= len(self._loads):
+            seen = [n for n in self._loads if n not in fresh]
+            fresh = [min(seen, key=lambda n: self._loads[n].burst_at_s)]
+        return fresh, self._last_burst_s + self._gap_s
 
     def burst_cores(self, service: str) -> float:
         """Return the rate that a service's burst reaches, in cores.
@@ -195,6 +199,7 @@
         if now_s < load.burst_at_s + (self._gap_s or MEAN_WINDOW_S) / 2:
             return
         self._learn_turn(now_s)
+        self._burst_count += 1
         load.burst_at_s = now_s
         self._last_burst_s = now_s
 
