Say twice-written set-up of two step files once

Cause: reading the change again: two steps of the late reader and the set-up of a replica that syncs in the background repeated what stood beside them. Change: _show_run, and start and new_replica with voters and options; tests only, with the same assertions. Conclusion: no behaviour changed.

--- a/features/steps/late_reader_steps.py
+++ b/features/steps/late_reader_steps.py
@@ -100,17 +100,18 @@
     context.order = order
 
 
-def _listed(context: Any) -> tuple[coordination.ListedRun, ...]:
-    return (coordination.ListedRun(context.order.key, '', 100, None),)
+def _show_run(context: Any, after_s: float, clock_ms: int) -> None:
+    """Let time pass, then let the leader read lists that show the run."""
+    context.now_s += after_s
+    _report(context)
+    listed = coordination.ListedRun(context.order.key, '', 100, None)
+    _read(context, context.order.life.worker_id, clock_ms, (listed,))
+    _step(context)
 
 
 @when('the leader is busy for 9 s, and its lists are of 0.9 s after the start')
 def read_old_lists(context: Any) -> None:
-    context.now_s += 9.0
-    _report(context)
-    name = context.order.life.worker_id
-    _read(context, name, START_CLOCK_MS + 900, _listed(context))
-    _step(context)
+    _show_run(context, 9.0, START_CLOCK_MS + 900)
 
 
 @when('the leader is busy for 6 s without any lists')
@@ -123,11 +124,7 @@
 
 @when('its next lists show the run 9 s after the start')
 def read_new_lists(context: Any) -> None:
-    context.now_s += 3.0
-    _report(context)
-    name = context.order.life.worker_id
-    _read(context, name, START_CLOCK_MS + 9000, _listed(context))
-    _step(context)
+    _show_run(context, 3.0, START_CLOCK_MS + 9000)
 
 
 @then('it stops no run')
--- a/features/steps/replica_rule_steps.py
+++ b/features/steps/replica_rule_steps.py
@@ -20,22 +20,31 @@
     return coordination.ReplicaIdentity(name, f'{name}-folder')
 
 
-def start(context: Any) -> None:
+def start(
+    context: Any,
+    voters: tuple[str, ...] = VOTERS,
+    options: coordination.ReplicaOptions | None = None,
+) -> None:
     """Start control-1 from its disk."""
     context.replica = coordination.Replica(
         peer('control-1'),
-        state.Membership(voters=VOTERS),
+        state.Membership(voters=voters),
         context.disk,
         random.Random(1),
         context.now_s,
+        options,
     )
 
 
-def new_replica(context: Any) -> None:
+def new_replica(
+    context: Any,
+    voters: tuple[str, ...] = VOTERS,
+    options: coordination.ReplicaOptions | None = None,
+) -> None:
     """Start control-1 with an empty disk."""
     context.now_s = 100.0
     context.disk = fakes.FakeDisk(random.Random(1), 0.0)
-    start(context)
+    start(context, voters, options)
 
 
 def entry(index: int, term: int) -> state.LogEntry:
@@ -245,17 +254,9 @@
     'a leader of {count} that syncs in the background and has written an entry'
 )
 def lead_with_unsynced(context: Any, count: str) -> None:
-    context.now_s = 100.0
-    context.disk = fakes.FakeDisk(random.Random(1), 0.0)
     voters = VOTERS if count == 'three' else VOTERS[:1]
-    context.replica = coordination.Replica(
-        peer('control-1'),
-        state.Membership(voters=voters),
-        context.disk,
-        random.Random(1),
-        context.now_s,
-        coordination.ReplicaOptions(syncs_in_background=True),
-    )
+    options = coordination.ReplicaOptions(syncs_in_background=True)
+    new_replica(context, voters, options)
     replica = context.replica
     context.now_s += 1.0
     replica.tick(context.now_s)
