--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -83,6 +83,7 @@
 from greengagering.coordination.jobs._director import JobDirector
 from greengagering.coordination.jobs._gateway import GatewayOutgoing
 from greengagering.coordination.jobs._gateway import JobGateway
+from greengagering.coordination.jobs._gateway import OpenCall
 from greengagering.coordination.jobs._job_messages import CallKind
 from greengagering.coordination.jobs._job_messages import ControlProbe
 from greengagering.coordination.jobs._job_messages import ControlStatus
@@ -132,6 +133,7 @@
     'Decision',
     'JobDirector',
     'JobGateway',
+    'OpenCall',
     'GatewayOutgoing',
     'CallKind',
     'JobOutcome',
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -38,12 +38,14 @@
         received_at_s: when it came in.
         deadline_s: when the caller gives up.
         sent_at_s: when it was last passed on, or None.
+        send_count: how often it was passed on.
     """
 
     call: messages.JobCall
     received_at_s: float
     deadline_s: float
     sent_at_s: float | None = None
+    send_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +61,9 @@
 
     The caller of this class passes in calls, messages and time, and collects
     messages and answers.
+
+    Attributes:
+        heard_at_s: when a leader was last heard, or minus infinity.
     """
 
     def __init__(
@@ -80,7 +85,7 @@
         self.open_calls: dict[int, OpenCall] = {}
         self._seeds = seeds
         self._members: tuple[str, ...] = ()
-        self._heard_at_s = float('-inf')
+        self.heard_at_s = float('-inf')
         self._probed_at_s = float('-inf')
         self._hinted_at_s = float('-inf')
         self._next_id = 1
@@ -93,7 +98,7 @@
 
     def has_leader(self, now_s: float) -> bool:
         """Tell whether a leader was heard just now."""
-        is_recent = now_s < self._heard_at_s + LEADER_SILENCE_S
+        is_recent = now_s < self.heard_at_s + LEADER_SILENCE_S
         return bool(self.leader_address) and is_recent
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -204,7 +209,7 @@
             self.leader_address = status.address
             self.leader_id = status.replica_id
             self.max_body_bytes = status.max_body_bytes
-            self._heard_at_s = now_s
+            self.heard_at_s = now_s
             return
         # Two processes may each take the other for the leader.
         is_due = now_s >= self._hinted_at_s + SEARCH_INTERVAL_S
@@ -233,6 +238,7 @@
 
     def _send(self, opened: OpenCall, now_s: float) -> None:
         opened.sent_at_s = now_s
+        opened.send_count += 1
         self._outbox.append(GatewayOutgoing(self.leader_address, opened.call))
 
     def _give_up(self, opened: OpenCall) -> None:
--- a/greengagering/platform/_front_app.py
+++ b/greengagering/platform/_front_app.py
@@ -74,9 +74,14 @@
             kind = coordination.CallKind.COUNT
         host = request.host.partition(':')[0]
         answer = await self._node.call(
-            kind, host, request.path, self._find_deadline_s(request), spec
+            kind,
+            host,
+            request.path,
+            self._find_deadline_s(request),
+            job_id,
+            spec,
         )
-        return self._respond(kind, job_id, answer)
+        return _respond(kind, answer)
 
     async def _read_job(
         self, request: web.Request, job_id: str
@@ -102,27 +107,18 @@
         wanted_s = int(text) / 1000 - ANSWER_MARGIN_S
         return min(max(wanted_s, 0.0), settings.max_deadline_s)
 
-    def _respond(
-        self,
-        kind: coordination.CallKind,
-        job_id: str,
-        answer: coordination.JobAnswer,
-    ) -> web.Response:
-        status = _jobs.STATUS_CODES[answer.outcome]
-        if answer.outcome is not coordination.JobOutcome.DONE:
-            logs.info(
-                'call_refused',
-                job=job_id,
-                kind=kind,
-                outcome=answer.outcome,
-                detail=answer.detail,
-                leader_id=self._node.core.leader_id,
-            )
-            return _responses.error_response(
-                status, answer.detail or answer.outcome, answer.retry_after_s
-            )
-        if kind is coordination.CallKind.SHOW:
-            return _responses.json_response({'state': answer.job_state})
-        if kind is coordination.CallKind.COUNT:
-            return _responses.json_response({'pending': answer.pending_count})
-        return _responses.json_response({})
+
+def _respond(
+    kind: coordination.CallKind, answer: coordination.JobAnswer
+) -> web.Response:
+    if answer.outcome is not coordination.JobOutcome.DONE:
+        return _responses.error_response(
+            _jobs.STATUS_CODES[answer.outcome],
+            answer.detail or answer.outcome,
+            answer.retry_after_s,
+        )
+    if kind is coordination.CallKind.SHOW:
+        return _responses.json_response({'state': answer.job_state})
+    if kind is coordination.CallKind.COUNT:
+        return _responses.json_response({'pending': answer.pending_count})
+    return _responses.json_response({})
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -109,7 +109,9 @@
             settings.link_address,
             self._on_message,
         )
-        self._loop = StepLoop(self._step, self._set_metrics)
+        self._loop = StepLoop(
+            self._step, self._set_metrics, self.metrics.loop_late_seconds
+        )
         self._disk = futures.ThreadPoolExecutor(1, 'disk')
         self._sync: asyncio.Task[None] | None = None
         self._platform = PlatformClient(settings.platform_url, self.metrics)
--- a/greengagering/transport/_entry_node.py
+++ b/greengagering/transport/_entry_node.py
@@ -55,7 +55,9 @@
             self._on_message,
         )
         self.retries = coordination.RetryBudget()
-        self._loop = StepLoop(self._step, self._set_metrics)
+        self._loop = StepLoop(
+            self._step, self._set_metrics, self.metrics.loop_late_seconds
+        )
         self.claims = ClaimDesk(self.core, self._loop.schedule)
         self._upstreams: UpstreamClient | None = None
         self._waiters: dict[coordination.Call, asyncio.Future[SlotResult]] = {}
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -56,7 +56,12 @@
         self.agent = AgentRunner(
             settings.entry_id, boot_id, workers, self._send_answers
         )
-        self._loop = StepLoop(self._step, self._set_metrics, TICK_S)
+        self._loop = StepLoop(
+            self._step,
+            self._set_metrics,
+            self.metrics.loop_late_seconds,
+            TICK_S,
+        )
         self._waiters: dict[int, asyncio.Future[coordination.JobAnswer]] = {}
         self._had_leader = ''
 
@@ -109,6 +114,7 @@
         host: str,
         path: str,
         deadline_s: float,
+        job_id: str,
         spec: state.JobSpec | None = None,
     ) -> coordination.JobAnswer:
         """Pass a call on and wait for its answer.
@@ -118,6 +124,7 @@
             host: host name that the caller used.
             path: path that the caller used.
             deadline_s: time left to answer.
+            job_id: the job that is asked about, or ''.
             spec: the job, where one is handed in.
         """
         now_s = clock.steady_s()
@@ -128,11 +135,14 @@
             asyncio.get_running_loop().create_future()
         )
         self._waiters[call_id] = waiter
+        opened = self.core.open_calls.get(call_id)
         self._loop.schedule()
         outcome = 'caller_gone'
         try:
             answer = await waiter
             outcome = str(answer.outcome)
+            if answer.outcome is not coordination.JobOutcome.DONE:
+                self._log_refusal(kind, job_id, answer, opened)
             return answer
         finally:
             self.metrics.calls.inc({'kind': str(kind), 'outcome': outcome})
@@ -142,6 +152,32 @@
             self._waiters.pop(call_id, None)
             self.core.forget(call_id)
 
+    def _log_refusal(
+        self,
+        kind: coordination.CallKind,
+        job_id: str,
+        answer: coordination.JobAnswer,
+        opened: coordination.OpenCall | None,
+    ) -> None:
+        now_s = clock.steady_s()
+        fields: dict[str, float] = {}
+        if opened is not None:
+            fields['waited_s'] = round(now_s - opened.received_at_s, 3)
+            fields['sends'] = opened.send_count
+        if self.core.heard_at_s > 0:
+            fields['leader_heard_s_ago'] = round(
+                now_s - self.core.heard_at_s, 3
+            )
+        logs.info(
+            'call_refused',
+            job=job_id,
+            kind=kind,
+            outcome=answer.outcome,
+            detail=answer.detail,
+            leader_id=self.core.leader_id,
+            **fields,
+        )
+
     def _on_message(
         self, sender: LinkSender, message: links.LinkMessage
     ) -> None:
--- a/greengagering/transport/_metrics.py
+++ b/greengagering/transport/_metrics.py
@@ -47,6 +47,7 @@
     duties: aioprometheus.Counter
     workers: aioprometheus.Gauge
     waiting_tasks: aioprometheus.Gauge
+    loop_late_seconds: aioprometheus.Histogram
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +59,7 @@
     call_seconds: aioprometheus.Histogram
     has_leader: aioprometheus.Gauge
     open_calls: aioprometheus.Gauge
+    loop_late_seconds: aioprometheus.Histogram
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +77,7 @@
     in_flight: aioprometheus.Gauge
     queued: aioprometheus.Gauge
     upstreams: aioprometheus.Gauge
+    loop_late_seconds: aioprometheus.Histogram
 
 
 def create_control_metrics() -> ControlMetrics:
@@ -125,6 +128,7 @@
         waiting_tasks=_gauge(
             registry, 'waiting_tasks', 'Tasks that wait for a worker.'
         ),
+        loop_late_seconds=_loop_late_seconds(registry),
     )
 
 
@@ -144,6 +148,7 @@
         open_calls=_gauge(
             registry, 'open_calls', 'Calls that wait for the leader.'
         ),
+        loop_late_seconds=_loop_late_seconds(registry),
     )
 
 
@@ -177,6 +182,15 @@
         in_flight=_gauge(registry, 'in_flight', 'Calls at upstreams.'),
         queued=_gauge(registry, 'queued', 'Calls that wait, by service.'),
         upstreams=_gauge(registry, 'upstreams', 'Upstreams known.'),
+        loop_late_seconds=_loop_late_seconds(registry),
+    )
+
+
+def _loop_late_seconds(
+    registry: aioprometheus.Registry,
+) -> aioprometheus.Histogram:
+    return _histogram(
+        registry, 'loop_late_seconds', 'How late the loop is at its ticks.'
     )
 
 
