Name calls so that no other process's answer can settle them

Seen: an entry that restarts at its address numbers its calls from 1 again. An answer of the leader to its earlier process, late by a commit, settled the new call of that number: the caller of a job that was never stored got 200, or the state of another job. Cause: an answer named its call by a number that is unique in one process only. Evidence: reply_rules.feature 'An answer to an entry's earlier process ...' failed before and passes now. Change: a call's name holds the boot of the entry's process, so an answer to another process matches no open call. Measured: features of replies, gateway and platform path pass (20 scenarios).

--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -82,13 +82,13 @@
         self.leader_address = ''
         self.leader_id = ''
         self.max_body_bytes = 0
-        self.open_calls: dict[int, OpenCall] = {}
+        self.open_calls: dict[str, OpenCall] = {}
         self._seeds = seeds
         self._members: tuple[str, ...] = ()
         self.heard_at_s = float('-inf')
         self._probed_at_s = float('-inf')
         self._hinted_at_s = float('-inf')
-        self._next_id = 1
+        self._call_count = 0
         self._outbox: list[GatewayOutgoing] = []
         self._answers: list[messages.JobAnswer] = []
 
@@ -113,14 +113,15 @@
         spec: state.JobSpec | None,
         deadline_s: float,
         now_s: float,
-    ) -> int:
+    ) -> str:
         """Pass a call on; its answer comes from take_answers.
 
         Returns:
-            The call's number.
+            The call's name.
         """
-        call_id = self._next_id
-        self._next_id += 1
+        self._call_count += 1
+        # An answer to this entry's earlier process may come to this one.
+        call_id = f'{self._boot_id}-{self._call_count}'
         call = messages.JobCall(
             call_id, self.entry_id, self.address, kind, host, path, spec
         )
@@ -140,7 +141,7 @@
             self._send(opened, now_s)
         return call_id
 
-    def forget(self, call_id: int) -> None:
+    def forget(self, call_id: str) -> None:
         """Drop a call whose caller has gone."""
         self.open_calls.pop(call_id, None)
 
--- a/greengagering/coordination/jobs/_job_messages.py
+++ b/greengagering/coordination/jobs/_job_messages.py
@@ -37,8 +37,8 @@
     """A caller's call, passed on to the leader.
 
     Attributes:
-        call_id: number of the call at the entry.
-        entry_id: the entry's process.
+        call_id: name of the call, which no other process gives to one.
+        entry_id: the entry.
         address: where the entry hears the answer, as host:port.
         kind: what is asked.
         host: host name that the caller used.
@@ -46,7 +46,7 @@
         spec: the job, for SUBMIT; its id is the path's last part.
     """
 
-    call_id: int
+    call_id: str
     entry_id: str
     address: str
     kind: CallKind
@@ -60,7 +60,7 @@
     """The leader's answer to a JobCall.
 
     Attributes:
-        call_id: number of the call at the entry.
+        call_id: the call's name.
         outcome: how it ended.
         job_state: for SHOW, where the job stands.
         pending_count: for COUNT, jobs that have not begun.
@@ -68,7 +68,7 @@
         detail: for refusals, the reason.
     """
 
-    call_id: int
+    call_id: str
     outcome: JobOutcome
     job_state: str = ''
     pending_count: int = 0
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -62,7 +62,7 @@
             self.metrics.loop_late_seconds,
             TICK_S,
         )
-        self._waiters: dict[int, asyncio.Future[coordination.JobAnswer]] = {}
+        self._waiters: dict[str, asyncio.Future[coordination.JobAnswer]] = {}
         self._had_leader = ''
 
     async def start(self) -> None:
