Let agents' answers name the leader's process that asked

Seen: in fleets of more than 64 workers a control process that is restarted at its address and leads again numbers its orders from 1. Answers of agents to its earlier process, up to 2 s late for a look, settled orders of the new one by their number: a start counted as done or as refused that was not. Evidence: reply_rules.feature 'An agent's answer to a leader's earlier process ...' failed before and passes now. Change: orders carry the leader's process, answers give it back, and the leader drops those for another process with a line (answers_outdated).

--- a/features/steps/agent_rule_steps.py
+++ b/features/steps/agent_rule_steps.py
@@ -253,10 +253,14 @@
         task = await _give_one(leader)
         now_s = VirtualClock.now_s
         leader.client.note_offer(context.home, context.home, None, now_s)
-        number = leader.sent[context.home][0].starts[0][0]
+        batch = leader.sent[context.home][0]
+        number = batch.starts[0][0]
         leader.client.receive(
             coordination.AgentAnswers(
-                context.home, 'boot-1', ((number, DONE),)
+                context.home,
+                'boot-1',
+                batch.leader_boot_id,
+                ((number, DONE),),
             )
         )
         context.outcome = (await task).outcome
@@ -308,6 +312,7 @@
 ) -> coordination.AgentOrders:
     return coordination.AgentOrders(
         address='leader:1',
+        leader_boot_id='leader-boot-1',
         boot_id=boot_id,
         term=term,
         offered_at_s=START_S,
@@ -419,6 +424,7 @@
     context.permit.note(
         coordination.AgentOrders(
             'leader:1',
+            'leader-boot-1',
             'boot-1',
             TERM,
             offer.sent_at_s,
--- a/greengagering/coordination/jobs/_agent_messages.py
+++ b/greengagering/coordination/jobs/_agent_messages.py
@@ -26,6 +26,7 @@
 
     Attributes:
         address: where the leader hears the answers, as host:port.
+        leader_boot_id: the leader's process, which answers name.
         boot_id: the agent's process that they are meant for.
         term: the leader's term.
         offered_at_s: the agent's clock at the offer that this rests on.
@@ -37,6 +38,7 @@
     """
 
     address: str
+    leader_boot_id: str
     boot_id: str
     term: int
     offered_at_s: float
@@ -54,12 +56,14 @@
     Attributes:
         agent_id: the entry.
         boot_id: its process.
+        leader_boot_id: the process that gave the orders.
         orders: answers to orders, each with the order's number.
         looks: answers to looks.
     """
 
     agent_id: str
     boot_id: str
+    leader_boot_id: str
     orders: tuple[tuple[int, _orders.OrderAnswer], ...] = ()
     looks: tuple[tuple[int, _orders.LookAnswer], ...] = ()
 
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import secrets
 from typing import Any
 
 from greengagering import clock
@@ -14,6 +15,8 @@
 """Longest time for an answer through an agent: 0.5 s towards the worker, 0.4 s
 in its queue, and the way there and back; a worker's silence is no agent's."""
 
+BOOT_ID_BYTES = 8
+
 SWEEP_INTERVAL_S = 0.1
 """Time between two searches for orders whose time is over."""
 
@@ -53,6 +56,8 @@
         self._lease_end_s = lease_end_s
         self._send = send
         self._address = address
+        # Answers to an earlier process at this address may come to this one.
+        self._boot_id = secrets.token_hex(BOOT_ID_BYTES)
         self._number = 0
         self._pending: dict[int, _Pending] = {}
         self._outgoing: dict[str, list[tuple[int, Any]]] = {}
@@ -123,6 +128,14 @@
 
     def receive(self, message: coordination.AgentAnswers) -> None:
         """Take an agent's answers; late ones change nothing."""
+        if message.leader_boot_id != self._boot_id:
+            logs.info(
+                'answers_outdated',
+                agent=message.agent_id,
+                orders=len(message.orders),
+                looks=len(message.looks),
+            )
+            return
         for number, answer in (*message.orders, *message.looks):
             pending = self._pending.pop(number, None)
             if pending is not None and not pending.answer.done():
@@ -184,6 +197,7 @@
                 kinds.setdefault(type(order), []).append((number, order))
         return coordination.AgentOrders(
             address=self._address,
+            leader_boot_id=self._boot_id,
             boot_id=agent.offer.boot_id,
             term=fence,
             offered_at_s=agent.offer.sent_at_s,
--- a/greengagering/transport/_agent_runner.py
+++ b/greengagering/transport/_agent_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 
 from greengagering import clock
@@ -18,6 +19,14 @@
 _outcomes = coordination.OrderOutcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Asker:
+    """A leader's process that waits for answers."""
+
+    address: str
+    boot_id: str
+
+
 class AgentRunner:
     """Sends orders while their leader's permission lasts, and answers it."""
 
@@ -34,8 +43,8 @@
         self._client = LanedClient(client, self._may_send)
         self._send = send
         self._tasks: set[asyncio.Task[None]] = set()
-        self._order_answers: dict[str, list[tuple[int, Any]]] = {}
-        self._look_answers: dict[str, list[tuple[int, Any]]] = {}
+        self._order_answers: dict[_Asker, list[tuple[int, Any]]] = {}
+        self._look_answers: dict[_Asker, list[tuple[int, Any]]] = {}
         self._known_term = 0
 
     def receive(self, batch: coordination.AgentOrders) -> None:
@@ -49,14 +58,15 @@
         if batch.term > self._known_term:
             self._known_term = batch.term
             logs.info('agent_serves', leader=batch.address, term=batch.term)
+        asker = _Asker(batch.address, batch.leader_boot_id)
         for number, start in batch.starts:
-            self._begin(batch.address, number, self._client.start, start)
+            self._begin(asker, number, self._client.start, start)
         for number, stop in batch.stops:
-            self._begin(batch.address, number, self._client.stop, stop)
+            self._begin(asker, number, self._client.stop, stop)
         for number, pace in batch.paces:
-            self._begin(batch.address, number, self._client.pace, pace)
+            self._begin(asker, number, self._client.pace, pace)
         for number, look in batch.looks:
-            self._begin(batch.address, number, self._client.look, look)
+            self._begin(asker, number, self._client.look, look)
 
     async def close(self) -> None:
         """Give up what is on its way."""
@@ -70,20 +80,20 @@
 
     def _begin(
         self,
-        address: str,
+        asker: _Asker,
         number: int,
         call: Callable[[Any], Awaitable[Any]],
         order: Any,
     ) -> None:
         task = asyncio.ensure_future(
-            self._carry_out(address, number, call, order)
+            self._carry_out(asker, number, call, order)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _carry_out(
         self,
-        address: str,
+        asker: _Asker,
         number: int,
         call: Callable[[Any], Awaitable[Any]],
         order: Any,
@@ -101,18 +111,19 @@
         answers = self._look_answers if is_look else self._order_answers
         if not (self._look_answers or self._order_answers):
             asyncio.get_running_loop().call_later(GATHER_S, self._flush)
-        answers.setdefault(address, []).append((number, answer))
+        answers.setdefault(asker, []).append((number, answer))
 
     def _flush(self) -> None:
         orders, self._order_answers = self._order_answers, {}
         looks, self._look_answers = self._look_answers, {}
-        for address in orders.keys() | looks.keys():
+        for asker in orders.keys() | looks.keys():
             self._send(
-                address,
+                asker.address,
                 coordination.AgentAnswers(
                     agent_id=self._agent_id,
                     boot_id=self._boot_id,
-                    orders=tuple(orders.get(address, ())),
-                    looks=tuple(looks.get(address, ())),
+                    leader_boot_id=asker.boot_id,
+                    orders=tuple(orders.get(asker, ())),
+                    looks=tuple(looks.get(asker, ())),
                 ),
             )
