Take a holder's word for its own claim only

Seen: an entry that asks a holder twice for the outcome of keyed work gets its word twice. The second 'given up', come after another entry had taken the claim, was taken for that entry's word: the asker took the claim over while its work ran, and it would have run twice. Evidence: reply_rules.feature 'A former holder's word ...' failed before and passes now. Change: the word names the process that the request asked about. Measured: features of replies and claims pass (17 scenarios, no known red).

--- a/greengagering/coordination/entries/_claim_book.py
+++ b/greengagering/coordination/entries/_claim_book.py
@@ -143,7 +143,9 @@
         held = self._held.get(request.key_id)
         if held is None or request.boot_id != self.boot_id:
             response = claim_msgs.OutcomeResponse(
-                request.key_id, claim_msgs.KeptState.UNKNOWN
+                request.boot_id,
+                request.key_id,
+                claim_msgs.KeptState.UNKNOWN,
             )
             self._outcomes.append(OutcomeFor(request, response))
         elif held.state is WorkState.RUNNING:
@@ -182,7 +184,7 @@
             held.state = WorkState.GIVEN_UP
             kept = claim_msgs.KeptState.GIVEN_UP
         response = claim_msgs.OutcomeResponse(
-            request.key_id, kept, held.answer
+            request.boot_id, request.key_id, kept, held.answer
         )
         self._outcomes.append(OutcomeFor(request, response))
 
--- a/greengagering/coordination/entries/_claim_messages.py
+++ b/greengagering/coordination/entries/_claim_messages.py
@@ -64,11 +64,13 @@
     """The holder's answer, once its work has ended.
 
     Attributes:
+        boot_id: the process that the request asked about.
         key_id: the key.
         state: answered, given up without running anything, or unknown.
         answer: the answer, where there is one.
     """
 
+    boot_id: str
     key_id: str
     state: KeptState
     answer: KeptAnswer | None = None
--- a/greengagering/transport/_claim_desk.py
+++ b/greengagering/transport/_claim_desk.py
@@ -175,7 +175,8 @@
                 return coordination.RefusalReason.OUTCOME_UNKNOWN
             self._wake()
             response = await self._outcomes.wait(work.key_id, REPEAT_OUTCOME_S)
-            if response is None:
+            if response is None or response.boot_id != holder.boot_id:
+                # A former holder's late word says nothing of this one.
                 continue
             if response.state is coordination.KeptState.GIVEN_UP:
                 return await self._settle_asked(work, holder.boot_id)
