--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -24,3 +24,9 @@
     When 200 schedules of the agent search run from seed 0
     Then no schedule breaks a promise
     And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, held, doubled, unsent and leaders
+
+  # Guards against answers that settle other calls after restarts, delays and copies.
+  Scenario: No caller is told of a job what is true of another, or of an earlier call
+    When 300 schedules of the reply search run from seed 0
+    Then no schedule breaks a promise
+    And the schedules exercised accepted, shown, denied, refused, unknown, restarts, silences and late_answers
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -11,6 +11,7 @@
 from features.search import control_search
 from features.search import job_search
 from features.search import replica_search
+from features.search import reply_search
 
 WORKERS = 4
 
@@ -70,12 +71,22 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_reply_seed(seed: int) -> reply_search.ReplyResult | SeedFailure:
+    """Run one schedule over entries' calls and their answers."""
+    try:
+        return reply_search.ReplySearch(seed).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 SEARCHES: dict[str, Any] = {
     'replica': run_replica_seed,
     'syncing': run_syncing_seed,
     'control': run_control_seed,
     'job': run_job_seed,
     'agent': run_agent_seed,
+    'reply': run_reply_seed,
 }
 TOTALS: dict[str, Any] = {
     'replica': replica_search.SearchResult,
@@ -83,6 +94,7 @@
     'control': control_search.ControlResult,
     'job': job_search.JobResult,
     'agent': job_search.JobResult,
+    'reply': reply_search.ReplyResult,
 }
 
 
@@ -110,7 +122,7 @@
     """Run a search and print what it did.
 
     Args:
-        name: replica, syncing, control, job or agent.
+        name: replica, syncing, control, job, agent or reply.
         first_seed: first seed.
         count: number of schedules.
     """
