Take a list of machines only for the wish that it answers

Cause: a list said nothing of the wish that it answered. Evidence: reply_rules.feature 'A list of machines that an earlier lead asked for ...' failed before (with note_machines as it was) and passes now. Change: wishes are numbered, and a list counts for the one that is awaited only. Measured: features of replies, machines and turns of demand pass (26 scenarios).

--- a/features/reply_rules.feature
+++ b/features/reply_rules.feature
@@ -25,3 +25,12 @@
     Then entry-3 doesn't ask for the claim of entry-2
     When entry-2's work ends
     Then the caller at entry-3 gets its answer
+
+  # Guards against a running worker that is given up by a list read for an earlier lead.
+  Scenario: A list of machines that an earlier lead asked for ends no life in the next one
+    Given a leader that asked for the machines and then lost and regained its lead
+    When it is told that worker-2 has machine-1, and worker-2 falls silent
+    And the earlier list comes, in which worker-1 has machine-1
+    Then worker-2 is not given up
+    When the list that was asked for since comes, in which machine-1 is down
+    Then worker-2 is given up
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -374,3 +374,98 @@
 @then('the caller at entry-3 gets its answer')
 def check_kept(context: Any) -> None:
     assert context.outcome.body == b'whole', context.outcome
+
+
+class Director:
+    """What a keeper asks of the director, with one worker."""
+
+    def __init__(self) -> None:
+        plan = state.RoutePlan(1, (QUEUE,), (), 1000, b'')
+        self.jobs = state.JobsState(plan=plan)
+        self.fence = 1
+        self.is_leading = True
+        self.view = types.SimpleNamespace(
+            facts=types.SimpleNamespace(worker_id='worker-2'),
+            suspect_since_s=None,
+            seen_at_s=NOW_S,
+            runs={'run': None},
+        )
+        self.workers = {'worker-2@1': self.view}
+        self.ended: list[str] = []
+
+    def end_life(self, view: Any, cause: str) -> None:
+        """Note that a life was given up."""
+        self.ended.append(view.facts.worker_id)
+
+
+def _ask_machines(context: Any, now_s: float) -> coordination.ListMachines:
+    """Let the keeper step, and return its wish for a list."""
+    context.keeper.step(now_s, 0)
+    (call,) = context.keeper.take_calls()
+    assert isinstance(call, coordination.ListMachines)
+    return call
+
+
+def _tell_machine(
+    context: Any,
+    call: coordination.ListMachines,
+    worker_id: str,
+    now_s: float,
+    status: coordination.MachineState = coordination.MachineState.UP,
+) -> None:
+    machine = coordination.Machine(
+        'machine-1',
+        'service-a',
+        status,
+        worker_id,
+        'rack-1',
+        state.Room(1000, 1000),
+    )
+    context.keeper.note_machines(call, (machine,), now_s)
+
+
+@given(
+    'a leader that asked for the machines and then lost and regained its lead'
+)
+def two_leads(context: Any) -> None:
+    context.director = Director()
+    context.keeper = coordination.MachineKeeper(context.director, 'control-1')
+    context.keeper.pool_plan = types.SimpleNamespace(
+        find_moves=lambda *arguments: []
+    )
+    context.first_list = _ask_machines(context, NOW_S)
+    context.director.fence = 3
+
+
+@when('it is told that {worker_id} has machine-1, and {silent} falls silent')
+def tell_present(context: Any, worker_id: str, silent: str) -> None:
+    call = _ask_machines(context, NOW_S + 0.6)
+    _tell_machine(context, call, worker_id, NOW_S + 0.7)
+    context.director.view.suspect_since_s = NOW_S + 0.8
+    context.second_list = _ask_machines(context, NOW_S + 1.3)
+
+
+@when('the earlier list comes, in which {worker_id} has machine-1')
+def tell_former(context: Any, worker_id: str) -> None:
+    _tell_machine(context, context.first_list, worker_id, NOW_S + 1.4)
+
+
+@when('the list that was asked for since comes, in which machine-1 is down')
+def tell_down(context: Any) -> None:
+    _tell_machine(
+        context,
+        context.second_list,
+        '',
+        NOW_S + 1.5,
+        coordination.MachineState.DOWN,
+    )
+
+
+@then('{worker_id} is not given up')
+def check_kept_worker(context: Any, worker_id: str) -> None:
+    assert worker_id not in context.director.ended
+
+
+@then('{worker_id} is given up')
+def check_ended_worker(context: Any, worker_id: str) -> None:
+    assert context.director.ended == [worker_id]
--- a/features/support/demand_world.py
+++ b/features/support/demand_world.py
@@ -632,7 +632,7 @@
         for call in self.keeper.take_calls():
             if isinstance(call, coordination.ListMachines):
                 listed = tuple(self.machines.values())
-                self.keeper.note_machines(listed, self.now_s)
+                self.keeper.note_machines(call, listed, self.now_s)
                 continue
             machine = self.machines[call.duty.machine]
             worker = self.workers.pop(machine.worker_id, None)
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -162,7 +162,8 @@
             self.machine_calls.append((self.now_s, call))
             now_s = node.clock.read(self.now_s)
             if isinstance(call, coordination.ListMachines):
-                core.keeper.note_machines(tuple(self.machines.values()), now_s)
+                listed = tuple(self.machines.values())
+                core.keeper.note_machines(call, listed, now_s)
             elif not self.is_platform_silent:
                 self._carry_out(core, call, now_s)
 
--- a/greengagering/coordination/jobs/_keeper.py
+++ b/greengagering/coordination/jobs/_keeper.py
@@ -93,7 +93,8 @@
         self._own_orders: set[str] = set()
         self._fence = 0
         self._listed_at_s = float('-inf')
-        self._is_listing = False
+        self._awaited_list: machines.ListMachines | None = None
+        self._list_count = 0
         self._listed_once = False
         self._lists_s: list[float] = []
         self._calls: list[machines.MachineCall] = []
@@ -139,10 +140,16 @@
             opened.phase_at_s = now_s
 
     def note_machines(
-        self, listed: tuple[machines.Machine, ...] | None, now_s: float
+        self,
+        call: machines.ListMachines,
+        listed: tuple[machines.Machine, ...] | None,
+        now_s: float,
     ) -> None:
         """Take the platform's list, or None where it could not be read."""
-        self._is_listing = False
+        if call != self._awaited_list:
+            # An earlier lead asked, so it may be older than what is known.
+            return
+        self._awaited_list = None
         if listed is None:
             return
         self._end_lost_lives({machine.name: machine for machine in listed})
@@ -218,7 +225,7 @@
     def _lead(self, now_s: float) -> None:
         self._fence = self._director.fence
         self._own_orders.clear()
-        self._is_listing = False
+        self._awaited_list = None
         self._listed_once = False
         self._lists_s.clear()
         self._listed_at_s = float('-inf')
@@ -228,7 +235,7 @@
         self._wave_started_s.clear()
 
     def _list_machines(self, now_s: float) -> None:
-        if self._is_listing or now_s < self._listed_at_s + LIST_INTERVAL_S:
+        if self._awaited_list or now_s < self._listed_at_s + LIST_INTERVAL_S:
             return
         interval_s = IDLE_LIST_INTERVAL_S
         has_wave = any(
@@ -249,9 +256,10 @@
             interval_s = LIST_INTERVAL_S
         if now_s < self._listed_at_s + interval_s:
             return
-        self._is_listing = True
+        self._list_count += 1
+        self._awaited_list = machines.ListMachines(self._list_count)
         self._listed_at_s = now_s
-        self._calls.append(machines.ListMachines())
+        self._calls.append(self._awaited_list)
 
     def _is_back(self, opened: OpenDuty, machine: machines.Machine) -> bool:
         if machine.status is not machines.MachineState.UP:
--- a/greengagering/coordination/jobs/_machines.py
+++ b/greengagering/coordination/jobs/_machines.py
@@ -71,7 +71,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListMachines:
-    """A wish to read the platform's list of machines."""
+    """A wish to read the platform's list of machines.
+
+    Attributes:
+        number: grows with each wish of a keeper.
+    """
+
+    number: int
 
 
 MachineCall = DutyOrder | ListMachines
--- a/greengagering/transport/_machine_runner.py
+++ b/greengagering/transport/_machine_runner.py
@@ -50,7 +50,7 @@
         async with self._lane:
             if isinstance(call, coordination.ListMachines):
                 listed = await self._client.list_machines()
-                self._keeper.note_machines(listed, clock.steady_s())
+                self._keeper.note_machines(call, listed, clock.steady_s())
                 return
             outcome = coordination.DutyOutcome.NOT_NOW
             if self._may_order():
