Give the lead up where what was decided can't be proposed

Workers still followed its orders of that term, and it took them for a former leader's: a run whose start was on its way was voided and started again elsewhere, twice at once (TWICE). Grants of leases, numbered anew, were settled by replies to the earlier ones. Evidence: job_rules.feature 'A leader that can't propose what it decided ...' failed before and passes now. Change: the replica resigns, with a line (lead_resigned); who leads next has a later term, and workers refuse the orders of the former. Measured: features of jobs pass.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -115,3 +115,11 @@
     Given a leader with two workers, and a run of 1 s at one of them
     When the leader is busy for 6 s without any lists
     Then it stops no run, and asks that worker for its lists at once
+
+  # Guards against an order of a lead that counts as an earlier leader's, which workers refuse.
+  Scenario: A leader that can't propose what it decided orders nothing more under its term
+    Given runs take 100 s
+    When a job with 12 lasting tasks is handed in
+    And it runs for 2 s and the log takes no proposal for a moment
+    Then nobody gives orders under that term any more
+    And within 3 s a leader of a later term has read every worker
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -1,14 +1,17 @@
 """Steps that hand jobs to a leader with fake workers."""
 
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+from result import Err
 
 from features.search import job_search
 from features.support import job_world
 from greengagering import coordination
+from greengagering.coordination import errors
 from greengagering import state
 
 SMALL = state.Room(1000, 100)
@@ -461,3 +464,43 @@
     wanted = (context.handed_in_s + first, context.handed_in_s + first + gap)
     for at_s, wanted_s in zip(times, wanted, strict=True):
         assert -0.05 <= at_s - wanted_s <= 0.6, (times, wanted)
+
+
+@when('it runs for {seconds:g} s and the log takes no proposal for a moment')
+def refuse_proposals(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    core = world.leader()
+    context.term = core.jobs.fence
+    context.former = core
+    overloaded = Err(errors.OverloadedError('10000 proposals wait already'))
+    now_s = world.leader_node().clock.read(world.now_s)
+    with mock.patch.object(core.replica, 'propose', return_value=overloaded):
+        # A decision that has to be proposed.
+        view = core.jobs.newest_life('worker-1')
+        assert view is not None
+        core.jobs.end_life(view, 'a decision')
+        core.step(now_s, int(world.now_s * 1000))
+
+
+@then('nobody gives orders under that term any more')
+def check_no_lead(context: Any) -> None:
+    fence = context.former.jobs.fence
+    assert fence != context.term, fence
+    assert not context.former.jobs.take_orders()
+
+
+@then('within {seconds:g} s a leader of a later term has read every worker')
+def check_later_lead(context: Any, seconds: float) -> None:
+    world = world_of(context)
+
+    def is_led() -> bool:
+        try:
+            jobs = world.leader().jobs
+        except job_world.NobodyLeadsError:
+            return False
+        is_later = jobs.fence > context.term
+        views = jobs.workers.values()
+        return is_later and bool(views) and all(v.is_read for v in views)
+
+    world.advance_until(is_led, seconds)
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -358,6 +358,11 @@
         self._become_follower(self.term, '', now_s)
         return True
 
+    def resign(self, now_s: float) -> None:
+        """Lead no more, so that who leads next does so under a later term."""
+        if self.is_leader:
+            self._become_follower(self.term, '', now_s)
+
     def _next_index(self) -> int:
         return self.log.last_index + len(self._proposals) + 1
 
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -246,8 +246,16 @@
         for record in records:
             proposed = self.replica.propose(state.encode_record(record))
             if isinstance(proposed, Err):
-                # What was decided is lost, so it starts from the state again.
-                self.jobs.lead(self.replica.term, self._now_s, self._now_ms)
+                # What was decided is lost, so the state is read again. Workers
+                # still follow orders of this term, which that reading would
+                # take for a former leader's: it needs a later one.
+                self.jobs.decide(
+                    'lead_resigned',
+                    term=self.replica.term,
+                    cause=str(proposed.err_value),
+                )
+                self.replica.resign(self._now_s)
+                self._match_term(self._now_s)
                 return
 
     def compact(self, now_s: float) -> None:
