Forget a notice to leave once its worker answers a later look

One of an earlier life, late, that came once the next life drained, ended that life after 1 s although it answered all the while; its tasks started elsewhere while they ran (TWICE). The same where the acknowledgement of the notice is lost and the worker runs on for seconds. Change: an answer to a look that was sent after the notice takes it back, with a line (leave_outdated). A worker that does end then counts as silent, as any other.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -123,3 +123,10 @@
     And it runs for 2 s and the log takes no proposal for a moment
     Then nobody gives orders under that term any more
     And within 3 s a leader of a later term has read every worker
+
+  # Guards against a late notice of an earlier life that ends the next one while it runs.
+  Scenario: A worker that answers after its notice to leave has not left
+    Given runs take 100 s
+    When a job with 12 lasting tasks is handed in
+    And it runs for 2 s and an earlier notice to leave comes once worker-3 drains
+    Then worker-3 is not given up within 3 s
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -504,3 +504,28 @@
         return is_later and bool(views) and all(v.is_read for v in views)
 
     world.advance_until(is_led, seconds)
+
+
+@when(
+    'it runs for {seconds:g} s and an earlier notice to leave comes once '
+    '{name} drains'
+)
+def notice_while_draining(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    world.workers[name].is_draining = True
+    director = world.leader().jobs
+    view = director.newest_life(name)
+    assert view is not None
+    view.is_draining = True
+    node = world.leader_node()
+    director.note_left(name, node.clock.read(world.now_s))
+
+
+@then('{name} is not given up within {seconds:g} s')
+def check_not_left(context: Any, name: str, seconds: float) -> None:
+    world = world_of(context)
+    before = world.leader().jobs.newest_life(name)
+    assert before is not None
+    world.advance(seconds)
+    assert world.leader().jobs.newest_life(name) is before
--- a/greengagering/coordination/jobs/_list_reader.py
+++ b/greengagering/coordination/jobs/_list_reader.py
@@ -116,6 +116,11 @@
             return
         if view.suspect_since_s is not None:
             self._core.decide('worker_regained', life=view.key)
+        if view.left_at_s < sent_at_s:
+            # It answers a look that was sent after the notice, which was an
+            # earlier life's.
+            view.left_at_s = float('inf')
+            self._core.decide('leave_outdated', life=view.key)
         is_first = not view.is_read
         view.is_list_due = False
         view.listed_clock_ms = answer.clock_ms
