Let an entry believe no former leader's late words

And any process's 'I can't decide' for an open call dropped the leader for all calls, also a former leader's late one. Evidence: gateway.feature 'A former leader's late word ...' and 'A refusal of a former leader ...' failed before and pass now. Change: control tells its term, and an entry ignores leads of lower ones; a refusal drops the leader only when it is the leader's. Measured: features of the gateway and of replies pass.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -52,3 +52,19 @@
   Scenario: More calls than an entry may hold are refused at once
     When 2001 jobs are handed in with 3 s to go
     Then the last caller is told overloaded at once
+
+  # Guards against calls that go to a former leader, by its late word, until their deadline.
+  Scenario: A former leader's late word doesn't replace the leader
+    Given control-1 leads
+    When control-1 falls silent and control-2 leads
+    And the late word comes that control-1 leads
+    And a job is handed in with 3 s to go
+    Then it is sent to control-2
+
+  # Guards against a leader that every call is held back from, by a former one's refusal.
+  Scenario: A refusal of a former leader doesn't drop the leader
+    Given control-1 leads
+    When a job is handed in with 3 s to go
+    And control-1 falls silent and control-2 leads
+    And control-1 answers late that it can't decide
+    Then the entry is still ready
--- a/features/search/reply_search.py
+++ b/features/search/reply_search.py
@@ -21,7 +21,6 @@
 MAX_DELAY_S = 1.0
 LOSS_RATIO = 0.02
 DOUBLE_RATIO = 0.05
-MAX_COMMIT_S = 0.4
 JOBS = 40
 """Jobs that callers ask about; few, so that calls meet."""
 
@@ -174,7 +173,7 @@
                 if isinstance(message, coordination.JobAnswer):
                     is_open = message.call_id in entry.gateway.open_calls
                     self.result.late_answers += not is_open
-                entry.gateway.receive(message, self.now_s)
+                entry.gateway.receive(LEADER, message, self.now_s)
 
     def _lead(self, message: Message) -> None:
         """Answer as a leader does; a job is committed before its answer."""
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -26,6 +26,7 @@
         members=(),
         max_body_bytes=1000,
         number=0,
+        term=int(name.rpartition('-')[2]),
     )
 
 
@@ -36,7 +37,7 @@
         context.now_s += TICK_S
         if context.leading:
             name = context.leading
-            context.gateway.receive(status(name, name), context.now_s)
+            context.gateway.receive(name, status(name, name), context.now_s)
         context.gateway.step(context.now_s)
         for outgoing in context.gateway.take_outbox():
             context.sent.append((context.now_s, outgoing))
@@ -78,6 +79,7 @@
 @given('{name} leads')
 def set_leader(context: Any, name: str) -> None:
     context.leading = name
+    context.first_word = status(name, name)
     step(context, 0.2)
 
 
@@ -96,7 +98,7 @@
         answer = coordination.JobAnswer(
             call.call_id, coordination.JobOutcome.UNAVAILABLE
         )
-        context.gateway.receive(answer, context.now_s)
+        context.gateway.receive(name, answer, context.now_s)
     change_leader(context, name, other)
 
 
@@ -111,7 +113,7 @@
         context.leading = name
         step(context, 0.1)
         return
-    context.gateway.receive(status(name, leader), context.now_s)
+    context.gateway.receive(name, status(name, leader), context.now_s)
     step(context, 0.1)
     assert probes_to(context, leader)
 
@@ -148,7 +150,7 @@
     answer = coordination.JobAnswer(
         context.call_id, coordination.JobOutcome.DONE
     )
-    context.gateway.receive(answer, context.now_s)
+    context.gateway.receive(name, answer, context.now_s)
     step(context, 0.1)
 
 
@@ -210,3 +212,21 @@
     (answer,) = context.gateway.take_answers()
     assert answer.call_id == context.call_id
     assert answer.outcome == coordination.JobOutcome.OVERLOADED
+
+
+@when('the late word comes that {name} leads')
+def late_word(context: Any, name: str) -> None:
+    context.gateway.receive(name, context.first_word, context.now_s)
+
+
+@when("{name} answers late that it can't decide")
+def late_refusal(context: Any, name: str) -> None:
+    answer = coordination.JobAnswer(
+        context.call_id, coordination.JobOutcome.UNAVAILABLE
+    )
+    context.gateway.receive(name, answer, context.now_s)
+
+
+@then('the entry is still ready')
+def check_still_ready(context: Any) -> None:
+    assert context.gateway.is_ready(context.now_s)
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -57,6 +57,7 @@
         'entry-1', 'entry-1', ('control-1',), boot_id, 'dc-1'
     )
     gateway.receive(
+        'control-1',
         coordination.ControlStatus(
             replica_id='control-1',
             address='control-1',
@@ -101,7 +102,8 @@
 @when("the leader's answer to the {which} comes")
 def leader_answers(context: Any, which: str) -> None:
     calls = {'first': context.first_call, 'second': context.second_call}
-    context.gateway.receive(_leader_answer(calls[which]), NOW_S)
+    answer = _leader_answer(calls[which])
+    context.gateway.receive('control-1', answer, NOW_S)
 
 
 @then('the second has no answer yet')
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -81,6 +81,7 @@
         self._data_centre = data_centre
         self.leader_address = ''
         self.leader_id = ''
+        self._leader_term = 0
         self.max_body_bytes = 0
         self.open_calls: dict[str, OpenCall] = {}
         self._seeds = seeds
@@ -147,6 +148,7 @@
 
     def receive(
         self,
+        sender_id: str,
         message: messages.JobAnswer | messages.ControlStatus,
         now_s: float,
     ) -> None:
@@ -159,7 +161,8 @@
             return
         if message.outcome is messages.JobOutcome.UNAVAILABLE:
             # That process doesn't lead; the search finds who does.
-            self.leader_address = ''
+            if sender_id == self.leader_id:
+                self.leader_address = ''
             return
         del self.open_calls[message.call_id]
         self._answers.append(message)
@@ -206,7 +209,11 @@
     ) -> None:
         if status.members:
             self._members = status.members
+        if status.is_leader and status.term < self._leader_term:
+            # The late word of a former leader.
+            return
         if status.is_leader:
+            self._leader_term = status.term
             self.leader_address = status.address
             self.leader_id = status.replica_id
             self.max_body_bytes = status.max_body_bytes
--- a/greengagering/coordination/jobs/_job_messages.py
+++ b/greengagering/coordination/jobs/_job_messages.py
@@ -108,6 +108,7 @@
         members: addresses of all members.
         max_body_bytes: largest body that callers may send, or 0.
         number: echo of the probe.
+        term: the newest term that it knows.
     """
 
     replica_id: str
@@ -118,6 +119,7 @@
     members: tuple[str, ...]
     max_body_bytes: int
     number: int
+    term: int = 0
 
 
 JobMessage = JobCall | JobAnswer | ControlProbe | ControlStatus
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -363,6 +363,7 @@
             members=tuple(self._addresses().values()),
             max_body_bytes=plan.max_body_bytes if plan else 0,
             number=probe.number,
+            term=self.replica.term,
         )
         self.mesh.send(probe.address, probe.address, status)
 
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -193,7 +193,7 @@
                 kind=type(message).__name__,
             )
             return
-        self.core.receive(message, clock.steady_s())
+        self.core.receive(sender.sender_id, message, clock.steady_s())
         self._loop.schedule()
 
     def _send_answers(
