Say of a job that was sent before a refusal that its outcome is unknown

Cause: the last answer was taken for the outcome of every sending. Evidence: gateway.feature 'A refusal of a call that was sent before ...' failed before and passes now. Change: a refusal of a job that was sent more than once is unknown (504), with what was said last. What was sent once is refused as before. Measured: features of the gateway pass.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -68,3 +68,11 @@
     And control-1 falls silent and control-2 leads
     And control-1 answers late that it can't decide
     Then the entry is still ready
+
+  # Guards against a job that is refused to its caller and runs.
+  Scenario: A refusal of a call that was sent before doesn't say that it hasn't run
+    Given control-1 leads
+    When a job is handed in with 3 s to go
+    And control-1 falls silent and control-2 leads
+    And control-2 answers that there is no such queue
+    Then the caller is told unknown
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -227,6 +227,15 @@
     context.gateway.receive(name, answer, context.now_s)
 
 
+@when('{name} answers that there is no such queue')
+def refuse_queue(context: Any, name: str) -> None:
+    answer = coordination.JobAnswer(
+        context.call_id, coordination.JobOutcome.NO_QUEUE
+    )
+    context.gateway.receive(name, answer, context.now_s)
+    step(context, 0.1)
+
+
 @then('the entry is still ready')
 def check_still_ready(context: Any) -> None:
     assert context.gateway.is_ready(context.now_s)
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -165,6 +165,16 @@
                 self.leader_address = ''
             return
         del self.open_calls[message.call_id]
+        is_submit = opened.call.kind is messages.CallKind.SUBMIT
+        is_done = message.outcome is messages.JobOutcome.DONE
+        if is_submit and not is_done and opened.send_count > 1:
+            # An earlier sending may have been carried out.
+            message = dataclasses.replace(
+                message,
+                outcome=messages.JobOutcome.UNKNOWN,
+                detail=f'sent {opened.send_count} times, then refused: '
+                f'{message.detail or message.outcome}',
+            )
         self._answers.append(message)
 
     def withdraw_offer(self, now_s: float) -> None:
--- a/greengagering/transport/_claim_desk.py
+++ b/greengagering/transport/_claim_desk.py
@@ -156,9 +156,12 @@
         return await self._settle_elsewhere(work, answer.holder)
 
     async def _settle_granted(self, work: KeyedWork) -> Settlement:
+        held = self._core.claims.get(work.key_id)
+        if held is not None and held.body_digest != work.body_digest:
+            # The grant was asked for other work, which a caller has left.
+            return coordination.RefusalReason.KEY_REUSED
         if self._core.claims.begin(work.key_id):
             return Permit(work.key_id)
-        held = self._core.claims.get(work.key_id)
         if held is None or held.state is coordination.WorkState.GIVEN_UP:
             return coordination.RefusalReason.OUTCOME_UNKNOWN
         # Another resend was granted the same claim and runs it already.
