--- a/features/reply_rules.feature
+++ b/features/reply_rules.feature
@@ -34,3 +34,9 @@
     Then worker-2 is not given up
     When the list that was asked for since comes, in which machine-1 is down
     Then worker-2 is given up
+
+  # Guards against work that runs under the claim of other work of the same key.
+  Scenario: A grant that was asked for other work of a key permits none of this one
+    Given a caller who asked for a claim for a key's first work and has gone
+    When another caller waits with other work under that key, and the grant comes
+    Then the other caller is told that the key is used already
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -471,3 +471,40 @@
 @then('{worker_id} is given up')
 def check_ended_worker(context: Any, worker_id: str) -> None:
     assert context.director.ended == [worker_id]
+
+
+@given("a caller who asked for a claim for a key's first work and has gone")
+def first_caller(context: Any) -> None:
+    context.own_book = coordination.ClaimBook('boot-3')
+    context.own_book.ask(state.ClaimAsk(KEY, 'digest', 0))
+
+
+@when(
+    'another caller waits with other work under that key, and the grant comes'
+)
+def second_caller(context: Any) -> None:
+    core = types.SimpleNamespace(
+        identity=types.SimpleNamespace(boot_id='boot-3'),
+        claims=context.own_book,
+    )
+
+    async def run() -> None:
+        desk = _claim_desk.ClaimDesk(
+            core,  # type: ignore[arg-type]
+            lambda: None,
+        )
+        loop = asyncio.get_running_loop()
+        work = _claim_desk.KeyedWork(KEY, 'other digest', 0, loop.time() + 5)
+        task = asyncio.ensure_future(desk.settle(work))
+        await _turns()
+        granted = state.ClaimAnswer(KEY, state.ClaimVerdict.GRANTED)
+        desk.note_response(coordination.ClaimResponse('boot-3', (granted,)))
+        context.outcome = await task
+
+    asyncio.run(run())
+
+
+@then('the other caller is told that the key is used already')
+def check_key_reused(context: Any) -> None:
+    wanted = coordination.RefusalReason.KEY_REUSED
+    assert context.outcome is wanted, context.outcome
