Say of a scenario's last step what it checks, and of a call's name what it is

Cause: read again by one who hadn't seen the work: a step that did nothing stood for the end of the work, and 'which no other process gives' was hard to read. Change: one Then in place of a When and a Then, with the same assertions; a docstring. No behaviour changed.

--- a/features/reply_rules.feature
+++ b/features/reply_rules.feature
@@ -23,8 +23,7 @@
     Given keyed work that entry-1 has given up and entry-2 runs
     When entry-3 asks entry-2 for its outcome, and a word of entry-1 comes again
     Then entry-3 doesn't ask for the claim of entry-2
-    When entry-2's work ends
-    Then the caller at entry-3 gets its answer
+    And its caller gets the answer once entry-2's work has ended
 
   # Guards against a running worker that is given up by a list read for an earlier lead.
   Scenario: A list of machines that an earlier lead asked for ends no life in the next one
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -368,13 +368,9 @@
     assert not context.asks, context.asks
 
 
-@when("entry-2's work ends")
-def work_ended(context: Any) -> None:
-    assert context.outcome is not None
-
-
-@then('the caller at entry-3 gets its answer')
+@then("its caller gets the answer once entry-2's work has ended")
 def check_kept(context: Any) -> None:
+    assert context.outcome is not None
     assert context.outcome.body == b'whole', context.outcome
 
 
--- a/greengagering/coordination/jobs/_job_messages.py
+++ b/greengagering/coordination/jobs/_job_messages.py
@@ -37,8 +37,8 @@
     """A caller's call, passed on to the leader.
 
     Attributes:
-        call_id: name of the call, which no other process gives to one.
-        entry_id: the entry.
+        call_id: the entry's boot id and the call's number there.
+        entry_id: the entry, whose earlier processes had the same.
         address: where the entry hears the answer, as host:port.
         kind: what is asked.
         host: host name that the caller used.
