Stop a run whose order was refused after one that got no answer

Cause: a refusal was taken for the proof that a run had not begun, also where an earlier order to start it had got no answer: that one may have been carried out, or may be yet. The class of: the last answer says nothing of an earlier sending. Change: such a run is stopped at its worker, which then never begins it, and counts as over once the list read after that lacks it. A refusal of the only order does as before. In the agent search schedules have refusals or copies of orders, as no agent sends an order twice.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -18,12 +18,12 @@
   Scenario: No task runs twice, too early, over its room or after its end, and no accepted job is lost
     When 300 schedules of the job search run from seed 0
     Then no schedule breaks a promise
-    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, unsent and leaders
+    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, unsent, refusals and leaders
 
   Scenario: No task runs twice while agents hold orders back, leave them unsent or send them twice
     When 200 schedules of the agent search run from seed 0
     Then no schedule breaks a promise
-    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, held, doubled, unsent and leaders
+    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, held, doubled, unsent, refusals and leaders
 
   # Guards against answers that settle other calls after restarts, delays and copies.
   Scenario: No caller is told of a job what is true of another, or of an earlier call
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -27,6 +27,9 @@
 AGENT_HOLD_S = 1.0
 """Longest time that an agent may hold an order back."""
 
+REFUSE_RATIO = 0.4
+"""Share of its orders that an unhealthy worker refuses."""
+
 AGENT_FAULTS = (0.06, 0.05, 0.04)
 """Shares of orders that an agent holds back, does not send, sends twice."""
 
@@ -53,6 +56,7 @@
     doubled: int = 0
     lapses: int = 0
     leaders: int = 0
+    refusals: int = 0
 
     def add(self, other: 'JobResult') -> None:
         """Add another schedule's counts."""
@@ -91,6 +95,9 @@
 
     def __init__(self, seed: int, *, has_agents: bool = False) -> None:
         self.has_agents = has_agents
+        # A worker may refuse the copy of an order that it took. No agent
+        # sends an order twice, so a schedule has copies or refusals.
+        self.has_refusals = not has_agents or seed % 2 == 0
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.trace: list[str] = []
@@ -139,6 +146,9 @@
         self._recover()
         self.result.starts = self.ledger.start_count
         self.result.leaders = len(self._terms)
+        self.result.refusals = sum(
+            worker.refusal_count for worker in self.workers.values()
+        )
         return self.result
 
     def note(self, event: str, **fields: Any) -> None:
@@ -190,6 +200,7 @@
             (0.006, self._crash_worker),
             (0.006, self._cut_worker),
             (0.01, self._compact),
+            (0.01, self._sicken_worker),
         )
         for ratio, action in actions:
             if draw < ratio:
@@ -261,6 +272,13 @@
         else:
             self.network.cut(name, self.rng.choice(others))
 
+    def _sicken_worker(self) -> None:
+        """Let a worker refuse orders for a while, or be well again."""
+        if not self.has_refusals:
+            return
+        worker = self.rng.choice(list(self.workers.values()))
+        worker.refuse_ratio = REFUSE_RATIO - worker.refuse_ratio
+
     def _crash_worker(self) -> None:
         name = self.rng.choice(sorted(self.workers))
         worker = self.workers[name]
@@ -432,6 +450,8 @@
         """
         draw = self.rng.random()
         held, unsent, doubled = AGENT_FAULTS
+        if self.has_refusals:
+            doubled = 0.0
         if draw < held:
             # The leader gives the answer up before the agent sends.
             self.result.held += 1
@@ -553,6 +573,8 @@
         self.network.heal()
         self.network.calm()
         self.cut_workers.clear()
+        for worker in self.workers.values():
+            worker.refuse_ratio = 0.0
         for node in self.controls.values():
             node.disk._crash_ratio = 0.0
             node.frozen_until_s = 0.0
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -113,6 +113,8 @@
         self.sequence = 0
         self.runs: dict[str, FakeRun] = {}
         self.fail_ratio = 0.04
+        self.refuse_ratio = 0.0
+        self.refusal_count = 0
         self.labels: tuple[str, ...] = ()
         self.rack = 'rack-1'
         self.is_draining = False
@@ -190,6 +192,10 @@
         if order.life.worker_id != self.worker_id:
             return coordination.OrderAnswer(outcomes.OTHER_LIFE)
         clock_ms = int(self.clock_ms(now_s))
+        if self.refuse_ratio and self.rng.random() < self.refuse_ratio:
+            # Also where the run is there already: it has done nothing now.
+            self.refusal_count += 1
+            return coordination.OrderAnswer(outcomes.UNHEALTHY, clock_ms)
         if order.fence < self.fence:
             return coordination.OrderAnswer(outcomes.FENCED, clock_ms)
         self.fence = order.fence
--- a/greengagering/coordination/jobs/_run_orders.py
+++ b/greengagering/coordination/jobs/_run_orders.py
@@ -234,7 +234,11 @@
         outcome: orders.OrderOutcome,
         now_s: float,
     ) -> None:
-        """The worker has done nothing; the run number is not used again."""
+        """The worker has done nothing; the run number is not used again.
+
+        That holds for this order: an earlier one without an answer may have
+        been carried out, or may be yet, until the run is stopped there.
+        """
         if outcome is orders.OrderOutcome.NO_PERMIT:
             work = self._core.index.find(run.key)
             if work is not None:
@@ -242,7 +246,10 @@
         else:
             view.note_failure(now_s)
             view.blocked_until_s = now_s + REFUSAL_PAUSE_S
-        self._core.void(view, run)
+        if run.tries:
+            self._core.stop_run(view, run, now_s)
+        else:
+            self._core.void(view, run)
 
     def _retry_later(
         self, view: WorkerView, run: RunView, now_s: float
