Ask again where an answer is taken for another life's

A suspended leader read an answer late, its clock looked like another life's, and the run that it was about was left with no order on its way: a task whose turn had come waited for ever (LOST). Cause: that branch returned without the retry that every other answer without effect gets. Change: the order is given again unless the life is over.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -20,6 +20,11 @@
     Then no schedule breaks a promise
     And the schedules exercised accepted, cancelled, starts, succeeded, crashes, rebirths, late_orders, unsent, refusals and leaders
 
+  # Guards against a run that nobody orders any more after an answer that came late.
+  Scenario: An answer that a suspended leader takes for another life's is asked for again
+    When 1 schedules of the job search run from seed 352
+    Then no schedule breaks a promise
+
   Scenario: No task runs twice while agents hold orders back, leave them unsent or send them twice
     When 200 schedules of the agent search run from seed 0
     Then no schedule breaks a promise
--- a/greengagering/coordination/jobs/_run_orders.py
+++ b/greengagering/coordination/jobs/_run_orders.py
@@ -94,6 +94,9 @@
                 run.phase_at_s = now_s
                 run.tries += 1
             self._successions.note_other_life(view, now_s)
+            if run is not None:
+                # The life may be the same, and its answer only late.
+                self._retry_later(view, run, now_s)
             return
         if outcome is not orders.OrderOutcome.NO_ANSWER:
             view.note_clock(answer.clock_ms, now_s)
