--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -130,3 +130,10 @@
     When a job with 12 lasting tasks is handed in
     And it runs for 2 s and an earlier notice to leave comes once worker-3 drains
     Then worker-3 is not given up within 3 s
+
+  # Guards against a task that runs twice once the second order to start it is refused.
+  Scenario: A refusal after an order without an answer is no proof that the run never began
+    Given runs take 100 s
+    And workers that refuse the second order for a run and carry out the first 3 s late
+    When a job with 2 lasting tasks is handed in
+    Then no task runs twice at once, and all 2 tasks run within 15 s
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -1,5 +1,6 @@
 """Steps that hand jobs to a leader with fake workers."""
 
+import collections
 from typing import Any
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from result import Err
 
 from features.search import job_search
+from features.search import worker_fakes
 from features.support import job_world
 from greengagering import coordination
 from greengagering.coordination import errors
@@ -529,3 +531,54 @@
     assert before is not None
     world.advance(seconds)
     assert world.leader().jobs.newest_life(name) is before
+
+
+@given(
+    'workers that refuse the second order for a run and carry out the first '
+    '{seconds:g} s late'
+)
+def refuse_second(context: Any, seconds: float) -> None:
+    for worker in world_of(context).workers.values():
+        _refuse_second(worker, seconds)
+
+
+def _refuse_second(worker: worker_fakes.FakeWorker, late_s: float) -> None:
+    """Let a worker do so for the first run of each task."""
+    outcomes = coordination.OrderOutcome
+    asked: dict[str, int] = collections.Counter()
+    late: list[tuple[float, coordination.StartOrder]] = []
+    start, advance = worker.start, worker.advance
+
+    def start_oddly(
+        order: coordination.StartOrder, now_s: float, extra_ms: float
+    ) -> coordination.OrderAnswer:
+        asked[order.key.name] += 1
+        if order.key.run > 1 or asked[order.key.name] > 2:
+            return start(order, now_s, extra_ms)
+        if asked[order.key.name] == 1:
+            late.append((now_s + late_s, order))
+            return coordination.OrderAnswer(outcomes.NO_ANSWER)
+        clock_ms = int(worker.clock_ms(now_s))
+        return coordination.OrderAnswer(outcomes.UNHEALTHY, clock_ms)
+
+    def advance_with_late(now_s: float) -> None:
+        advance(now_s)
+        while late and late[0][0] <= now_s:
+            start(late.pop(0)[1], now_s, 0.0)
+
+    worker.start = start_oddly  # type: ignore[method-assign]
+    worker.advance = advance_with_late  # type: ignore[method-assign]
+
+
+@then(
+    'no task runs twice at once, and all {count:d} tasks run within '
+    '{seconds:g} s'
+)
+def check_once(context: Any, count: int, seconds: float) -> None:
+    # The ledger fails the step where a task starts beside another run of it.
+    world = world_of(context)
+    world.advance_until(
+        lambda: len(world.running(context.job_id)) == count, seconds
+    )
+    world.advance(seconds)
+    assert len(world.running(context.job_id)) == count
