--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -65,6 +65,12 @@
     ]
 
 
+def answer(context: Any, name: str, outcome: coordination.JobOutcome) -> None:
+    """Let a control process answer the scenario's call."""
+    message = coordination.JobAnswer(context.call_id, outcome)
+    context.gateway.receive(name, message, context.now_s)
+
+
 @given('an entry that knows the seeds {first} and {second}')
 def new_gateway(context: Any, first: str, second: str) -> None:
     context.gateway = coordination.JobGateway(
@@ -147,10 +153,7 @@
 
 @when('{name} answers it as done')
 def answer_done(context: Any, name: str) -> None:
-    answer = coordination.JobAnswer(
-        context.call_id, coordination.JobOutcome.DONE
-    )
-    context.gateway.receive(name, answer, context.now_s)
+    answer(context, name, coordination.JobOutcome.DONE)
     step(context, 0.1)
 
 
@@ -221,18 +224,12 @@
 
 @when("{name} answers late that it can't decide")
 def late_refusal(context: Any, name: str) -> None:
-    answer = coordination.JobAnswer(
-        context.call_id, coordination.JobOutcome.UNAVAILABLE
-    )
-    context.gateway.receive(name, answer, context.now_s)
+    answer(context, name, coordination.JobOutcome.UNAVAILABLE)
 
 
 @when('{name} answers that there is no such queue')
 def refuse_queue(context: Any, name: str) -> None:
-    answer = coordination.JobAnswer(
-        context.call_id, coordination.JobOutcome.NO_QUEUE
-    )
-    context.gateway.receive(name, answer, context.now_s)
+    answer(context, name, coordination.JobOutcome.NO_QUEUE)
     step(context, 0.1)
 
 
