--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -51,6 +51,8 @@
         short_services: services with tasks that found no room when tasks
             were last assigned.
         logged_once: events of log_once in this term.
+        lost_run_counts: runs lost with their worker, by the cause in
+            LifeOver.
         is_plan_due: whether something has changed since tasks were last
             assigned, so that the next step assigns them again.
     """
@@ -72,6 +74,7 @@
         self.pending_voids: dict[str, WorkerView] = {}
         self.short_services: set[str] = set()
         self.logged_once: set[str] = set()
+        self.lost_run_counts: dict[str, int] = {}
         self.is_plan_due = False
         self._routed_plan: state.RoutePlan | None = None
         self._services: dict[tuple[str, str], str] = {}
@@ -198,7 +201,35 @@
         view.is_over = True
         self.proposals.append(state.LifeOver(view.key, cause))
         self.log_decision(
-            'life_over', life=view.key, cause=cause, runs=len(view.runs)
+            'life_over',
+            life=view.key,
+            cause=cause,
+            runs=len(view.runs),
+            address=view.facts.address,
+            heard_s_ago=round(self.now_s - view.heard_at_s, 3),
+        )
+        for run in view.runs.values():
+            self._log_lost_run(view, run, cause)
+
+    def _log_lost_run(
+        self, view: WorkerView, run: RunView, cause: str
+    ) -> None:
+        """Log how long a run had been at work when its worker was last heard.
+
+        Several workers that crash under the same task, or soon after its
+        start, point to that task.
+        """
+        self.lost_run_counts[cause] = self.lost_run_counts.get(cause, 0) + 1
+        ran_s = None
+        if run.started_at_s:
+            ran_s = round(view.heard_at_s - run.started_at_s, 3)
+        self.log_decision(
+            'run_lost',
+            run=run.key.name,
+            life=view.key,
+            cause=cause,
+            phase=run.phase.name.lower(),
+            ran_s=ran_s,
         )
 
     def log_decision(self, event: str, **fields: object) -> None:
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -114,6 +114,11 @@
         """Number of run ends, by RunEnding value."""
         return self.poller.ending_counts
 
+    @property
+    def lost_run_counts(self) -> dict[str, int]:
+        """Number of runs lost with their worker, by cause of its end."""
+        return self._core.lost_run_counts
+
     def next_poll(self, life_key: str, now_s: float) -> LookOrder | None:
         """Return the next poll of a worker; see WorkerPoller."""
         return self.poller.next_poll(life_key, now_s)
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -654,6 +654,8 @@
         scheduler = self.core.jobs
         for ending, count in scheduler.ending_counts.items():
             metrics.run_ends.set({'ending': ending}, count)
+        for cause, count in scheduler.lost_run_counts.items():
+            metrics.lost_runs.set({'cause': cause}, count)
         usable = scheduler.count_usable(clock.steady_s())
         metrics.workers.set({'usable': 'yes'}, usable)
         metrics.workers.set({'usable': 'no'}, len(scheduler.workers) - usable)
--- a/greengagering/transport/_metrics.py
+++ b/greengagering/transport/_metrics.py
@@ -45,6 +45,7 @@
     accept_seconds: aioprometheus.Histogram
     start_wait_seconds: aioprometheus.Histogram
     run_ends: aioprometheus.Gauge
+    lost_runs: aioprometheus.Gauge
     orders: aioprometheus.Counter
     order_seconds: aioprometheus.Histogram
     duties: aioprometheus.Counter
@@ -135,6 +136,9 @@
         run_ends=_gauge(
             registry, 'run_ends', 'Ends of runs, by how they ended.'
         ),
+        lost_runs=_gauge(
+            registry, 'lost_runs', 'Runs lost with their worker, by cause.'
+        ),
         orders=_counter(
             registry, 'orders_total', 'Orders to workers, by outcome.'
         ),
