--- /dev/null
+++ b/features/crash_rules.feature
@@ -0,0 +1,60 @@
+Feature: A task that crashes its workers is found, runs alone, and is given up
+
+  Background:
+    Given a leader that has polled 8 workers, which run tasks for 1 s
+
+  # Guards against a task that crashes worker after worker, as lost runs aren't counted.
+  Scenario: A task that crashes each worker that starts it is given up after three
+    Given task 0.0.0 of job0 crashes its worker 0.01 s after its start
+    When a job of 6 tasks is submitted
+    Then the job has failed within 20 s, with at most 3 crashed workers
+    And nothing of the job starts after that
+
+  # Guards against a task that is given up for the crashes of another one beside it.
+  Scenario: Jobs beside a task that crashes its workers are not given up
+    Given task 0.0.0 of job1 crashes its worker 0.01 s after its start
+    When 6 jobs with 4 tasks each are submitted at once
+    Then only job1 has failed within 25 s, and the others have succeeded
+
+  # Guards against a job whose tasks all crash: each would take three workers.
+  Scenario: A job of which every task crashes its worker takes few workers
+    Given each of the 6 tasks of job0 crashes its worker 0.01 s after its start
+    When a job of 6 tasks is submitted
+    Then the job has failed within 20 s, with at most 5 crashed workers
+
+  # Guards against a task that takes a while to crash its worker, beside others that started later.
+  Scenario: A task that crashes its worker late is given up
+    Given runs take 100 s
+    And task 0.0.0 of job0 crashes its worker 7 s after its start
+    When a job with 2 lasting tasks is submitted
+    And 20 jobs with 4 tasks each are submitted, one every 1.5 s
+    Then job0 has failed within 70 s, within the budget of starts
+
+  # Guards against an unanswered start order that has crashed the worker, and is not counted.
+  Scenario: A start that was never answered counts as a crash
+    Given task 0.0.0 of job0 crashes its worker 0 s after its start
+    When a job with 1 task is submitted
+    Then the job has failed within 20 s, with at most 3 crashed workers
+
+  # Guards against a count that is lost with the leader that has made it.
+  Scenario: The count of crashes outlives leaders and snapshots
+    Given task 0.0.0 of job0 crashes its worker 0.01 s after its start
+    When a job of 3 tasks is submitted
+    And the leader is lost after each crash, and its log is compacted
+    Then the job has failed within 40 s, with at most 3 crashed workers
+
+  # Guards against ends of workers that no task can have caused, counted as crashes.
+  Scenario: A task whose workers leave, or are cut off, is not given up
+    Given runs take 100 s
+    When a job with 1 lasting tasks is submitted
+    And its worker leaves 2 times, and is cut off 2 times for 15 s
+    Then the job is still active, and its task runs within 8 s
+    And its task was never counted as crashing a worker
+
+  # Guards against suspected tasks that take the whole pool from all others.
+  Scenario: Many suspected tasks leave workers for the others
+    Given task 0.0.0 of each of job0 to job4 crashes its worker 0.01 s after its start
+    When 5 jobs with 5 tasks each are submitted at once
+    And 1 s later 8 jobs with 2 tasks each are submitted, one every 0.5 s
+    Then job0 to job4 have failed within 40 s, and the others have succeeded
+    And each of the others has started within 4 s
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -35,6 +35,9 @@
 """Shares of orders that an agent delays, does not send, and sends twice."""
 
 REPORT_INTERVAL_S = 1.5
+CRASH_DOWN_S = 3.0
+"""Time until a worker that a task has crashed is back."""
+
 CONTROLS = ('control-0', 'control-1', 'control-2')
 CUSTOMERS = ('customer-a', 'customer-b', 'customer-c')
 CPU_LIMITS = (0, 4000, 6000, 9000, 16_000)
@@ -439,8 +442,12 @@
                     worker=name,
                     born=self.workers[name].born_ms,
                 )
-        for worker in self.workers.values():
+        for name, worker in self.workers.items():
+            was_up = worker.is_up
             worker.advance(self.now_s)
+            if was_up and not worker.is_up:
+                self.add_trace('worker_crashed_by_task', worker=name)
+                self.down_until_s[name] = self.now_s + CRASH_DOWN_S
         self._report()
         for delivery in self.network.take_due(self.now_s):
             node = self.controls[delivery.receiver]
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -12,6 +12,14 @@
 STOP_S = 0.3
 ROOM = state.Room(cpu_millicores=8000, memory_mb=16_000, gpu_count=0)
 
+CRASH_BUDGET = 3
+"""Workers that a task may crash before its starts are counted, and the number
+of further starts that is too many."""
+
+ROOM_NOTICE_S = 4.5
+"""Time after a shrink from which starts must respect the new room: the
+time in touch and one report."""
+
 
 @dataclasses.dataclass
 class FakeRun:
@@ -22,6 +30,7 @@
     ends_s: float
     ending: state.RunEnding
     room: state.Room
+    crashes_at_s: float
     is_stopping: bool = False
 
 
@@ -43,6 +52,11 @@
         attempt_limit: number of failed runs after which a task may not start.
         start_count: number of all starts.
         on_end: is called with each end of a run.
+        deadly: for each task that crashes its worker, the time from its start
+            to the crash.
+        crashes: number of workers that a task has crashed, by task.
+        starts_over_budget: starts of a task after CRASH_BUDGET crashes, by
+            task.
     """
 
     def __init__(self) -> None:
@@ -55,6 +69,9 @@
         self.attempt_limit = 0
         self.start_count = 0
         self.on_end: Callable[[str, state.RunEnd], None] = _ignore_end
+        self.deadly: dict[str, float] = {}
+        self.crashes: dict[str, int] = {}
+        self.starts_over_budget: dict[str, int] = {}
 
     def record_start(
         self, worker: 'FakeWorker', key: state.RunKey, now_s: float
@@ -62,8 +79,9 @@
         """Record a start, and check that it is allowed.
 
         Raises:
-            InvariantError: the task runs already, is done, has failed too
-                often, or starts before a step that it depends on.
+            InvariantError: the task runs already, is done, has failed or
+                crashed workers too often, or starts before a step that it
+                depends on.
         """
         name = key.task_name
         other = self.running.get(name)
@@ -85,6 +103,13 @@
                 before = f'{key.job_id}.0.{earlier}.{index}'
                 if before not in self.done_tasks:
                     raise InvariantError(f'{name} starts before {before}')
+        if self.crashes.get(name, 0) >= CRASH_BUDGET:
+            count = self.starts_over_budget.get(name, 0) + 1
+            self.starts_over_budget[name] = count
+            if count >= CRASH_BUDGET:
+                raise InvariantError(
+                    f'{name} starts for the third time after three crashes'
+                )
         self.running[name] = worker
         self.starts.setdefault(name, []).append(now_s)
         self.start_count += 1
@@ -136,6 +161,7 @@
         self.refusal_count = 0
         self.labels: tuple[str, ...] = ()
         self.rack = 'rack-1'
+        self.room = ROOM
         self.is_draining = False
         self.start_process(0.0)
 
@@ -153,6 +179,8 @@
         self.run_s: float | None = None
         self.is_stalled = False
         self.fails_all = False
+        self._former_room = self.room
+        self._room_due_s = float('-inf')
         self._clock_rate = self.rng.uniform(0.98, 1.0)
         self._clock_base_s = now_s
 
@@ -177,9 +205,14 @@
             'dc-1',
             self.rack,
             self.labels,
-            ROOM,
+            self.room,
         )
 
+    def change_room(self, room: state.Room, now_s: float) -> None:
+        """Change the capacity while the process runs."""
+        self._former_room, self.room = self.room, room
+        self._room_due_s = now_s + ROOM_NOTICE_S
+
     def report(self, now_s: float) -> coordination.WorkerReport:
         """Return the next report."""
         self.sequence += 1
@@ -194,6 +227,15 @@
         """End the runs that are due, or all if the lease has expired."""
         if not self.is_up:
             return
+        due = [r for r in self.runs.values() if now_s >= r.crashes_at_s]
+        if due:
+            for run in due:
+                name = run.key.task_name
+                self.ledger.crashes[name] = (
+                    self.ledger.crashes.get(name, 0) + 1
+                )
+            self.crash()
+            return
         clock_ms = self.clock_ms(now_s)
         if clock_ms > self.lease_ms:
             self.expired_at_s = now_s
@@ -302,12 +344,24 @@
         is_failing = self.rng.random() < self.fail_ratio or self.fails_all
         if is_lasting or is_failing:
             ending = state.RunEnding.FAILED
+        fuse_s = self.ledger.deadly.get(order.key.task_name, float('inf'))
         self.runs[order.key.task_name] = FakeRun(
-            order.key, 0.0, now_s + run_s, ending, room
+            order.key,
+            0.0,
+            now_s + run_s,
+            ending,
+            room,
+            crashes_at_s=now_s + fuse_s,
         )
         used = sum(r.room.cpu_millicores for r in self.runs.values())
-        if used > ROOM.cpu_millicores:
-            raise InvariantError(f'{self.worker_id} exceeds its room')
+        limit = self.room.cpu_millicores
+        if now_s < self._room_due_s:
+            limit = max(limit, self._former_room.cpu_millicores)
+        if used > limit:
+            raise InvariantError(
+                f'{order.key.name} brings {self.worker_id} over its room: '
+                f'{used} of {limit} millicores'
+            )
 
     def _end(self, name: str, ending: state.RunEnding, now_s: float) -> None:
         run = self.runs.pop(name)
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -55,6 +55,15 @@
 
         self.ledger.record_start = record_both  # type: ignore[method-assign]
 
+    def add_workers(self, count: int) -> None:
+        """Add workers beyond those of the fault search."""
+        for number in range(len(self.workers), len(self.workers) + count):
+            name = f'worker-{number}'
+            worker = worker_fakes.FakeWorker(name, self.rng, self.ledger)
+            worker.start_process(self.now_s)
+            self.workers[name] = worker
+            self._reports_s[name] = self.now_s
+
     def advance(self, seconds: float) -> None:
         """Advance the virtual clock."""
         ends_s = self.now_s + seconds
