Follow a worker's room while it runs

What callers would see: starts that bring a worker over its capacity once that has shrunk (LIMIT), and room that grows again and stays unused.

Cause: room counted as a constant of an incarnation. The report of a known worker changed neither its view nor the state, so placement, shares, admission and pool sizes went by its first report, a new leader too.

Change: a report with another room changes the view at once and is stored by LifeSeen, which updates the room of a known incarnation; a former version ignores that. Shares, admission, isolation and pool sizes take the view's room. Starts that are committed or unanswered when a worker turns out to be overcommitted are withdrawn; what is being stopped counts on. worker_room_changed and start_withdrawn log it.

--- a/greengagering/coordination/capacity/_pool_plan.py
+++ b/greengagering/coordination/capacity/_pool_plan.py
@@ -53,6 +53,7 @@
 
     Attributes:
         up: machines that serve.
+        rooms: room of each of them.
         arriving: number of machines that are moving to it.
         needed: machines with which its work meets its objectives.
         wanted: machines that its work would use, late work included.
@@ -60,6 +61,7 @@
     """
 
     up: list[machines.Machine] = dataclasses.field(default_factory=list)
+    rooms: list[state.Room] = dataclasses.field(default_factory=list)
     arriving: int = 0
     needed: int = 0
     wanted: int = 0
@@ -164,6 +166,8 @@
                 continue
             pool.up.append(machine)
             view = scheduler.newest_incarnation(machine.worker_id)
+            # The platform's list is older than the worker's report.
+            pool.rooms.append(machine.room if view is None else view.room)
             if view is None or view.runs or not view.is_read:
                 self._idle_since_s.pop(machine.name, None)
             else:
@@ -182,13 +186,10 @@
         for name, pool in pools.items():
             if name in standby:
                 continue
-            rooms = [machine.room for machine in pool.up]
+            rooms = pool.rooms
             if not rooms:
-                rooms = [
-                    machine.room
-                    for other in pools.values()
-                    for machine in other.up
-                ][:1]
+                rooms = [r for other in pools.values() for r in other.rooms]
+                rooms = rooms[:1]
             pool.needed = MIN_MACHINES
             pool.reserve = max(reserve, MIN_MACHINES)
             if scheduler.demand.is_resting(name, now_s):
@@ -234,8 +235,7 @@
             if pool is None or not pool.up:
                 continue
             cores = scheduler.demand.burst_cores(name) * PREPARED_SHARE
-            rooms = [machine.room for machine in pool.up]
-            count = _count_machines(rooms, cores / len(names), 0.0)
+            count = _count_machines(pool.rooms, cores / len(names), 0.0)
             pool.reserve = max(pool.reserve, pool.needed + count)
 
     def _supply_short_pools(
--- a/greengagering/coordination/scheduling/_admission.py
+++ b/greengagering/coordination/scheduling/_admission.py
@@ -102,7 +102,7 @@
         for worker in workers:
             free_cpu += worker.free_cpu
             free_memory += worker.free_memory
-            room = worker.facts.room
+            room = worker.room
             backlog.cores += (room.cpu_millicores - worker.free_cpu) / 1000
             backlog.memory_mb += room.memory_mb - worker.free_memory
     for backlog in backlogs.values():
--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -127,9 +127,9 @@
         (
             worker
             for worker in _labelled(workers, step)
-            if counted_cpu(step) <= worker.facts.room.cpu_millicores
-            and step.room.memory_mb <= worker.facts.room.memory_mb
-            and step.room.gpu_count <= worker.facts.room.gpu_count
+            if counted_cpu(step) <= worker.room.cpu_millicores
+            and step.room.memory_mb <= worker.room.memory_mb
+            and step.room.gpu_count <= worker.room.gpu_count
         ),
         key=lambda worker: len(worker.unsettled_runs()),
         default=None,
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -316,9 +316,13 @@
                 self._core.log_decision(
                     'start_withdrawn', run=run.key.name, customer=run.customer
                 )
+            is_too_large = view.is_overcommitted
+            if is_too_large:
+                self._log_withdrawn(view, run)
             if (
                 not is_active
                 or is_over_limit
+                or is_too_large
                 or run.unresolved_starts >= MAX_UNRESOLVED_STARTS
             ):
                 self._core.stop_run(view, run, now_s)
@@ -347,4 +351,18 @@
             )
             self._core.propose_void(view, run)
             return
+        if view.is_overcommitted:
+            self._log_withdrawn(view, run)
+            self._core.propose_void(view, run)
+            return
         self._order_start(view, run, now_s)
+
+    def _log_withdrawn(self, view: WorkerView, run: RunView) -> None:
+        """Log a start that is withdrawn as its worker's room has shrunk."""
+        self._core.log_decision(
+            'start_withdrawn',
+            run=run.key.name,
+            life=view.key,
+            free_millicores=view.free_cpu,
+            free_mb=view.free_memory,
+        )
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -342,11 +342,30 @@
         view.heard_at_s = now_s
         if view.suspect_since_s is not None:
             self._core.poll_candidates.add(key)
-        if report.is_draining and not self.jobs.lives[key].is_draining:
+        if report.facts.room != view.room:
+            self._follow_room(view, report.facts.room)
+        life = self.jobs.lives[key]
+        if report.is_draining and not life.is_draining:
             view.is_draining = True
             return state.LifeDraining(key)
+        if report.facts.room != life.facts.room:
+            return state.LifeSeen(report.facts)
         return None
 
+    def _follow_room(self, view: WorkerView, room: state.Room) -> None:
+        """Use the room that a worker reports from now on."""
+        former = view.room
+        view.change_room(room)
+        self._core.is_plan_due = True
+        self._core.log_decision(
+            'worker_room_changed',
+            life=view.key,
+            former=_customer_limits.format_room(former),
+            room=_customer_limits.format_room(room),
+            free_millicores=view.free_cpu,
+            runs=len(view.runs),
+        )
+
     def handle_leave(self, worker_id: str, now_s: float) -> None:
         """Handle a worker's notice that it ends now, with all of its runs.
 
--- a/greengagering/coordination/scheduling/_shares.py
+++ b/greengagering/coordination/scheduling/_shares.py
@@ -117,7 +117,7 @@
         counts: dict[tuple[str, int], int] = {}
         steps: dict[int, state.StepSpec] = {}
         for worker in workers:
-            room = worker.facts.room
+            room = worker.room
             self._cpu += room.cpu_millicores
             self._memory += room.memory_mb
             self._gpu += room.gpu_count
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -109,7 +109,7 @@
         batch: '_Batch',
         now_s: float,
     ) -> dict[int, _isolation.StepIsolation]:
-        """Start the tasks that run alone, and keep workers for the waiting ones.
+        """Start the tasks that run alone, or keep workers until they can.
 
         Args:
             works: steps with waiting tasks, and their pools.
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -144,6 +144,8 @@
 
     Attributes:
         facts: what the worker reported about itself.
+        room: its capacity, which may change while it runs; facts has the one
+            that it had when it was first seen.
         runs: runs assigned to it, by run name.
         free_cpu: millicores that no run uses.
         free_memory: megabytes that no run uses.
@@ -183,6 +185,7 @@
 
     def __init__(self, facts: state.WorkerFacts, now_s: float) -> None:
         self.facts = facts
+        self.room = facts.room
         self.runs: dict[str, RunView] = {}
         self.free_cpu = facts.room.cpu_millicores
         self.free_memory = facts.room.memory_mb
@@ -271,6 +274,18 @@
             and step.room.gpu_count * task_count <= self.free_gpu
         )
 
+    def change_room(self, room: state.Room) -> None:
+        """Follow a change of its capacity; free room may become negative."""
+        former, self.room = self.room, room
+        self.free_cpu += room.cpu_millicores - former.cpu_millicores
+        self.free_memory += room.memory_mb - former.memory_mb
+        self.free_gpu += room.gpu_count - former.gpu_count
+
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether its runs need more than its capacity, which has shrunk."""
+        return min(self.free_cpu, self.free_memory, self.free_gpu) < 0
+
     def add_run(self, run: RunView) -> None:
         """Add a run and reserve its room."""
         if run.key.name not in self.runs:
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -3,6 +3,8 @@
 The result depends on the records only, so all replicas hold the same state.
 """
 
+import dataclasses
+
 from greengagering.state import _crash_counts
 from greengagering.state import _jobs_model as model
 
@@ -40,8 +42,7 @@
 def _apply_to_runs(state: model.JobsState, record: model.JobRecord) -> None:
     match record:
         case model.LifeSeen():
-            incarnation = model.WorkerLife(record.facts)
-            state.lives.setdefault(record.facts.key, incarnation)
+            _record_facts(state, record.facts)
         case model.LifeDraining():
             if record.life_key in state.lives:
                 state.lives[record.life_key].is_draining = True
@@ -57,6 +58,15 @@
             _record_ends(state, record)
 
 
+def _record_facts(state: model.JobsState, facts: model.WorkerFacts) -> None:
+    """Add an incarnation, or update the room of a known one."""
+    incarnation = state.lives.get(facts.key)
+    if incarnation is None:
+        state.lives[facts.key] = model.WorkerLife(facts)
+        return
+    incarnation.facts = dataclasses.replace(incarnation.facts, room=facts.room)
+
+
 def _cancel_job(state: model.JobsState, job_id: str) -> None:
     job = state.jobs.get(job_id)
     if job is not None and job.status is model.JobStatus.ACTIVE:
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -282,7 +282,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerFacts:
-    """Properties that don't change during one incarnation of a worker.
+    """What one incarnation of a worker reports; only its room may change.
 
     Attributes:
         worker_id: name, which later incarnations may share.
@@ -315,7 +315,7 @@
     """Committed state of one incarnation of a worker.
 
     Attributes:
-        facts: its reported properties.
+        facts: its reported properties, with the room that it reported last.
         noted_end: highest number of its run ends that is committed.
         is_draining: whether it reported that it is leaving; it then gets no
             new run.
@@ -451,7 +451,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LifeSeen:
-    """A new incarnation of a worker reported for the first time."""
+    """A worker's incarnation reported first, or with a changed room.
+
+    A former version ignores the latter.
+    """
 
     facts: WorkerFacts
 
