Isolate the tasks of a step together, and not at other pools' expense

Cause: each suspected task asked for a worker and a machine of its own: pools_planned shows a pool that needs 122 machines of 48, which it took from the others, and at most a third of a pool works the queue off.

Change: the tasks of a step are one suspect, as they run the same and their job fails with any of them. They start together on workers that nothing else uses, so that a crash shows the job at fault and takes no other job's runs. Isolated tasks also start on every worker that the others leave free; machines for them count as work that is late. New jobs of a queue of which a job was alone on a crashed worker start apart from others for 30 s.

--- a/greengagering/coordination/capacity/_pool_plan.py
+++ b/greengagering/coordination/capacity/_pool_plan.py
@@ -207,11 +207,11 @@
                 need.finite_memory_mb, rate_memory
             )
             pool.needed = max(
-                _count_machines(rooms, cores, memory) + need.isolated_workers,
+                _count_machines(rooms, cores, memory),
                 need.min_workers,
                 MIN_MACHINES,
             )
-            pool.wanted = _count_machines(
+            pool.wanted = need.isolated_workers + _count_machines(
                 rooms, cores + need.late_cores, memory + need.late_memory_mb
             )
         self._raise_reserves(pools, scheduler, now_s)
--- a/greengagering/coordination/scheduling/_isolation.py
+++ b/greengagering/coordination/scheduling/_isolation.py
@@ -1,6 +1,7 @@
 """Decides which tasks run alone, as workers have crashed under them."""
 
 from collections.abc import Iterable
+import dataclasses
 
 from greengagering.coordination.jobs import StepWork
 from greengagering.coordination.workers import SETTLED_S
@@ -18,11 +19,13 @@
 """Longest time for which a run keeps other tasks from its worker."""
 
 POOL_SHARE = 1 / 3
-"""Largest share of a pool's workers that is kept for isolated tasks."""
+"""Largest share of a pool's workers that is kept for isolated tasks while
+other tasks wait."""
 
-STEP_LIMIT = 2
-"""Tasks of one step that run in isolation at the same time. If one of them
-crashes its worker, the others may do the same."""
+QUEUE_MEMORY_S = 30.0
+"""Time for which the new jobs of a queue start apart from others, after one of
+its jobs was alone on a worker that crashed. Such jobs come in numbers, and
+each would take along what runs beside it."""
 
 
 def isolation_s(task: state.Task | None) -> float:
@@ -47,76 +50,58 @@
     )
 
 
-def step_isolation_s(work: StepWork, index: int) -> float:
-    """Return how long a task needs a worker of its own; see isolation_s.
+@dataclasses.dataclass(slots=True)
+class StepIsolation:
+    """The waiting tasks of a step, by where they may start.
+
+    The tasks of a step stay together: they run the same, and their job fails
+    with any of them. Lasting tasks stay apart from each other as well.
 
-    The members of a gang share the longest time that any of them needs.
+    Attributes:
+        isolated: groups of tasks that start on workers of their own.
+        apart: groups that start on workers without other suspects, if there
+            are any.
+        others: tasks that start anywhere.
     """
-    indexes = range(work.step.task_count) if work.step.is_gang else (index,)
-    return max(isolation_s(_task(work, member)) for member in indexes)
 
+    isolated: list[list[int]] = dataclasses.field(default_factory=list)
+    apart: list[list[int]] = dataclasses.field(default_factory=list)
+    others: list[int] = dataclasses.field(default_factory=list)
 
-class StepIsolation:
-    """The waiting tasks of a step, by whether they may start beside others.
 
-    While a task that was the only suspect of a crash waits or runs in
-    isolation, the other tasks of its step wait: they run the same, and the
-    job fails with any of them.
+def isolate_step(
+    work: StepWork, *, is_queue_suspect: bool = False
+) -> StepIsolation:
+    """Decide where the waiting tasks of a step may start.
 
-    Attributes:
-        isolated: tasks that may start now, on a worker of their own.
-        apart: tasks that should start on a worker without other suspects.
-        others: tasks that may start anywhere.
+    Args:
+        work: the step.
+        is_queue_suspect: whether other jobs of its queue crash workers.
     """
-
-    def __init__(
-        self, work: StepWork, isolated_views: list[WorkerView]
-    ) -> None:
-        isolated = [
-            index
-            for index in sorted(work.waiting)
-            if work.suspects and step_isolation_s(work, index)
-        ]
-        running = [
-            run
-            for view in isolated_views
-            for run in view.runs.values()
-            if run.isolated_s
-            and run.key.job_id == work.job.spec.job_id
-            and run.key.step_key == work.step_key
-        ]
-        on_trial = [index for index in isolated if _was_alone(work, index)]
-        is_on_trial = bool(on_trial) or any(
-            _was_alone(work, int(run.key.task.rpartition('.')[2]))
-            for run in running
-        )
-        self.isolated: list[int] = isolated
-        self.apart: list[int] = []
-        self.others: list[int] = []
-        if work.step.is_gang:
-            if not isolated:
-                self.others = sorted(work.waiting)
-        elif is_on_trial:
-            self.isolated = [] if running else on_trial[:1]
-        else:
-            self.isolated = isolated[: max(STEP_LIMIT - len(running), 0)]
-            self.apart = sorted(work.suspects.difference(isolated))
-            self.others = sorted(work.waiting - work.suspects)
-
-
-def _task(work: StepWork, index: int) -> state.Task | None:
-    return work.job.tasks.get(f'{work.step_key}.{index}')
-
-
-def _was_alone(work: StepWork, index: int) -> bool:
-    task = _task(work, index)
-    return (
-        task is not None
-        and task.crashes is not None
-        and (task.crashes.alone > 0)
+    waiting = sorted(work.waiting)
+    isolated = [i for i in sorted(work.suspects) if _isolation_of(work, i)]
+    if not work.step.is_lasting or work.step.is_gang:
+        if isolated:
+            return StepIsolation(isolated=[waiting])
+        if work.suspects or (is_queue_suspect and not work.step.is_lasting):
+            return StepIsolation(apart=[waiting])
+        return StepIsolation(others=waiting)
+    return StepIsolation(
+        isolated=[[index] for index in isolated],
+        apart=[[i] for i in sorted(work.suspects.difference(isolated))],
+        others=[i for i in waiting if i not in work.suspects],
     )
 
 
+def group_isolation_s(work: StepWork, group: list[int]) -> float:
+    """Return how long a group needs workers of its own; see isolation_s."""
+    return max(_isolation_of(work, index) for index in group)
+
+
+def _isolation_of(work: StepWork, index: int) -> float:
+    return isolation_s(work.job.tasks.get(f'{work.step_key}.{index}'))
+
+
 def isolated_views(
     workers: Iterable[WorkerView],
 ) -> dict[str, list[WorkerView]]:
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -7,6 +7,7 @@
 from greengagering.coordination.scheduling._admission import Admission
 from greengagering.coordination.scheduling._advice import PermitTable
 from greengagering.coordination.scheduling import _customer_limits
+from greengagering.coordination.scheduling._isolation import QUEUE_MEMORY_S
 from greengagering.coordination.scheduling._shares import JobRates
 from greengagering.coordination.workers import IncarnationTable
 from greengagering.coordination.workers import Order
@@ -49,6 +50,8 @@
         poll_candidates: keys of incarnations whose next poll may be due now.
         pending_voids: workers of runs whose RunsVoided record is proposed
             and not applied yet, by run name.
+        suspect_queues: time until which the new jobs of a queue start apart,
+            by host and path prefix.
         short_services: services with tasks that found no room when tasks
             were last assigned.
         logged_once: events of log_once in this term.
@@ -74,6 +77,7 @@
         self.decisions: list[Decision] = []
         self.poll_candidates: set[str] = set()
         self.pending_voids: dict[str, WorkerView] = {}
+        self.suspect_queues: dict[tuple[str, str], float] = {}
         self.short_services: set[str] = set()
         self.logged_once: set[str] = set()
         self.lost_run_counts: dict[str, int] = {}
@@ -94,6 +98,7 @@
         self.orders.clear()
         self.proposals.clear()
         self.pending_voids.clear()
+        self.suspect_queues.clear()
         self.short_services.clear()
         self.logged_once.clear()
 
@@ -250,6 +255,17 @@
             ran_s=ran_s,
         )
 
+    def suspect_queue(self, job: state.Job, task: state.Task) -> None:
+        """Start a queue's new jobs apart if a task of it crashes workers."""
+        if task.crashes is not None and task.crashes.alone:
+            queue = (job.queue.host, job.queue.path_prefix)
+            self.suspect_queues[queue] = self.now_s + QUEUE_MEMORY_S
+
+    def is_queue_suspect(self, queue: state.Queue, now_s: float) -> bool:
+        """Tell whether the new jobs of a queue start apart."""
+        address = (queue.host, queue.path_prefix)
+        return now_s < self.suspect_queues.get(address, now_s)
+
     def log_decision(self, event: str, **fields: object) -> None:
         """Queue a decision for the log."""
         self.decisions.append(Decision(event, fields))
--- a/greengagering/coordination/scheduling/_pool_need.py
+++ b/greengagering/coordination/scheduling/_pool_need.py
@@ -4,8 +4,7 @@
 import math
 
 from greengagering.coordination.scheduling import _customer_limits
-from greengagering.coordination.scheduling._isolation import isolated_views
-from greengagering.coordination.scheduling._isolation import StepIsolation
+from greengagering.coordination.scheduling._isolation import isolate_step
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering import state
 
@@ -70,15 +69,11 @@
     needs: dict[str, PoolNeed] = {}
     core.limits.follow_plan(core.jobs.plan)
     allowance = _customer_limits.LimitAllowance(core.limits)
-    views_by_service = isolated_views(core.workers.values())
     for steps in core.index.steps.values():
         for work in steps.values():
             if work.suspects:
-                service = core.service_of(work.job)
-                need = needs.setdefault(service, PoolNeed())
-                views = views_by_service.get(service, [])
-                isolation = StepIsolation(work, views)
-                need.isolated_workers += len(isolation.isolated)
+                need = needs.setdefault(core.service_of(work.job), PoolNeed())
+                need.isolated_workers += len(isolate_step(work).isolated)
             startable = allowance.take(
                 work.job.customer, work.step, len(work.waiting)
             )
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -200,6 +200,8 @@
         for life in self.jobs.lives.values():
             self._add_worker(life, now_s)
         for job in self.jobs.jobs.values():
+            for task in job.tasks.values():
+                self._core.suspect_queue(job, task)
             if job.status is state.JobStatus.ACTIVE:
                 self._core.index.add_job(job, now_s, now_ms)
             else:
@@ -524,6 +526,7 @@
                 alone=task.crashes.alone,
                 isolated_s=isolation_s(task),
             )
+            self._core.suspect_queue(self.jobs.jobs[key.job_id], task)
             self._handle_finished(key.job_id, now_s)
 
     def _remove_voided_run(self, key: state.RunKey) -> None:
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -47,7 +47,8 @@
         limits.follow_plan(self._core.jobs.plan)
         limits.begin_plan()
         batch = _Batch()
-        isolations = self._start_isolated(works, usable, batch, now_s)
+        isolations = self._isolate(works, now_s)
+        self._start_isolated(works, isolations, usable, batch, now_s)
         pools = {
             service: _placement.PoolRoom(workers)
             for service, workers in usable.items()
@@ -67,11 +68,13 @@
             if pool is None or not pool.may_fit(work.step):
                 continue
             isolation = isolations.get(id(work))
-            indexes = sorted(work.waiting)
-            if isolation is not None:
+            if isolation is None:
+                indexes = sorted(work.waiting)
+            else:
                 indexes = isolation.others + self._place_apart(
                     work, pool.workers, isolation.apart, batch, now_s
                 )
+                startable = self._count_startable(work)
             for placement in _placement.place_step(
                 work,
                 self._permitted(work, pool.workers, now_s),
@@ -83,6 +86,7 @@
                 order.note_placed(work, service)
             if work.waiting:
                 pool.measure()
+        self._fill_with_isolated(works, isolations, usable, batch, now_s)
         self._log_limits(now_s)
         self._core.short_services = {
             service for work, service in works if work.waiting
@@ -102,118 +106,136 @@
             return workers
         return self._core.permits.permitted_workers(work, workers, now_s)
 
+    def _isolate(
+        self, works: list[tuple[StepWork, str]], now_s: float
+    ) -> dict[int, _isolation.StepIsolation]:
+        """Return where tasks may start, by the identity of their step.
+
+        Steps whose tasks may start anywhere are left out.
+        """
+        isolations = {}
+        for work, _ in works:
+            queue = work.job.queue
+            is_queue_suspect = self._core.is_queue_suspect(queue, now_s)
+            if work.suspects or is_queue_suspect:
+                isolations[id(work)] = _isolation.isolate_step(
+                    work, is_queue_suspect=is_queue_suspect
+                )
+        return isolations
+
     def _start_isolated(
         self,
         works: list[tuple[StepWork, str]],
+        isolations: dict[int, _isolation.StepIsolation],
         usable: dict[str, list[WorkerView]],
         batch: '_Batch',
         now_s: float,
-    ) -> dict[int, _isolation.StepIsolation]:
-        """Start the tasks that run alone, or keep workers until they can.
+    ) -> None:
+        """Start tasks on workers of their own, or keep workers for them.
 
         Args:
             works: steps with waiting tasks, and their pools.
+            isolations: where tasks may start, by the identity of their step.
             usable: usable workers by pool; loses those that are kept.
             batch: collects the runs.
             now_s: the leader's clock.
-
-        Returns:
-            How the tasks of each step may start, by the step's identity, for
-            the steps of pools with suspects.
         """
+        if not any(item.isolated for item in isolations.values()):
+            return
         isolated_views = _isolation.isolated_views(self._core.workers.values())
-        isolations: dict[int, _isolation.StepIsolation] = {}
         for work, service in works:
-            views = isolated_views.get(service, [])
-            if not (views or work.suspects):
-                continue
-            isolation = _isolation.StepIsolation(work, views)
-            isolations[id(work)] = isolation
+            isolation = isolations.get(id(work))
             workers = usable.get(service)
-            if not (isolation.isolated and workers):
+            if isolation is None or not workers:
                 continue
-            units = [[index] for index in isolation.isolated]
-            if work.step.is_gang:
-                units = [isolation.isolated]
-            for unit in units:
-                kept = _isolation.count_keepable(
+            views = isolated_views.setdefault(service, [])
+            for group in isolation.isolated:
+                keepable = _isolation.count_keepable(
                     len(workers) + len(views), len(views)
                 )
-                if kept > 0:
-                    views += self._start_alone(
-                        work, workers, unit, batch, now_s
+                if keepable <= 0:
+                    break
+                used = self._start_group(
+                    work, workers, group, keepable, batch, now_s
+                )
+                if not used:
+                    kept = _placement.find_soonest_vacant(workers, work.step)
+                    used = [kept] if kept is not None else []
+                views += used
+                workers[:] = [w for w in workers if w not in used]
+
+    def _fill_with_isolated(
+        self,
+        works: list[tuple[StepWork, str]],
+        isolations: dict[int, _isolation.StepIsolation],
+        usable: dict[str, list[WorkerView]],
+        batch: '_Batch',
+        now_s: float,
+    ) -> None:
+        """Start tasks alone on the workers that no other task has taken."""
+        for work, service in works:
+            isolation = isolations.get(id(work))
+            if isolation is None or not (work.waiting and usable.get(service)):
+                continue
+            for group in isolation.isolated:
+                left = [index for index in group if index in work.waiting]
+                if left:
+                    workers = usable[service]
+                    self._start_group(
+                        work, workers, left, len(workers), batch, now_s
                     )
-                    isolated_views[service] = views
-        return isolations
 
-    def _start_alone(
+    def _start_group(
         self,
         work: StepWork,
         workers: list[WorkerView],
-        indexes: list[int],
+        group: list[int],
+        worker_limit: int,
         batch: '_Batch',
         now_s: float,
     ) -> list[WorkerView]:
-        """Start a task or a gang on vacant workers, or keep one for it.
+        """Start tasks on vacant workers, which nothing else then uses.
 
         Returns:
-            The workers that it uses, which are removed from `workers`.
+            The workers that they use.
         """
-        if self._count_startable(work) < len(indexes):
-            return []
+        startable = min(self._count_startable(work), len(group))
         vacant = _placement.find_vacant(workers)
+        if not work.step.is_gang:
+            vacant = vacant[:worker_limit]
         placements = _placement.place_step(
-            work,
-            self._permitted(work, vacant, now_s),
-            now_s,
-            len(indexes),
-            indexes,
+            work, self._permitted(work, vacant, now_s), now_s, startable, group
         )
-        used = {p.worker.key: p.worker for p in placements}
+        isolated_s = _isolation.group_isolation_s(work, group)
         for placement in placements:
-            needed_s = _isolation.step_isolation_s(work, placement.index)
-            key = self._reserve(work, placement, batch, now_s, needed_s)
+            key = self._reserve(work, placement, batch, now_s, isolated_s)
             self._core.log_decision(
                 'task_isolated',
                 run=key.name,
                 life=placement.worker.key,
-                isolated_s=needed_s,
+                isolated_s=isolated_s,
             )
-        if not used:
-            kept = _placement.find_soonest_vacant(workers, work.step)
-            if kept is not None:
-                used[kept.key] = kept
-        workers[:] = [w for w in workers if w.key not in used]
-        return list(used.values())
+        return list({p.worker.key: p.worker for p in placements}.values())
 
     def _place_apart(
         self,
         work: StepWork,
         workers: list[WorkerView],
-        indexes: list[int],
+        groups: list[list[int]],
         batch: '_Batch',
         now_s: float,
     ) -> list[int]:
-        """Start a step's suspects on two vacant workers.
-
-        The first has a worker of its own. The others share one, so that a
-        step whose tasks all crash their workers takes no more than two.
-
-        Returns:
-            Those that found no room there.
-        """
+        """Start groups on vacant workers; return the tasks left over."""
         left = []
-        for group in (indexes[:1], indexes[1:]):
-            placements = []
-            if group:
-                vacant = _placement.find_vacant(workers)
-                placements = _placement.place_step(
-                    work,
-                    self._permitted(work, vacant, now_s),
-                    now_s,
-                    min(self._count_startable(work), len(group)),
-                    group,
-                )
+        for group in groups:
+            vacant = _placement.find_vacant(workers)
+            placements = _placement.place_step(
+                work,
+                self._permitted(work, vacant, now_s),
+                now_s,
+                min(self._count_startable(work), len(group)),
+                group,
+            )
             for placement in placements:
                 self._reserve(work, placement, batch, now_s)
             placed = {placement.index for placement in placements}
--- a/greengagering/state/_crash_counts.py
+++ b/greengagering/state/_crash_counts.py
@@ -18,7 +18,8 @@
     """Count a worker's crash for the tasks that ran there.
 
     A job fails with a task that has been the only suspect often enough. The
-    members of a gang are one suspect, as they can't run without each other.
+    tasks of a step are one suspect, unless they last: they run the same, and
+    their job fails with any of them.
 
     Args:
         state: state that is changed in place.
@@ -52,8 +53,11 @@
 
 
 def _find_unit(state: model.JobsState, key: model.RunKey) -> str:
-    """Return the name of a task, or of its step if that is a gang."""
+    """Return the name of the task or step that is suspected as one."""
     job = state.jobs.get(key.job_id)
-    if job is not None and job.spec.steps[key.step_number].is_gang:
-        return f'{key.job_id}.{key.step_key}'
-    return key.task_name
+    if job is None:
+        return key.task_name
+    step = job.spec.steps[key.step_number]
+    if step.is_lasting and not step.is_gang:
+        return key.task_name
+    return f'{key.job_id}.{key.step_key}'
