Pause an agent that gets its orders too late

Cause, as far as traced: the leader repeats each returned order after 0.3 s through the same entry, which never lets what is queued on that link go down. What first delayed the link isn't known.

Change: an agent that returns a poll as not sent is paused like one that is silent, so that others in the data centre carry its workers' orders, unless half of the agents are paused already: then the lateness is the leader's.

The first of the two scenarios failed before.

--- a/features/agent_rules.feature
+++ b/features/agent_rules.feature
@@ -26,6 +26,18 @@
     Then that order counts as possibly sent
     And the next order to that worker doesn't go through that agent
 
+  # Guards against orders that reach an agent too late and are repeated there for ever, while their workers' leases end.
+  Scenario: An agent that gets its orders too late gets no further ones for a pause
+    Given a leader with 272 workers and agents in dc-1
+    When an agent could not send a poll in time
+    Then the next order to that worker doesn't go through that agent
+
+  # Guards against a leader that calls a large fleet itself because all agents are late at once.
+  Scenario: Late agents are not paused while half of them are
+    Given a leader with 272 workers and agents in dc-1
+    When all agents could not send their polls in time
+    Then at least half of the agents still carry orders
+
   Scenario: Unanswered orders of an agent that restarts count as possibly sent
     Given a leader with 272 workers and agents in dc-1
     When an agent restarts with an order on its way
--- a/features/steps/agent_rule_steps.py
+++ b/features/steps/agent_rule_steps.py
@@ -233,6 +233,51 @@
     _run_leader(context, act)
 
 
+async def _return_poll(leader: Leader, number: int) -> None:
+    """Poll a worker, and let its agent answer that it didn't send it."""
+    agent = leader.agent_of(number)
+    order = coordination.LookOrder(_life(number), 1, 0, 0, 0)
+    task = asyncio.ensure_future(leader.client.poll(order))
+    await _run_loop()
+    batch = leader.sent[agent][-1]
+    answer = coordination.LookAnswer(coordination.OrderOutcome.NOT_SENT)
+    leader.client.receive(
+        coordination.AgentAnswers(
+            agent,
+            'boot-1',
+            batch.leader_boot_id,
+            (),
+            ((batch.looks[0][0], answer),),
+        )
+    )
+    assert (await task).outcome is coordination.OrderOutcome.NOT_SENT
+
+
+@when('an agent could not send a poll in time')
+def return_poll(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        context.agent = leader.agent_of(0)
+        await _return_poll(leader, 0)
+        context.next_agent = leader.agent_of(0)
+
+    _run_leader(context, act)
+
+
+@when('all agents could not send their polls in time')
+def return_all_polls(context: Any) -> None:
+    async def act(leader: Leader) -> None:
+        for number in range(200):
+            await _return_poll(leader, number)
+        context.live = leader.registry.count_live(VirtualClock.now_s)
+
+    _run_leader(context, act)
+
+
+@then('at least half of the agents still carry orders')
+def check_most_live(context: Any) -> None:
+    assert 2 * context.live >= AGENTS, context.live
+
+
 @when('an agent restarts with an order on its way')
 def restart_agent(context: Any) -> None:
     async def act(leader: Leader) -> None:
--- a/greengagering/coordination/workers/_agents.py
+++ b/greengagering/coordination/workers/_agents.py
@@ -148,6 +148,20 @@
         agent.paused_until_s = now_s + AGENT_PAUSE_S
         return True
 
+    def pause_late_agent(self, agent_id: str, now_s: float) -> bool:
+        """Pause an agent that gets orders when its permission has ended.
+
+        Its orders are repeated, which keeps a slow link to it full; other
+        agents carry them meanwhile. Nothing is done unless most of the agents
+        can carry orders, as the cause is then another one.
+
+        Returns:
+            Whether the agent was paused.
+        """
+        if 2 * self.count_live(now_s) <= len(self.agents) + 1:
+            return False
+        return self.pause_agent(agent_id, now_s)
+
     def count_live(self, now_s: float) -> int:
         """Return the number of agents that may get orders."""
         return sum(agent.is_live(now_s) for agent in self.agents.values())
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -142,6 +142,16 @@
             pending = self._pending.pop(number, None)
             if pending is not None and not pending.answer.done():
                 pending.answer.set_result(answer)
+        if any(a.outcome is _outcomes.NOT_SENT for _, a in message.looks):
+            # Polls wait for no slot at the agent, so they have come late.
+            now_s = clock.steady_s()
+            if self._registry.pause_late_agent(message.agent_id, now_s):
+                logs.warning(
+                    'agent_late',
+                    agent=message.agent_id,
+                    orders=len(message.orders),
+                    looks=len(message.looks),
+                )
 
     def _choose_agent(
         self, order: coordination.Order | coordination.LookOrder
