--- a/features/crash_rules.feature
+++ b/features/crash_rules.feature
@@ -64,3 +64,41 @@
     And 1 s later 8 jobs with 2 tasks each are submitted, one every 0.5 s
     Then job0 to job4 have failed within 40 s, and the others have succeeded
     And each of the others was given a worker within 3.2 s
+
+  # Guards against an innocent task that is given up as its worker crashes by itself, even twice while it runs there alone.
+  Scenario: A task whose workers crash twice by themselves is not given up
+    Given lasting tasks run on
+    When a job with 1 lasting tasks is submitted
+    And its worker crashes by itself 2 times, 1 s after each start
+    Then the job is still active, and its task runs within 8 s
+
+  # Guards against counts that depend on which member of a gang runs on the crashed worker.
+  Scenario: The tasks of a gang, or of a step, are one suspect
+    Given the records of a gang with 4 members, 2 on each of 2 workers
+    When the worker of members 0 and 1 crashes 3 times
+    Then the gang's job has failed
+
+  # Guards against one loss of several workers that counts as several crashes of a task that ran on each.
+  Scenario: Workers that crash at once don't make a wide step fail
+    Given the records of a step with 4 tasks, 1 on each of 4 workers
+    When all 4 workers crash once
+    Then the job of the records is still active
+
+  # Guards against a record without the new fields that can't be applied.
+  Scenario: The end of a worker as the former version records it counts no crash
+    Given the records of a step with 4 tasks, 1 on each of 4 workers
+    When all 4 workers end 5 times as the former version records it
+    Then the job of the records is still active, and counts no crash
+
+  # Guards against counts that are kept for good, so that rare crashes of workers add up over weeks.
+  Scenario: Crashes that are far apart don't add up
+    Given the records of a step with 4 tasks, 1 on each of 4 workers
+    When the worker of task 0 crashes 5 times, 20 minutes apart
+    Then the job of the records is still active
+
+  # Guards against a count that a snapshot of the state drops.
+  Scenario: A snapshot keeps the count of crashes
+    Given the records of a step with 4 tasks, 1 on each of 4 workers
+    When the worker of task 0 crashes 2 times, and the state is stored and read
+    And the worker of task 0 crashes 1 times
+    Then the job of the records has failed
--- a/features/steps/crash_rule_steps.py
+++ b/features/steps/crash_rule_steps.py
@@ -145,6 +145,21 @@
         world.advance(4.0)
 
 
+@when(
+    'its worker crashes by itself {count:d} times, {seconds:g} s after each '
+    'start'
+)
+def crash_by_itself(context: Any, count: int, seconds: float) -> None:
+    world = world_of(context)
+    for _ in range(count):
+        world.advance_until(lambda: bool(world.running(context.job_id)), 20.0)
+        world.advance(seconds)
+        worker_id = next(iter(world.running(context.job_id).values()))
+        world.workers[worker_id].crash()
+        world.down_until_s[worker_id] = world.now_s + 3.0
+        world.advance(1.0)
+
+
 def _status(context: Any, job_id: str) -> state.JobStatus:
     try:
         return world_of(context).job(job_id).status
