Search a pool for vacant workers once in a plan, finite tasks first

Cause: each waiting step of a suspected queue searched all runs of its pool for vacant workers.

Change: the vacant workers of a pool are found once in a plan, when they are needed, and dropped as they are used. Finite tasks are isolated first, isolation lasts 20 s at most, and a run that ends by itself clears its task, with a scenario that failed before.

--- a/features/crash_rules.feature
+++ b/features/crash_rules.feature
@@ -96,6 +96,13 @@
     When the worker of task 0 crashes 5 times, 20 minutes apart
     Then the job of the records is still active
 
+  # Guards against lasting tasks that run alone after each of their failures, long after a crash beside them.
+  Scenario: A run that ends by itself clears its task
+    Given the records of a step with 4 tasks, 1 on each of 4 workers
+    When the worker of task 0 crashes 2 times
+    And the run of task 0 fails by itself
+    Then the job of the records is still active, and counts no crash
+
   # Guards against a count that a snapshot of the state drops.
   Scenario: A snapshot keeps the count of crashes
     Given the records of a step with 4 tasks, 1 on each of 4 workers
--- a/features/steps/crash_record_steps.py
+++ b/features/steps/crash_record_steps.py
@@ -55,6 +55,15 @@
         self._apply(state.LifeSeen(self._facts(worker)))
         self._start_waiting()
 
+    def fail_run(self, index: int) -> None:
+        """Record that a task's run has failed, and start it again."""
+        task = f'0.0.{index}'
+        key = state.RunKey(JOB_ID, task, self.job.tasks[task].run)
+        end = state.RunEnd(1, key, state.RunEnding.FAILED, '')
+        life_key = self._facts(self.workers[index]).key
+        self._apply(state.EndsNoted(life_key, (end,)))
+        self._start_waiting()
+
     def store_and_read(self) -> None:
         """Replace the state by what a snapshot of it holds."""
         data = msgspec.msgpack.encode(self.jobs)
@@ -103,6 +112,11 @@
         context.records.end_worker(0)
 
 
+@when('the run of task 0 fails by itself')
+def fail_run(context: Any) -> None:
+    context.records.fail_run(0)
+
+
 @when('all 4 workers crash once')
 def crash_all(context: Any) -> None:
     for worker in range(4):
--- a/greengagering/coordination/scheduling/_isolation.py
+++ b/greengagering/coordination/scheduling/_isolation.py
@@ -15,7 +15,7 @@
 CRASH_LIMIT = 3
 """Crashes from which it runs alone although it had run for long each time."""
 
-MAX_ISOLATION_S = 40.0
+MAX_ISOLATION_S = 20.0
 """Longest time for which a run keeps other tasks from its worker."""
 
 POOL_SHARE = 1 / 3
@@ -31,14 +31,15 @@
 def isolation_s(task: state.Task | None) -> float:
     """Return how long a task's next run needs a worker of its own.
 
-    The time doubles with each crash, so that a task that takes longer to crash
-    its worker than assumed is alone when it does.
+    The time doubles with each further crash, so that a task that takes longer
+    to crash its worker than assumed is alone when it does.
     """
     if task is None or not _is_isolated(task):
         return 0.0
     crashes = task.crashes
     total = crashes.total if crashes is not None else 0
-    return min(SETTLED_S * 2 ** (total - 1), MAX_ISOLATION_S)
+    doublings = max(total - SUSPECTED_LIMIT, 0)
+    return min(SETTLED_S * 2**doublings, MAX_ISOLATION_S)
 
 
 def _is_isolated(task: state.Task) -> bool:
--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -114,9 +114,30 @@
     return [w for w in workers if step.required_label in w.facts.labels]
 
 
-def find_vacant(workers: list[WorkerView]) -> list[WorkerView]:
-    """Return the workers on which no run would be suspected of a crash."""
-    return [worker for worker in workers if not worker.unsettled_runs()]
+class VacantWorkers:
+    """Usable workers without a run that would be suspected of a crash.
+
+    Each pool is searched once in a plan, and only if that is needed.
+    """
+
+    def __init__(self, usable: dict[str, list[WorkerView]]) -> None:
+        self._usable = usable
+        self._by_pool: dict[str, dict[str, WorkerView]] = {}
+
+    def in_pool(self, service: str) -> list[WorkerView]:
+        """Return the vacant workers of a pool that are left."""
+        vacant = self._by_pool.get(service)
+        if vacant is None:
+            vacant = self._by_pool[service] = {
+                worker.key: worker
+                for worker in self._usable.get(service, ())
+                if worker.is_vacant
+            }
+        return list(vacant.values())
+
+    def remove(self, worker: WorkerView) -> None:
+        """Remove a worker that gets a run, or is kept for one."""
+        self._by_pool.get(worker.facts.service, {}).pop(worker.key, None)
 
 
 def find_soonest_vacant(
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -20,8 +20,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Batch:
-    """Runs to propose, and for each the key of its worker's incarnation."""
+    """What one plan of tasks assigns.
 
+    Attributes:
+        vacant: vacant workers that are left.
+        runs: runs to propose.
+        life_keys: for each run, the key of its worker's incarnation.
+    """
+
+    vacant: _placement.VacantWorkers
     runs: list[state.RunKey] = dataclasses.field(default_factory=list)
     life_keys: list[str] = dataclasses.field(default_factory=list)
 
@@ -46,9 +53,14 @@
         limits = self._core.limits
         limits.follow_plan(self._core.jobs.plan)
         limits.begin_plan()
-        batch = _Batch()
+        batch = _Batch(_placement.VacantWorkers(usable))
         isolations = self._isolate(works, now_s)
-        self._start_isolated(works, isolations, usable, batch, now_s)
+        # Finite tasks go first, as they free their workers sooner.
+        isolated = sorted(
+            (item for item in works if id(item[0]) in isolations),
+            key=lambda item: item[0].step.is_lasting,
+        )
+        self._start_isolated(isolated, isolations, usable, batch, now_s)
         pools = {
             service: _placement.PoolRoom(workers)
             for service, workers in usable.items()
@@ -72,7 +84,7 @@
                 indexes = sorted(work.waiting)
             else:
                 indexes = isolation.others + self._place_apart(
-                    work, pool.workers, isolation.apart, batch, now_s
+                    work, service, isolation.apart, batch, now_s
                 )
                 startable = self._count_startable(work)
             for placement in _placement.place_step(
@@ -86,7 +98,7 @@
                 order.note_placed(work, service)
             if work.waiting:
                 pool.measure()
-        self._fill_with_isolated(works, isolations, usable, batch, now_s)
+        self._fill_with_isolated(isolated, isolations, usable, batch, now_s)
         self._log_limits(now_s)
         self._core.short_services = {
             service for work, service in works if work.waiting
@@ -134,7 +146,7 @@
         """Start tasks on workers of their own, or keep workers for them.
 
         Args:
-            works: steps with waiting tasks, and their pools.
+            works: steps with isolations, and their pools.
             isolations: where tasks may start, by the identity of their step.
             usable: usable workers by pool; loses those that are kept.
             batch: collects the runs.
@@ -144,10 +156,10 @@
             return
         isolated_views = _isolation.isolated_views(self._core.workers.values())
         for work, service in works:
-            isolation = isolations.get(id(work))
             workers = usable.get(service)
-            if isolation is None or not workers:
+            if not workers:
                 continue
+            isolation = isolations[id(work)]
             views = isolated_views.setdefault(service, [])
             for group in isolation.isolated:
                 keepable = _isolation.count_keepable(
@@ -156,11 +168,13 @@
                 if keepable <= 0:
                     break
                 used = self._start_group(
-                    work, workers, group, keepable, batch, now_s
+                    work, service, group, keepable, batch, now_s
                 )
                 if not used:
                     kept = _placement.find_soonest_vacant(workers, work.step)
                     used = [kept] if kept is not None else []
+                    for worker in used:
+                        batch.vacant.remove(worker)
                 views += used
                 workers[:] = [w for w in workers if w not in used]
 
@@ -174,21 +188,18 @@
     ) -> None:
         """Start tasks alone on the workers that no other task has taken."""
         for work, service in works:
-            isolation = isolations.get(id(work))
-            if isolation is None or not (work.waiting and usable.get(service)):
+            if not (work.waiting and usable.get(service)):
                 continue
-            for group in isolation.isolated:
+            for group in isolations[id(work)].isolated:
                 left = [index for index in group if index in work.waiting]
                 if left:
-                    workers = usable[service]
-                    self._start_group(
-                        work, workers, left, len(workers), batch, now_s
-                    )
+                    limit = len(usable[service])
+                    self._start_group(work, service, left, limit, batch, now_s)
 
     def _start_group(
         self,
         work: StepWork,
-        workers: list[WorkerView],
+        service: str,
         group: list[int],
         worker_limit: int,
         batch: '_Batch',
@@ -200,7 +211,7 @@
             The workers that they use.
         """
         startable = min(self._count_startable(work), len(group))
-        vacant = _placement.find_vacant(workers)
+        vacant = batch.vacant.in_pool(service)
         if not work.step.is_gang:
             vacant = vacant[:worker_limit]
         placements = _placement.place_step(
@@ -220,7 +231,7 @@
     def _place_apart(
         self,
         work: StepWork,
-        workers: list[WorkerView],
+        service: str,
         groups: list[list[int]],
         batch: '_Batch',
         now_s: float,
@@ -228,7 +239,7 @@
         """Start groups on vacant workers; return the tasks left over."""
         left = []
         for group in groups:
-            vacant = _placement.find_vacant(workers)
+            vacant = batch.vacant.in_pool(service)
             placements = _placement.place_step(
                 work,
                 self._permitted(work, vacant, now_s),
@@ -315,6 +326,7 @@
                 isolated_s=isolated_s,
             )
         )
+        batch.vacant.remove(placement.worker)
         batch.runs.append(key)
         batch.life_keys.append(placement.worker.key)
         return key
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -49,6 +49,10 @@
 """Time without an answer or report after which a worker gets no new run; two
 missed reports."""
 
+STALE_SILENCE_S = 1.5
+"""Time without an answer from which a worker that has not reported either gets
+no start before its next report. Its room may have shrunk meanwhile."""
+
 QUARANTINE_STREAK = 2
 """Failures in a row from which a worker is quarantined: it gets single runs
 only, as probes."""
@@ -158,6 +162,9 @@
         heard_at_s: when it last answered or reported.
         suspect_since_s: when it first failed to answer, or None.
         sequence: number of its newest report.
+        reported_at_s: when that arrived, or -infinity before a leader's
+            first one.
+        is_room_stale: whether its room may have changed while it was silent.
         successor: key of a later incarnation at the same name or address,
             or ''.
         proposed_end: highest number of its run ends that was proposed.
@@ -198,6 +205,8 @@
         self.heard_at_s = now_s
         self.suspect_since_s: float | None = None
         self.sequence = -1
+        self.reported_at_s = now_s
+        self.is_room_stale = False
         self.successor = ''
         self.proposed_end = 0
         self.granted_at_s = float('-inf')
@@ -242,6 +251,7 @@
             and now_s < self.heard_at_s + SILENCE_S
             and now_s >= self.paused_until_s
             and not self.is_isolated
+            and not self.is_room_stale
         )
 
     @property
@@ -258,6 +268,14 @@
             return 0.0
         return self.heard_at_s - run.started_at_s
 
+    @property
+    def is_vacant(self) -> bool:
+        """Whether no run would be suspected if it crashed now."""
+        return not any(
+            self.survived_s(run) < max(SETTLED_S, run.isolated_s)
+            for run in self.runs.values()
+        )
+
     def unsettled_runs(self) -> list[RunView]:
         """Return the runs that are suspected if the worker crashes now."""
         return [
@@ -415,8 +433,22 @@
     def mark_responsive(self, now_s: float) -> None:
         """Record an answer of the worker, which is suspect no longer."""
         self.heard_at_s = max(self.heard_at_s, now_s)
+        if self.suspect_since_s is not None:
+            silent_s = now_s - self.suspect_since_s
+            is_new = self.reported_at_s == float('-inf')
+            if is_new or (
+                silent_s >= STALE_SILENCE_S
+                and now_s >= self.reported_at_s + SILENCE_S
+            ):
+                self.is_room_stale = True
         self.suspect_since_s = None
 
+    def mark_reported(self, sequence: int, now_s: float) -> None:
+        """Record a report, which tells the room that it has now."""
+        self.sequence = sequence
+        self.reported_at_s = self.heard_at_s = now_s
+        self.is_room_stale = False
+
     def mark_suspect(self, now_s: float) -> None:
         """Mark the worker as suspect after a failed order or poll."""
         if self.suspect_since_s is None:
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -164,6 +164,9 @@
     step = job.spec.steps[end.key.step_number]
     if end.saved:
         _save_progress(job, step, step_key, task, end.saved)
+    if end.ending in (model.RunEnding.DONE, model.RunEnding.FAILED):
+        # It has run to an end of its own without crashing its worker.
+        task.crashes = None
     if step.is_lasting:
         return
     if end.ending is model.RunEnding.DONE:
