Start nothing by a room that may be stale, and search for such starts

What callers would see: a worker that was cut off, or one that nobody led for a while, gets starts by a room that has shrunk meanwhile (LIMIT).

The search also checks that no job fails without a failed or deadly task, and that each deadly one stays within its budget of starts.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -36,6 +36,12 @@
     Then no schedule violates an invariant
     And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, late_orders, held, unsent, leaders, limit_changes, limits_met and withdrawn
 
+  # Guards against tasks that crash worker after worker, innocent jobs that are given up, and starts beyond a room that has shrunk.
+  Scenario: Tasks that crash their workers are given up within their budget, and no other job is
+    When 100 schedules of the crash search run from seed 0
+    Then no schedule violates an invariant
+    And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, late_orders, held, unsent, leaders, deadly_jobs, crashes_by_tasks, given_up, room_changes and withdrawn
+
   # Guards against answers that are matched to other calls after restarts, delays and duplicates.
   Scenario: No caller gets an answer that belongs to another job or to an earlier call
     When 300 schedules of the reply search run from seed 0
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -39,6 +39,16 @@
 """Time until a worker that a task has crashed is back."""
 
 CONTROLS = ('control-0', 'control-1', 'control-2')
+DEADLY_RATIO = 0.15
+"""Share of jobs with a task that crashes its workers."""
+
+DEADLY_RECOVERY_S = 120.0
+"""Additional time for these jobs to be given up: three crashes each, of some
+4 s, mostly on one of the four workers at a time."""
+
+ROOM_MILLICORES = (4000, 6000, 8000)
+"""Rooms to which workers shrink and grow; one task needs up to 4000."""
+
 CUSTOMERS = ('customer-a', 'customer-b', 'customer-c')
 CPU_LIMITS = (0, 4000, 6000, 9000, 16_000)
 """Limits in millicores, 0 for none; one task needs up to 4000."""
@@ -68,6 +78,10 @@
         refusals: orders that workers refused at random.
         limit_changes: plans with new limits of customers.
         limits_met: times that a limit began to hold a customer's tasks back.
+        deadly_jobs: jobs with a task that crashes its workers.
+        crashes_by_tasks: workers that crashed under such a task.
+        given_up: such jobs that failed.
+        room_changes: changes of a worker's room while it ran.
         withdrawn: starts not ordered, or not again, as a limit was lowered.
     """
 
@@ -87,6 +101,10 @@
     limit_changes: int = 0
     limits_met: int = 0
     withdrawn: int = 0
+    deadly_jobs: int = 0
+    crashes_by_tasks: int = 0
+    given_up: int = 0
+    room_changes: int = 0
 
     def add(self, other: 'JobResult') -> None:
         """Add another schedule's counts."""
@@ -142,6 +160,7 @@
         *,
         has_agents: bool = False,
         has_customers: bool = False,
+        has_deadly_tasks: bool = False,
     ) -> None:
         self.has_agents = has_agents
         self.has_customers = has_customers
@@ -149,6 +168,8 @@
         # the same.
         self.customer_rng = random.Random(f'customers {seed}')
         self.limits = customer_limits.LimitLedger()
+        self.has_deadly_tasks = has_deadly_tasks
+        self.deadly_rng = random.Random(f'deadly {seed}')
         # A worker may refuse the second copy of an order that it has carried
         # out. Real agents send no order twice, so a schedule has either
         # copies or refusals.
@@ -206,8 +227,11 @@
             self._inject_fault()
             if self.has_customers and self.customer_rng.random() < 0.012:
                 self._change_limits()
+            if self.has_deadly_tasks and self.deadly_rng.random() < 0.01:
+                self._change_room()
             self._advance()
         self._recover()
+        self.result.crashes_by_tasks = self.ledger.crashed_workers
         self.result.starts = self.ledger.start_count
         self.result.leaders = len(self._terms)
         self.result.refusals = sum(
@@ -302,6 +326,8 @@
             )
         spec = state.JobSpec(f'job{self._jobs}', 'text', tuple(steps))
         self.ledger.specs[spec.job_id] = spec
+        if self.has_deadly_tasks:
+            self._make_deadly(spec)
         customer = ''
         if self.has_customers:
             customer = self.customer_rng.choice(CUSTOMERS)
@@ -313,6 +339,27 @@
             spec,
         )
 
+    def _make_deadly(self, spec: state.JobSpec) -> None:
+        """Let a task of some jobs crash each worker that starts it."""
+        if self.deadly_rng.random() >= DEADLY_RATIO:
+            return
+        self.result.deadly_jobs += 1
+        index = self.deadly_rng.randrange(spec.steps[0].task_count)
+        fuse_s = self.deadly_rng.choice((0.0, 0.05))
+        self.ledger.deadly[f'{spec.job_id}.0.0.{index}'] = fuse_s
+
+    def _change_room(self) -> None:
+        """Shrink the room of a worker, or let it grow again."""
+        worker = self.workers[self.deadly_rng.choice(sorted(self.workers))]
+        millicores = self.deadly_rng.choice(ROOM_MILLICORES)
+        room = state.Room(millicores, worker_fakes.ROOM.memory_mb)
+        if worker.is_up and room != worker.room:
+            self.result.room_changes += 1
+            self.add_trace(
+                'room_changed', worker=worker.worker_id, room=millicores
+            )
+            worker.change_room(room, self.now_s)
+
     def _change_limits(self) -> None:
         """Propose a plan with other limits, lower or higher."""
         customers = tuple(
@@ -476,6 +523,7 @@
                 continue
             self._reports_s[name] = self.now_s + REPORT_INTERVAL_S
             if self.now_s < self.disconnected_until_s.get(name, 0):
+                worker.postpone_room(self.now_s)
                 continue
             for node in self._running():
                 assert node.core is not None
@@ -743,7 +791,10 @@
             node.frozen_until_s = 0.0
             if node.core is None:
                 self._start_control(node)
-        ends_s = self.now_s + RECOVERY_S
+        recovery_s = RECOVERY_S
+        if self.has_deadly_tasks:
+            recovery_s += DEADLY_RECOVERY_S
+        ends_s = self.now_s + recovery_s
         while self.now_s < ends_s:
             self._advance()
             if self.has_customers and self.limits.has_limits():
@@ -779,12 +830,25 @@
             if running:
                 raise InvariantError(f'{job.status} {job_id} runs {running}')
             self.result.succeeded += job.status is state.JobStatus.SUCCEEDED
+            if job.status is state.JobStatus.FAILED:
+                self._check_failed(job_id, job)
             return
         if not job.spec.steps[0].is_lasting:
             raise InvariantError(
                 f'{job_id} is not done: {job.done_counts}, tasks {job.tasks}'
             )
 
+    def _check_failed(self, job_id: str, job: state.Job) -> None:
+        """Check that a job has failed by the fault of one of its tasks."""
+        names = [f'{job_id}.{task}' for task in job.tasks]
+        is_deadly = any(name in self.ledger.deadly for name in names)
+        self.result.given_up += is_deadly
+        ends = self.ledger.failed_ends
+        if not is_deadly and all(
+            ends.get(name, 0) < ATTEMPT_LIMIT for name in names
+        ):
+            raise InvariantError(f'{job_id} failed without cause: {job.tasks}')
+
 
 def explain(seed: int, word: str = '') -> None:
     """Run one schedule, and print its trace if it violates an invariant.
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -82,6 +82,17 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_crash_seed(seed: int) -> job_search.JobResult | SeedFailure:
+    """Run one schedule with tasks that crash workers, and changing rooms."""
+    try:
+        return job_search.JobSearch(
+            seed, has_agents=seed % 2 == 1, has_deadly_tasks=True
+        ).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 def run_reply_seed(seed: int) -> reply_search.ReplyResult | SeedFailure:
     """Run one schedule over entries' job calls and their answers."""
     try:
@@ -98,6 +109,7 @@
     'job': run_job_seed,
     'agent': run_agent_seed,
     'limit': run_limit_seed,
+    'crash': run_crash_seed,
     'reply': run_reply_seed,
 }
 TOTALS: dict[str, Any] = {
@@ -107,6 +119,7 @@
     'job': job_search.JobResult,
     'agent': job_search.JobResult,
     'limit': job_search.JobResult,
+    'crash': job_search.JobResult,
     'reply': reply_search.ReplyResult,
 }
 
@@ -135,7 +148,7 @@
     """Run a search and print its counts and failures.
 
     Args:
-        name: replica, syncing, control, job, agent, limit or reply.
+        name: replica, syncing, control, job, agent, limit, crash or reply.
         first_seed: first seed.
         count: number of schedules.
     """
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -47,6 +47,7 @@
         committed_done_s: end time of the first run whose success was
             committed, by task.
         failed: number of committed failures by task.
+        failed_ends: number of runs that have ended as failed, by task.
         specs: specifications of submitted jobs by id.
         done_tasks: tasks of which a run has succeeded.
         attempt_limit: number of failed runs after which a task may not start.
@@ -65,6 +66,7 @@
         self.starts: dict[str, list[float]] = {}
         self.committed_done_s: dict[str, float] = {}
         self.failed: dict[str, int] = {}
+        self.failed_ends: dict[str, int] = {}
         self.specs: dict[str, state.JobSpec] = {}
         self.done_tasks: set[str] = set()
         self.attempt_limit = 0
@@ -182,8 +184,10 @@
         self.run_s: float | None = None
         self.is_stalled = False
         self.fails_all = False
-        self._former_room = self.room
-        self._room_due_s = float('-inf')
+        # Orders for the former incarnation may still arrive.
+        self._former_room = ROOM
+        self._room_due_s = now_s + ROOM_NOTICE_S
+        self._is_room_reported = False
         self._clock_rate = self.rng.uniform(0.98, 1.0)
         self._clock_base_s = now_s
 
@@ -213,12 +217,25 @@
 
     def change_room(self, room: state.Room, now_s: float) -> None:
         """Change the capacity while the process runs."""
-        self._former_room, self.room = self.room, room
+        former = self.room
+        if now_s < self._room_due_s:
+            # An earlier change may not be known yet.
+            former = max(
+                former, self._former_room, key=lambda r: r.cpu_millicores
+            )
+        self._former_room, self.room = former, room
         self._room_due_s = now_s + ROOM_NOTICE_S
+        self._is_room_reported = False
+
+    def postpone_room(self, now_s: float) -> None:
+        """Let a room that it couldn't report yet count later."""
+        if not self._is_room_reported:
+            self._room_due_s = now_s + ROOM_NOTICE_S
 
     def report(self, now_s: float) -> coordination.WorkerReport:
         """Return the next report."""
         self.sequence += 1
+        self._is_room_reported = True
         return coordination.WorkerReport(
             self.facts(),
             self.sequence,
@@ -379,5 +396,9 @@
         end = state.RunEnd(self.end_count, run.key, ending, '')
         self.ended.append((end, now_s))
         self.ledger.on_end(self.worker_id, end)
+        if ending is state.RunEnding.FAILED:
+            name = run.key.task_name
+            count = self.ledger.failed_ends.get(name, 0) + 1
+            self.ledger.failed_ends[name] = count
         if ending is state.RunEnding.DONE:
             self.ledger.done_tasks.add(name)
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -108,6 +108,7 @@
         # vote within the minimum election timeout.
         self.leader_heard_s = now_s if former_over_s is None else former_over_s
         self._election_due_s = 0.0
+        self._has_heard_leader = False
         self._reset_election(self.leader_heard_s)
 
     @property
@@ -319,6 +320,12 @@
         lease_s = self.options.election_min_s * slowed
         return self.quorum_contact_s(now_s) + lease_s
 
+    def leaderless_s(self, now_s: float) -> float:
+        """Return how long it has heard no other leader; infinity if never."""
+        if not self._has_heard_leader:
+            return float('inf')
+        return now_s - self.leader_heard_s
+
     def hears_leader(self, now_s: float) -> bool:
         """Return whether a leader was heard within election_max_s."""
         if self.is_leader:
@@ -767,6 +774,7 @@
             self._become_follower(term, peer, now_s)
         self.leader_id = peer
         self.leader_heard_s = now_s
+        self._has_heard_leader = True
         self._reset_election(now_s)
         return True
 
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -322,7 +322,12 @@
             return
         self._sessions_term = self.replica.term
         self.sessions = EntrySessions(self.lease_options, now_s)
-        self.jobs.start_leading(self.replica.term, now_s, self._now_ms)
+        self.jobs.start_leading(
+            self.replica.term,
+            now_s,
+            self._now_ms,
+            leaderless_s=self.replica.leaderless_s(now_s),
+        )
         self.statuses.clear()
         self._pending_reports.clear()
         self._own_proposal_index = 0
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -296,7 +296,7 @@
         for _, run, view in due:
             if view.runs.get(run.key.name) is not run:
                 continue
-            if view.suspect_since_s is not None:
+            if view.suspect_since_s is not None or view.is_room_stale:
                 self._schedule_retry(view, run, now_s)
                 continue
             self._retry_order(view, run, now_s)
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -38,6 +38,10 @@
 FINISHED_RETENTION_S = 240.0
 """How long a finished job can be queried; callers may rely on half of it."""
 
+STALE_LEADERLESS_S = 2.0
+"""Time without a leader from which a new one gives a worker no start before
+its next report, as its room may have shrunk. Elections take less."""
+
 STALL_CHECK_INTERVAL_S = 0.2
 """Time between two searches for stalled runs."""
 
@@ -183,7 +187,14 @@
         """Queue a decision for the log."""
         self._core.log_decision(event, **fields)
 
-    def start_leading(self, term: int, now_s: float, now_ms: int) -> None:
+    def start_leading(
+        self,
+        term: int,
+        now_s: float,
+        now_ms: int,
+        *,
+        leaderless_s: float = 0.0,
+    ) -> None:
         """Start leading from the committed state alone.
 
         Workers get no runs before their lists have been read.
@@ -192,6 +203,8 @@
             term: the leader's term, which is the fence of its orders.
             now_s: the leader's clock.
             now_ms: wall-clock time.
+            leaderless_s: how long nobody may have led, so that no report was
+                stored.
         """
         self.stop_leading()
         self._core.fence = term
@@ -199,6 +212,10 @@
         self._logged_plan = self.jobs.plan
         for life in self.jobs.lives.values():
             self._add_worker(life, now_s)
+        for view in self.workers.values():
+            # This leader has no report of it yet.
+            view.reported_at_s = float('-inf')
+            view.is_room_stale = leaderless_s >= STALE_LEADERLESS_S
         for job in self.jobs.jobs.values():
             for task in job.tasks.values():
                 self._core.suspect_queue(job, task)
@@ -339,9 +356,8 @@
             return state.LifeSeen(report.facts)
         if report.sequence <= view.sequence:
             return None
-        view.sequence = report.sequence
+        view.mark_reported(report.sequence, now_s)
         view.update_clock(report.clock_ms, now_s)
-        view.heard_at_s = now_s
         if view.suspect_since_s is not None:
             self._core.poll_candidates.add(key)
         if report.facts.room != view.room:
