Start groups on vacant workers in one place, and count held tasks once

A step with suspects counted its tasks that a limit holds back once for each of its groups, so held_tasks and customer_limit_met told too many.

--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -73,7 +73,11 @@
             self._core.jobs.jobs,
         )
         for work, service in order.sort(works, now_s):
-            startable = self._count_startable(work)
+            startable = self._count_startable(work, len(work.waiting))
+            if startable < len(work.waiting):
+                limits.note_held(
+                    work.job.customer, len(work.waiting) - startable
+                )
             if not startable:
                 continue
             pool = pools.get(service)
@@ -83,10 +87,10 @@
             if isolation is None:
                 indexes = sorted(work.waiting)
             else:
-                indexes = isolation.others + self._place_apart(
+                indexes = isolation.others + self._start_apart(
                     work, service, isolation.apart, batch, now_s
                 )
-                startable = self._count_startable(work)
+                startable = self._count_startable(work, len(indexes))
             for placement in _placement.place_step(
                 work,
                 self._permitted(work, pool.workers, now_s),
@@ -167,7 +171,7 @@
                 )
                 if keepable <= 0:
                     break
-                used = self._start_group(
+                used = self._start_alone(
                     work, service, group, keepable, batch, now_s
                 )
                 if not used:
@@ -194,9 +198,9 @@
                 left = [index for index in group if index in work.waiting]
                 if left:
                     limit = len(usable[service])
-                    self._start_group(work, service, left, limit, batch, now_s)
+                    self._start_alone(work, service, left, limit, batch, now_s)
 
-    def _start_group(
+    def _start_alone(
         self,
         work: StepWork,
         service: str,
@@ -205,30 +209,25 @@
         batch: '_Batch',
         now_s: float,
     ) -> list[WorkerView]:
-        """Start tasks on vacant workers, which nothing else then uses.
+        """Start a group on vacant workers, which nothing else then uses.
 
         Returns:
-            The workers that they use.
+            The workers that it uses.
         """
-        startable = min(self._count_startable(work), len(group))
-        vacant = batch.vacant.in_pool(service)
-        if not work.step.is_gang:
-            vacant = vacant[:worker_limit]
-        placements = _placement.place_step(
-            work, self._permitted(work, vacant, now_s), now_s, startable, group
-        )
         isolated_s = _isolation.group_isolation_s(work, group)
+        placements = self._start_on_vacant(
+            work, service, group, batch, now_s, worker_limit, isolated_s
+        )
         for placement in placements:
-            key = self._reserve(work, placement, batch, now_s, isolated_s)
             self._core.log_decision(
                 'task_isolated',
-                run=key.name,
+                task=f'{work.job.spec.job_id}.{work.step_key}.{placement.index}',
                 life=placement.worker.key,
                 isolated_s=isolated_s,
             )
         return list({p.worker.key: p.worker for p in placements}.values())
 
-    def _place_apart(
+    def _start_apart(
         self,
         work: StepWork,
         service: str,
@@ -239,20 +238,37 @@
         """Start groups on vacant workers; return the tasks left over."""
         left = []
         for group in groups:
-            vacant = batch.vacant.in_pool(service)
-            placements = _placement.place_step(
-                work,
-                self._permitted(work, vacant, now_s),
-                now_s,
-                min(self._count_startable(work), len(group)),
-                group,
+            placements = self._start_on_vacant(
+                work, service, group, batch, now_s
             )
-            for placement in placements:
-                self._reserve(work, placement, batch, now_s)
             placed = {placement.index for placement in placements}
             left += [index for index in group if index not in placed]
         return left
 
+    def _start_on_vacant(
+        self,
+        work: StepWork,
+        service: str,
+        group: list[int],
+        batch: '_Batch',
+        now_s: float,
+        worker_limit: int | None = None,
+        isolated_s: float = 0.0,
+    ) -> list[_placement.Placement]:
+        vacant = batch.vacant.in_pool(service)
+        if not work.step.is_gang:
+            vacant = vacant[:worker_limit]
+        placements = _placement.place_step(
+            work,
+            self._permitted(work, vacant, now_s),
+            now_s,
+            self._count_startable(work, len(group)),
+            group,
+        )
+        for placement in placements:
+            self._reserve(work, placement, batch, now_s, isolated_s)
+        return placements
+
     def _propose(self, runs: list[state.RunKey], life_keys: list[str]) -> None:
         for first in range(0, len(runs), MAX_RUNS_PER_RECORD):
             last = first + MAX_RUNS_PER_RECORD
@@ -270,14 +286,11 @@
                 usable.setdefault(view.facts.service, []).append(view)
         return usable
 
-    def _count_startable(self, work: StepWork) -> int:
-        """Return how many waiting tasks their customer's limit lets start."""
-        waiting = len(work.waiting)
-        limits, customer = self._core.limits, work.job.customer
-        startable = limits.count_startable(customer, work.step, waiting)
-        if startable < waiting:
-            limits.note_held(customer, waiting - startable)
-        return startable
+    def _count_startable(self, work: StepWork, count: int) -> int:
+        """Return how many tasks of a step a customer's limit lets start."""
+        return self._core.limits.count_startable(
+            work.job.customer, work.step, count
+        )
 
     def _log_limits(self, now_s: float) -> None:
         for change in self._core.limits.end_plan(now_s):
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -271,18 +271,14 @@
     @property
     def is_vacant(self) -> bool:
         """Whether no run would be suspected if it crashed now."""
-        return not any(
-            self.survived_s(run) < max(SETTLED_S, run.isolated_s)
-            for run in self.runs.values()
-        )
+        return not any(map(self._is_unsettled, self.runs.values()))
 
     def unsettled_runs(self) -> list[RunView]:
         """Return the runs that are suspected if the worker crashes now."""
-        return [
-            run
-            for run in self.runs.values()
-            if self.survived_s(run) < max(SETTLED_S, run.isolated_s)
-        ]
+        return [run for run in self.runs.values() if self._is_unsettled(run)]
+
+    def _is_unsettled(self, run: RunView) -> bool:
+        return self.survived_s(run) < max(SETTLED_S, run.isolated_s)
 
     def fits(self, step: state.StepSpec, task_count: int = 1) -> bool:
         """Tell whether a number of tasks of a step fit at the same time."""
