Count less the crashes of workers that hadn't confirmed a task's start

What callers would see: a job shown as failed without cause (LOST): its worker had crashed before the start order reached it, three times.

Cause: a start without an answer counted like one that was confirmed, yet a worker that crashes just before an order leaves the same silence.

Change: such a crash counts apart, and gives a job up only at five with no other suspect, which leaves two starts after the third crash (BUDGET breaks at three). The fake scheduler of the reply rules takes the new argument of declare_over, for want of which one of its scenarios failed.

--- a/features/crash_rules.feature
+++ b/features/crash_rules.feature
@@ -103,6 +103,14 @@
     And the run of task 0 fails by itself
     Then the job of the records is still active, and counts no crash
 
+  # Guards against an innocent job that is given up as its workers crash before its starts arrive.
+  Scenario: Starts that no worker confirmed count less
+    Given the records of a step with 4 tasks, 1 on each of 4 workers
+    When the worker of task 0 crashes 4 times without an answer to its start
+    Then the job of the records is still active
+    When the worker of task 0 crashes 1 times without an answer to its start
+    Then the job of the records has failed
+
   # Guards against a count that a snapshot of the state drops.
   Scenario: A snapshot keeps the count of crashes
     Given the records of a step with 4 tasks, 1 on each of 4 workers
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -839,10 +839,16 @@
             )
 
     def _check_failed(self, job_id: str, job: state.Job) -> None:
-        """Check that a job has failed by the fault of one of its tasks."""
+        """Check that a job has failed by the fault of one of its tasks.
+
+        A task under which two workers have crashed may be given up, also if
+        they have crashed by themselves.
+        """
         names = [f'{job_id}.{task}' for task in job.tasks]
         is_deadly = any(name in self.ledger.deadly for name in names)
         self.result.given_up += is_deadly
+        crashed_under = self.ledger.crashed_under
+        is_deadly |= any(crashed_under.get(name, 0) >= 2 for name in names)
         ends = self.ledger.failed_ends
         if not is_deadly and all(
             ends.get(name, 0) < ATTEMPT_LIMIT for name in names
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -57,6 +57,8 @@
             to the crash.
         crashes: number of workers that a task has crashed, by task.
         crashed_workers: number of workers that any task has crashed.
+        crashed_under: number of workers that crashed while a task ran there,
+            whatever the cause, by task.
         starts_over_budget: starts of a task after CRASH_BUDGET crashes, by
             task.
     """
@@ -75,6 +77,7 @@
         self.deadly: dict[str, float] = {}
         self.crashes: dict[str, int] = {}
         self.crashed_workers = 0
+        self.crashed_under: dict[str, int] = {}
         self.starts_over_budget: dict[str, int] = {}
 
     def record_start(
@@ -195,6 +198,8 @@
         """End the process and all of its runs."""
         for run in self.runs.values():
             self.ledger.remove_run(self, run.key)
+            count = self.ledger.crashed_under.get(run.key.task_name, 0) + 1
+            self.ledger.crashed_under[run.key.task_name] = count
         self.runs.clear()
         self.is_up = False
 
--- a/features/steps/crash_record_steps.py
+++ b/features/steps/crash_record_steps.py
@@ -41,15 +41,22 @@
         return self.jobs.jobs[JOB_ID]
 
     def end_worker(
-        self, worker: int, *, is_crash: bool = True, after_ms: int = SECOND_MS
+        self,
+        worker: int,
+        *,
+        is_crash: bool = True,
+        is_unanswered: bool = False,
+        after_ms: int = SECOND_MS,
     ) -> None:
         """Record that a worker has ended, that it is back, and new starts."""
         self._now_ms += after_ms
         life = self.jobs.lives[self._facts(worker).key]
         runs = tuple(life.runs.values()) if is_crash else ()
+        unanswered = runs if is_unanswered else ()
         at_ms = self._now_ms if is_crash else 0
+        key = life.facts.key
         self._apply(
-            state.LifeOver(life.facts.key, 'reborn', runs, runs, at_ms)
+            state.LifeOver(key, 'reborn', runs, runs, unanswered, at_ms)
         )
         self._born_ms[worker] += 1
         self._apply(state.LifeSeen(self._facts(worker)))
@@ -112,6 +119,15 @@
         context.records.end_worker(0)
 
 
+@when(
+    'the worker of task 0 crashes {count:d} times without an answer to its '
+    'start'
+)
+def crash_unanswered(context: Any, count: int) -> None:
+    for _ in range(count):
+        context.records.end_worker(0, is_unanswered=True)
+
+
 @when('the run of task 0 fails by itself')
 def fail_run(context: Any) -> None:
     context.records.fail_run(0)
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -406,7 +406,9 @@
         self.workers = {'worker-2@1': self.view}
         self.over_workers: list[str] = []
 
-    def declare_over(self, view: Any, cause: str) -> None:
+    def declare_over(
+        self, view: Any, cause: str, *, is_crash: bool = False
+    ) -> None:
         """Record that a worker's incarnation was declared over."""
         self.over_workers.append(view.facts.worker_id)
 
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -218,6 +218,9 @@
                 cause,
                 tuple(r.key for r in view.runs.values()) if is_crash else (),
                 tuple(run.key for run in suspects) if is_crash else (),
+                tuple(run.key for run in suspects if not run.started_at_s)
+                if is_crash
+                else (),
                 self.now_ms,
             )
         )
--- a/greengagering/state/_crash_counts.py
+++ b/greengagering/state/_crash_counts.py
@@ -13,6 +13,10 @@
 """Those of them for which it must be the only suspect. One alone may be a
 coincidence."""
 
+UNANSWERED_LIMIT = 5
+"""Crashes as the only suspect after which its job fails although workers
+didn't confirm its start. They may have crashed before the order arrived."""
+
 
 def count_crash(state: model.JobsState, record: model.LifeOver) -> None:
     """Count a worker's crash for the tasks that ran there.
@@ -27,6 +31,7 @@
             it names runs.
     """
     suspects = {key.name for key in record.suspects}
+    unanswered = {key.name for key in record.unanswered}
     is_alone = len({_find_unit(state, key) for key in record.suspects}) == 1
     for key in record.crashed_runs:
         task = state.find_task(key)
@@ -43,15 +48,23 @@
         if key.name not in suspects:
             continue
         crashes.suspected += 1
-        crashes.alone += is_alone
+        if is_alone and key.name in unanswered:
+            crashes.unanswered += 1
+        elif is_alone:
+            crashes.alone += 1
         job = state.jobs[key.job_id]
-        is_at_fault = (
-            crashes.total >= CRASH_LIMIT and crashes.alone >= LONE_CRASH_LIMIT
-        )
-        if is_at_fault and job.status is model.JobStatus.ACTIVE:
+        if _is_at_fault(crashes) and job.status is model.JobStatus.ACTIVE:
             job.status = model.JobStatus.FAILED
 
 
+def _is_at_fault(crashes: model.TaskCrashes) -> bool:
+    if crashes.total < CRASH_LIMIT:
+        return False
+    if crashes.alone >= LONE_CRASH_LIMIT:
+        return True
+    return crashes.alone + crashes.unanswered >= UNANSWERED_LIMIT
+
+
 def _find_unit(state: model.JobsState, key: model.RunKey) -> str:
     """Return the name of the task or step that is suspected as one."""
     job = state.jobs.get(key.job_id)
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -223,13 +223,18 @@
     Attributes:
         total: workers that crashed while it ran there.
         suspected: those that had just started it, or were kept for it.
-        alone: those of the latter on which no other task was suspected.
+        alone: those of the latter that had confirmed its start, and on which
+            no other task was suspected.
+        unanswered: those on which no other task was suspected, and that had
+            not answered the order to start it, so they may have crashed
+            before.
         newest_at_ms: Unix time of the newest crash.
     """
 
     total: int = 0
     suspected: int = 0
     alone: int = 0
+    unanswered: int = 0
     newest_at_ms: int = 0
 
 
@@ -482,6 +487,7 @@
         crashed_runs: the runs on it, if it crashed; a former version, which
             counts no crashes, names none.
         suspects: those of them that may have caused the crash.
+        unanswered: those of the latter whose start it had not confirmed.
         at_ms: Unix time.
     """
 
@@ -489,6 +495,7 @@
     cause: str
     crashed_runs: tuple[RunKey, ...] = ()
     suspects: tuple[RunKey, ...] = ()
+    unanswered: tuple[RunKey, ...] = ()
     at_ms: int = 0
 
 
