--- a/greengagering/coordination/scheduling/_isolation.py
+++ b/greengagering/coordination/scheduling/_isolation.py
@@ -12,7 +12,7 @@
 """Crashes as a suspect from which a task runs alone. After the first one,
 which another task or none may have caused, it only avoids other tasks."""
 
-CRASH_LIMIT = 3
+UNSUSPECTED_LIMIT = 3
 """Crashes from which it runs alone although it had run for long each time."""
 
 MAX_ISOLATION_S = 20.0
@@ -46,7 +46,7 @@
     crashes = task.crashes
     return crashes is not None and (
         crashes.suspected >= SUSPECTED_LIMIT
-        or crashes.total >= CRASH_LIMIT
+        or crashes.total >= UNSUSPECTED_LIMIT
         or crashes.alone > 0
     )
 
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -211,16 +211,15 @@
             return
         view.is_over = True
         is_crash = is_crash and not view.is_draining
-        suspects = view.unsettled_runs()
+        crashed = list(view.runs.values()) if is_crash else []
+        suspects = view.unsettled_runs() if is_crash else []
         self.proposals.append(
             state.LifeOver(
                 view.key,
                 cause,
-                tuple(r.key for r in view.runs.values()) if is_crash else (),
-                tuple(run.key for run in suspects) if is_crash else (),
-                tuple(run.key for run in suspects if not run.started_at_s)
-                if is_crash
-                else (),
+                tuple(run.key for run in crashed),
+                tuple(run.key for run in suspects),
+                tuple(run.key for run in suspects if not run.started_at_s),
                 self.now_ms,
             )
         )
@@ -230,7 +229,7 @@
             cause=cause,
             is_crash=is_crash,
             runs=len(view.runs),
-            suspects=len(suspects) if is_crash else 0,
+            suspects=len(suspects),
             address=view.facts.address,
             heard_s_ago=round(self.now_s - view.heard_at_s, 3),
         )
