Log why runs are stopped and voided, and whom orders for machines are for

No line told why a run was stopped or voided, which worker an order for a machine was meant for, or how often it had been sent, so the three hypotheses in docs/incidents/issue-36.md couldn't be told apart.

--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -76,6 +76,8 @@
         phase_at_s: when the phase began.
         retry_at_s: time before which the order isn't sent again.
         is_call_pending: whether a call to the platform is unanswered.
+        sent_count: number of calls to the platform in this term.
+        sent_at_s: when the newest of them was made.
     """
 
     duty: state.Duty
@@ -84,6 +86,8 @@
     phase_at_s: float
     retry_at_s: float = float('-inf')
     is_call_pending: bool = False
+    sent_count: int = 0
+    sent_at_s: float = float('-inf')
 
 
 class MachineManager:
@@ -202,6 +206,9 @@
             pool=order.duty.pool,
             wave=order.duty.wave_number,
             outcome=str(outcome),
+            worker=opened.worker_id,
+            sent=opened.sent_count,
+            sent_s_ago=round(now_s - opened.sent_at_s, 3),
         )
         kinds = machines.DutyOutcome
         if outcome is kinds.DONE:
@@ -399,6 +406,9 @@
             kind=str(duty.kind),
             pool=duty.pool,
             wave=duty.wave_number,
+            phase=opened.phase.name.lower(),
+            worker=opened.worker_id,
+            is_known=view is not None,
             runs=len(view.runs) if view is not None else 0,
         )
 
@@ -425,10 +435,19 @@
     def _reserve_next_worker(
         self, opened: OpenDuty, machine: machines.Machine
     ) -> None:
-        opened.worker_id = machine.worker_id
+        former, opened.worker_id = opened.worker_id, machine.worker_id
         view = self._find_worker(machine.worker_id)
         if view is not None:
             view.is_reserved = True
+        self._scheduler.log_decision(
+            'duty_worker_changed',
+            machine=machine.name,
+            phase=opened.phase.name.lower(),
+            former=former,
+            worker=machine.worker_id,
+            is_known=view is not None,
+            runs=len(view.runs) if view is not None else 0,
+        )
 
     def _send(self, opened: OpenDuty, now_s: float) -> None:
         if opened.is_call_pending or now_s < opened.retry_at_s:
@@ -438,6 +457,8 @@
         ):
             return
         opened.is_call_pending = True
+        opened.sent_count += 1
+        opened.sent_at_s = now_s
         self._calls.append(
             machines.DutyOrder(opened.duty, self._holder, self._fence)
         )
@@ -461,14 +482,14 @@
                 continue
             if run.step.is_lasting:
                 if self._may_stop(run):
-                    self._scheduler.stop_run(view, run, now_s)
+                    self._scheduler.empty_run(view, run, now_s)
             elif opened.duty.kind is state.DutyKind.UPKEEP and (
                 run.step.saves_progress
                 or now_s >= opened.phase_at_s + TASK_END_TIMEOUT_S
             ):
                 # Finite tasks aren't stopped for a move, as a move gains less
                 # than the lost work.
-                self._scheduler.stop_run(view, run, now_s)
+                self._scheduler.empty_run(view, run, now_s)
         return not view.runs
 
     def _may_stop(self, run: RunView) -> bool:
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -1,6 +1,7 @@
 """State that the components of the job scheduler on the leader share."""
 
 import dataclasses
+import enum
 import math
 
 from greengagering.coordination.jobs import WorkIndex
@@ -22,6 +23,39 @@
 """Delay before an unanswered order is sent again; a few round trips."""
 
 
+class StopCause(enum.StrEnum):
+    """Why a run is ordered to stop.
+
+    EMPTYING: its machine is emptied for a move or an upkeep.
+    DRAINING: its worker drains, and another has room.
+    STALLED: it makes no progress, and another worker has room.
+    JOB_FINISHED: its job has finished or was cancelled.
+    UNRESOLVED: its worker may run it or not, after unanswered start orders.
+    WITHDRAWN: its worker's room or its customer's limit was lowered before
+        its start was confirmed.
+    """
+
+    EMPTYING = 'emptying'
+    DRAINING = 'draining'
+    STALLED = 'stalled'
+    JOB_FINISHED = 'job_finished'
+    UNRESOLVED = 'unresolved'
+    WITHDRAWN = 'withdrawn'
+
+
+class VoidCause(enum.StrEnum):
+    """How it is known that a run neither runs nor can start any more.
+
+    REFUSED: its worker refused the only order to start it.
+    NOT_ORDERED: its start was withdrawn before it was ordered.
+    ABSENT: its worker doesn't list it.
+    """
+
+    REFUSED = 'refused'
+    NOT_ORDERED = 'not_ordered'
+    ABSENT = 'absent'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """Log event of a decision, with its fields."""
@@ -57,6 +91,7 @@
         logged_once: events of log_once in this term.
         lost_run_counts: runs lost with their worker, by the cause in
             LifeOver.
+        stop_counts: runs ordered to stop, by cause.
         is_plan_due: whether something has changed since tasks were last
             assigned, so that the next step assigns them again.
     """
@@ -81,6 +116,7 @@
         self.short_services: set[str] = set()
         self.logged_once: set[str] = set()
         self.lost_run_counts: dict[str, int] = {}
+        self.stop_counts: dict[str, int] = {}
         self.is_plan_due = False
         self._routed_plan: state.RoutePlan | None = None
         self._services: dict[tuple[str, str], str] = {}
@@ -153,10 +189,21 @@
         customers = plan.customers if plan is not None else ()
         self._weights = {c.name: c.weight for c in customers}
 
-    def stop_run(self, view: WorkerView, run: RunView, now_s: float) -> None:
+    def stop_run(
+        self, view: WorkerView, run: RunView, now_s: float, cause: StopCause
+    ) -> None:
         """Order a run to stop, unless that was ordered already."""
         if run.phase in (RunPhase.STOPPING, RunPhase.STOPPED):
             return
+        self.stop_counts[cause] = self.stop_counts.get(cause, 0) + 1
+        self.log_decision(
+            'run_stopping',
+            run=run.key.name,
+            life=view.key,
+            cause=str(cause),
+            phase=run.phase.name.lower(),
+            phase_s=round(now_s - run.phase_at_s, 3),
+        )
         run.phase = RunPhase.STOPPING
         run.phase_at_s = now_s
         self.order_stop(view, run)
@@ -165,8 +212,18 @@
         """Queue an order to stop a run."""
         self.orders.append(StopOrder(view.facts, run.key, self.fence))
 
-    def propose_void(self, view: WorkerView, run: RunView) -> None:
+    def propose_void(
+        self, view: WorkerView, run: RunView, cause: VoidCause
+    ) -> None:
         """Propose to void a run that neither runs nor can start any more."""
+        self.log_decision(
+            'run_voided',
+            run=run.key.name,
+            life=view.key,
+            cause=str(cause),
+            phase=run.phase.name.lower(),
+            unresolved_starts=run.unresolved_starts,
+        )
         self.pending_voids[run.key.name] = view
         self.proposals.append(state.RunsVoided((run.key,)))
         run.phase = RunPhase.STOPPED
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -3,7 +3,9 @@
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
+from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._leader_core import to_ms
+from greengagering.coordination.scheduling._leader_core import VoidCause
 from greengagering.coordination.workers import LEASE_S
 from greengagering.coordination.workers import MAX_LEASE_S
 from greengagering.coordination.workers import Order
@@ -278,9 +280,9 @@
             view.record_failure(now_s)
             view.paused_until_s = now_s + REFUSAL_PAUSE_S
         if run.unresolved_starts:
-            self._core.stop_run(view, run, now_s)
+            self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
         else:
-            self._core.propose_void(view, run)
+            self._core.propose_void(view, run, VoidCause.REFUSED)
 
     def _schedule_retry(
         self, view: WorkerView, run: RunView, now_s: float
@@ -319,13 +321,12 @@
             is_too_large = view.is_overcommitted
             if is_too_large:
                 self._log_withdrawn(view, run)
-            if (
-                not is_active
-                or is_over_limit
-                or is_too_large
-                or run.unresolved_starts >= MAX_UNRESOLVED_STARTS
-            ):
-                self._core.stop_run(view, run, now_s)
+            if not is_active:
+                self._core.stop_run(view, run, now_s, StopCause.JOB_FINISHED)
+            elif is_over_limit or is_too_large:
+                self._core.stop_run(view, run, now_s, StopCause.WITHDRAWN)
+            elif run.unresolved_starts >= MAX_UNRESOLVED_STARTS:
+                self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
             else:
                 self._order_start(view, run, now_s)
 
@@ -342,18 +343,18 @@
         if run.phase is not RunPhase.ORDERED:
             return
         if job.status is not state.JobStatus.ACTIVE:
-            self._core.propose_void(view, run)
+            self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
             return
         if self._core.limits.is_exceeded(run.customer):
             # The limit was lowered after the run was proposed.
             self._core.log_decision(
                 'start_withdrawn', run=key.name, customer=run.customer
             )
-            self._core.propose_void(view, run)
+            self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
             return
         if view.is_overcommitted:
             self._log_withdrawn(view, run)
-            self._core.propose_void(view, run)
+            self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
             return
         self._order_start(view, run, now_s)
 
--- a/greengagering/coordination/scheduling/_run_relocator.py
+++ b/greengagering/coordination/scheduling/_run_relocator.py
@@ -1,6 +1,7 @@
 """Stops stalled runs, and lasting tasks on draining workers, to move them."""
 
 from greengagering.coordination.scheduling._leader_core import LeaderCore
+from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling import _placement
 from greengagering.coordination.scheduling import _stalls
 from greengagering.coordination.workers import QUARANTINE_STREAK
@@ -46,7 +47,7 @@
         if work is not None:
             index = int(run.key.task.rpartition('.')[2])
             work.failed_at.setdefault(index, set()).add(view.key)
-        self._core.stop_run(view, run, now_s)
+        self._core.stop_run(view, run, now_s, StopCause.STALLED)
 
     def _has_other_place(self, view: WorkerView, run: RunView) -> bool:
         work = self._core.index.find(run.key)
@@ -90,4 +91,4 @@
                 if self._may_restart(run) and _placement.has_place(
                     work, workers
                 ):
-                    self._core.stop_run(view, run, now_s)
+                    self._core.stop_run(view, run, now_s, StopCause.DRAINING)
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -13,6 +13,7 @@
 from greengagering.coordination.scheduling._isolation import isolation_s
 from greengagering.coordination.scheduling._leader_core import Decision
 from greengagering.coordination.scheduling._leader_core import LeaderCore
+from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._pool_need import find_needs
 from greengagering.coordination.scheduling._pool_need import PoolNeed
 from greengagering.coordination.scheduling._run_orders import RunOrders
@@ -119,6 +120,11 @@
         """Number of run ends, by RunEnding value."""
         return self.poller.ending_counts
 
+    @property
+    def stop_counts(self) -> dict[str, int]:
+        """Number of runs ordered to stop, by cause."""
+        return self._core.stop_counts
+
     @property
     def lost_run_counts(self) -> dict[str, int]:
         """Number of runs lost with their worker, by cause of its end."""
@@ -173,9 +179,9 @@
         """Return the workers that a job's tasks may be assigned to."""
         return self._core.usable_workers(job)
 
-    def stop_run(self, view: WorkerView, run: RunView, now_s: float) -> None:
-        """Order a run to stop, unless that was ordered already."""
-        self._core.stop_run(view, run, now_s)
+    def empty_run(self, view: WorkerView, run: RunView, now_s: float) -> None:
+        """Order a run to stop, as its machine is emptied."""
+        self._core.stop_run(view, run, now_s, StopCause.EMPTYING)
 
     def declare_over(
         self, view: WorkerView, cause: str, *, is_crash: bool = False
@@ -486,7 +492,9 @@
                     continue
                 for run in view.runs.values():
                     if run.key.job_id == job_id:
-                        self._core.stop_run(view, run, now_s)
+                        self._core.stop_run(
+                            view, run, now_s, StopCause.JOB_FINISHED
+                        )
 
     def _record_demand(self, job: state.Job, now_s: float) -> None:
         # Machines are asked for only by work within its customer's rate.
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -5,7 +5,9 @@
 
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._leader_core import LeaderCore
+from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._leader_core import to_ms
+from greengagering.coordination.scheduling._leader_core import VoidCause
 from greengagering.coordination.workers import find_paces
 from greengagering.coordination.workers import GRANT_INTERVAL_S
 from greengagering.coordination.workers import is_shared
@@ -272,9 +274,13 @@
             if is_confirmed or is_from_earlier_leader:
                 # It neither runs nor has ended, and can't start any more.
                 self._core.log_decision(
-                    'run_absent', run=run.key.name, life=view.key
+                    'run_absent',
+                    run=run.key.name,
+                    life=view.key,
+                    look_sent_s_ago=round(now_s - sent_at_s, 3),
+                    phase_s=round(now_s - run.phase_at_s, 3),
                 )
-                self._core.propose_void(view, run)
+                self._core.propose_void(view, run, VoidCause.ABSENT)
 
     def _stop_unassigned(self, view: WorkerView, item: ListedRun) -> None:
         self._core.log_decision('run_stray', run=item.key.name, life=view.key)
@@ -287,7 +293,7 @@
     ) -> None:
         job = self._core.jobs.jobs.get(run.key.job_id)
         if job is None or job.status is not state.JobStatus.ACTIVE:
-            self._core.stop_run(view, run, now_s)
+            self._core.stop_run(view, run, now_s, StopCause.JOB_FINISHED)
 
 
 def _run_ratio(run: RunView | None, ran_s: float | None) -> float | None:
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -656,6 +656,8 @@
             metrics.run_ends.set({'ending': ending}, count)
         for cause, count in scheduler.lost_run_counts.items():
             metrics.lost_runs.set({'cause': cause}, count)
+        for cause, count in scheduler.stop_counts.items():
+            metrics.stopped_runs.set({'cause': cause}, count)
         usable = scheduler.count_usable(clock.steady_s())
         metrics.workers.set({'usable': 'yes'}, usable)
         metrics.workers.set({'usable': 'no'}, len(scheduler.workers) - usable)
--- a/greengagering/transport/_metrics.py
+++ b/greengagering/transport/_metrics.py
@@ -46,6 +46,7 @@
     start_wait_seconds: aioprometheus.Histogram
     run_ends: aioprometheus.Gauge
     lost_runs: aioprometheus.Gauge
+    stopped_runs: aioprometheus.Gauge
     orders: aioprometheus.Counter
     order_seconds: aioprometheus.Histogram
     duties: aioprometheus.Counter
@@ -139,6 +140,9 @@
         lost_runs=_gauge(
             registry, 'lost_runs', 'Runs lost with their worker, by cause.'
         ),
+        stopped_runs=_gauge(
+            registry, 'stopped_runs', 'Runs ordered to stop, by cause.'
+        ),
         orders=_counter(
             registry, 'orders_total', 'Orders to workers, by outcome.'
         ),
