Reproduce two runs of one task after orders for machines, listed as red

A platform that answers late, twice or never, with another worker on each machine after a move or an upkeep, makes the leader run tasks twice: it takes the confirmation of a repeated order for the end of the worker that has joined since.

The job search discarded the leader's calls to the platform, and JobWorld's machines carried out every order at once and kept their worker's name, so neither could show it.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -42,6 +42,12 @@
     Then no schedule violates an invariant
     And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, late_orders, held, unsent, leaders, deadly_jobs, crashes_by_tasks, given_up, room_changes and withdrawn
 
+  # Guards against two runs of a task, and tasks stopped again and again, while orders for machines are answered late, twice or never.
+  Scenario: No task runs twice while machines move, go down and get new workers
+    When 60 schedules of the machine search run from seed 0
+    Then no schedule violates an invariant
+    And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, leaders, waves and confirmed_again
+
   # Guards against answers that are matched to other calls after restarts, delays and duplicates.
   Scenario: No caller gets an answer that belongs to another job or to an earlier call
     When 300 schedules of the reply search run from seed 0
--- /dev/null
+++ b/features/machine_answers.feature
@@ -0,0 +1,35 @@
+Feature: The platform's answer to an order for a machine counts only for the worker that it was for
+
+  Background:
+    Given a leader whose pools have machines
+
+  # Guards against two runs of a task: the second confirmation of a move was taken for the end of the worker that had joined after the first.
+  Scenario: A worker that joined after an unanswered move keeps its runs when the move is confirmed again
+    Given the next answer of the platform to an order for a machine is lost
+    When service-a lacks machines until one from standby has joined and runs tasks
+    And the move is confirmed again
+    Then the worker that has joined counts as over at no time
+    And every task has run once
+
+  # Guards against two runs of a task after a change of leader: a former leader's move was taken for the end of the worker that it had brought.
+  Scenario: A worker that a former leader's move has brought keeps its runs when the new leader repeats the move
+    Given the next answer of the platform to an order for a machine is lost
+    When service-a lacks machines, and the leader is replaced once the move is carried out
+    And the move is confirmed again
+    Then the worker that has joined counts as over at no time
+    And every task has run once
+
+  # Guards against tasks that are stopped and started again and again on a machine that is being emptied, as its worker reported after that had begun.
+  Scenario: A worker that reports after its machine's upkeep was planned gets no tasks
+    Given workers report 2 s after the platform lists them
+    When a machine of service-a comes back from its upkeep, and the next wave names it 0.8 s later
+    And the platform accepts no orders for 6 s
+    And its worker reports, and a job that needs all workers of service-a is submitted
+    Then no task starts on it before its upkeep
+
+  # Guards against the same after a crash, when the machine's worker comes back under its name.
+  Scenario: A worker that crashes while its machine is emptied gets no tasks when it is back
+    When a job with 6 lasting tasks of service-a is submitted
+    And the platform accepts no orders for 6 s
+    And a machine with some of them is being emptied, and its worker crashes and is back
+    Then no task starts on it before its upkeep
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -83,6 +83,9 @@
         given_up: such jobs that failed.
         room_changes: changes of a worker's room while it ran.
         withdrawn: starts not ordered, or not again, as a limit was lowered.
+        confirmed_again: orders for machines that an earlier one had carried
+            out already.
+        waves: upkeep waves that began.
     """
 
     accepted: int = 0
@@ -105,6 +108,8 @@
     crashes_by_tasks: int = 0
     given_up: int = 0
     room_changes: int = 0
+    confirmed_again: int = 0
+    waves: int = 0
 
     def add(self, other: 'JobResult') -> None:
         """Add another schedule's counts."""
@@ -334,11 +339,17 @@
             self.limits.customers[spec.job_id] = customer
         self._propose(
             state.JobAccepted(
-                spec, QUEUE, int(self.now_s * 1000), customer=customer
+                spec,
+                self._choose_queue(),
+                int(self.now_s * 1000),
+                customer=customer,
             ),
             spec,
         )
 
+    def _choose_queue(self) -> state.Queue:
+        return QUEUE
+
     def _make_deadly(self, spec: state.JobSpec) -> None:
         """Let a task of some jobs crash each worker that starts it."""
         if self.deadly_rng.random() >= DEADLY_RATIO:
@@ -442,7 +453,9 @@
         worker.refuse_ratio = REFUSE_RATIO - worker.refuse_ratio
 
     def _crash_worker(self) -> None:
-        name = self.rng.choice(sorted(self.workers))
+        self._crash(self.rng.choice(sorted(self.workers)))
+
+    def _crash(self, name: str) -> None:
         worker = self.workers[name]
         if worker.is_up:
             worker.crash()
@@ -561,11 +574,7 @@
         if self.has_customers:
             self._follow_limits(core)
         for decision in core.jobs.take_decisions():
-            self.result.limits_met += decision.event == 'customer_limit_met'
-            self.result.withdrawn += decision.event == 'start_withdrawn'
-            self.add_trace(
-                decision.event, at=own.replica_id, **decision.fields
-            )
+            self._follow_decision(core, decision)
         self._take_machine_calls(node, core)
         self._collect_applied(node, core)
         if not core.jobs.is_leading:
@@ -573,6 +582,17 @@
         elif core.replica.has_lease(now_s):
             self._send_orders(node, core, now_s)
 
+    def _follow_decision(
+        self, core: coordination.ControlCore, decision: coordination.Decision
+    ) -> None:
+        self.result.limits_met += decision.event == 'customer_limit_met'
+        self.result.withdrawn += decision.event == 'start_withdrawn'
+        self.add_trace(
+            decision.event,
+            at=core.replica.identity.replica_id,
+            **decision.fields,
+        )
+
     def _follow_limits(self, core: coordination.ControlCore) -> None:
         plan = core.state.jobs.plan
         if plan is not None and self.limits.add_plan(plan):
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -168,6 +168,7 @@
         self.refusal_count = 0
         self.labels: tuple[str, ...] = ()
         self.rack = 'rack-1'
+        self.service = 'service-a'
         self.room = ROOM
         self.lasting_run_s: float | None = None
         self.is_draining = False
@@ -195,11 +196,16 @@
         self._clock_base_s = now_s
 
     def crash(self) -> None:
-        """End the process and all of its runs."""
+        """End the process and all of its runs without a notice."""
         for run in self.runs.values():
-            self.ledger.remove_run(self, run.key)
             count = self.ledger.crashed_under.get(run.key.task_name, 0) + 1
             self.ledger.crashed_under[run.key.task_name] = count
+        self.end()
+
+    def end(self) -> None:
+        """End the process and all of its runs."""
+        for run in self.runs.values():
+            self.ledger.remove_run(self, run.key)
         self.runs.clear()
         self.is_up = False
 
@@ -212,7 +218,7 @@
         return state.WorkerFacts(
             self.worker_id,
             self.born_ms,
-            'service-a',
+            self.service,
             f'{self.worker_id}:80',
             'dc-1',
             self.rack,
