End only the worker that an order for a machine was first sent to

Cause: the platform confirms a move or an upkeep also if an earlier order has carried it out. The leader took each confirmation for the end of whichever worker it had found on the machine last. If the first order had been carried out without an answer, or by a former leader, that was the worker that had joined after it: its incarnation was declared over, and its tasks started elsewhere, while it went on. Its next report brought it back, and its runs were stopped as unassigned. And a machine was reserved by a mark on the view of its worker, so a worker that the leader didn't know yet, or that restarted under its name, was usable while its machine was being emptied: each task that started there was stopped at once, and started there again.

Change: an answer counts for the call that it belongs to, by its number. A confirmation ends the incarnation that the first call was for, and none if a former leader may have sent the order before. A move is settled once the list shows it. Workers are reserved by id, known or not, until the duty is closed; a worker that has joined after it is released then.

--- a/features/machine_answers.feature
+++ b/features/machine_answers.feature
@@ -19,6 +19,14 @@
     Then the worker that has joined counts as over at no time
     And every task has run once
 
+  # Guards against two runs of a task: the second confirmation of an upkeep was taken for the end of the worker that had joined after the first.
+  Scenario: A worker that joined after an unanswered upkeep keeps its runs when the upkeep is confirmed again
+    Given the next answer of the platform to an order for a machine is lost
+    When a machine of service-a has its upkeep, and its next worker gets tasks before the list shows it
+    And the upkeep is confirmed again
+    Then the worker that has joined counts as over at no time
+    And it gets tasks again
+
   # Guards against tasks that are stopped and started again and again on a machine that is being emptied, as its worker reported after that had begun.
   Scenario: A worker that reports after its machine's upkeep was planned gets no tasks
     Given workers report 2 s after the platform lists them
--- a/features/search/machine_search.py
+++ b/features/search/machine_search.py
@@ -172,13 +172,10 @@
         call: coordination.ListMachines,
     ) -> None:
         """Read the list soon, and deliver it, possibly late."""
-        delay_s = self.rng.uniform(0.005, 0.05)
-        if self._is_slow():
-            delay_s = self.rng.uniform(0.05, 1.5)
+        there_s, back_s = self._draw_list_delays_s()
 
         def read() -> None:
             listed = self.platform.listed()
-            back_s = self.rng.uniform(0.005, delay_s)
             self._call_later(back_s, lambda: deliver(listed))
 
         def deliver(listed: tuple[coordination.Machine, ...]) -> None:
@@ -187,7 +184,7 @@
                     call, listed, node.clock.read(self.now_s)
                 )
 
-        self._call_later(delay_s, read)
+        self._call_later(there_s, read)
 
     def _send_duty(
         self,
@@ -226,6 +223,14 @@
             no_answer = coordination.DutyOutcome.NO_ANSWER
             self._call_later(CALL_TIMEOUT_S, lambda: deliver(no_answer))
 
+    def _draw_list_delays_s(self) -> tuple[float, float]:
+        """Return the delays of a request for the list and of its answer."""
+        longest_s = 1.5 if self._is_slow() else 0.05
+        return (
+            self.rng.uniform(0.005, longest_s),
+            self.rng.uniform(0.005, longest_s),
+        )
+
     def _draw_duty_delays_s(self) -> tuple[float, float | None]:
         """Return the delays of an order and of its answer, or None if lost."""
         if not self._is_slow():
--- a/features/steps/machine_answer_steps.py
+++ b/features/steps/machine_answer_steps.py
@@ -114,10 +114,9 @@
     await_joined(context)
 
 
-@when('the move is confirmed again')
-def await_confirmation(context: Any) -> None:
-    world = world_of(context)
-    world.advance(8.0)
+@when('the {kind} is confirmed again')
+def await_confirmation(context: Any, kind: str) -> None:
+    world_of(context).advance(8.0)
 
 
 @then('the worker that has joined counts as over at no time')
@@ -153,6 +152,77 @@
     world.start_wave((context.machine,))
 
 
+@when(
+    'a machine of service-a has its upkeep, and its next worker gets tasks '
+    'before the list shows it'
+)
+def upkeep_unanswered(context: Any) -> None:
+    world = world_of(context)
+    context.machine = first_machine(world, 'service-a')
+    machine = world.platform.machines[context.machine]
+    former = machine.worker_id
+    world.start_wave((context.machine,))
+    world.advance_until(lambda: machine.worker_id not in ('', former), 10.0)
+    context.worker = machine.worker_id
+    world.list_lag_s = 0.4
+    world.submit_lasting(JOB, 6, HALF_WORKER)
+    world.advance_until(lambda: world.running_on(context.worker) != [], 2.0)
+
+
+@then('it gets tasks again')
+def check_used(context: Any) -> None:
+    world = world_of(context)
+    world.submit_lasting('job-2', 6, HALF_WORKER)
+    world.advance_until(lambda: world.running_on(context.worker) != [], 4.0)
+
+
+@when(
+    'a wave over two machines of service-a, one at a time, begins with one of '
+    'them'
+)
+def begin_wave(context: Any) -> None:
+    world = world_of(context)
+    machines = world.platform.machines.values()
+    names = [m.name for m in machines if m.pool == 'service-a'][:2]
+    context.wave_machines = names
+    world.start_wave(tuple(names))
+    world.advance(1.0)
+
+
+@when(
+    'lasting tasks fill the other one, which makes it the first to be emptied'
+)
+def fill_other(context: Any) -> None:
+    world = world_of(context)
+    # The pool's third machine and the other one of the wave hold two each.
+    world.submit_lasting(JOB, 4, HALF_WORKER)
+    world.advance_until(lambda: len(world.ledger.running) == 4, 4.0)
+
+
+@when('the leader is replaced')
+def replace_leader(context: Any) -> None:
+    world_of(context).replace_leader()
+
+
+@then('the wave takes both down within {seconds:g} s, one at a time')
+def check_wave(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    machines = [world.platform.machines[n] for n in context.wave_machines]
+    # The platform raises an error if both are down at the same time.
+    world.advance_until(lambda: all(m.upkept for m in machines), seconds)
+    ordered: set[str] = set()
+    for line in world.trace:
+        name = next((n for n in context.wave_machines if f'={n} ' in line), '')
+        if 'lead_begun' in line:
+            ordered.clear()
+        elif name and 'duty_begun' in line:
+            ordered.add(name)
+        elif name and 'duty_answered' in line and 'outcome=done' in line:
+            ordered.discard(name)
+        assert len(ordered) <= 1, line
+
+
+@given('the platform accepts no orders for {seconds:g} s')
 @when('the platform accepts no orders for {seconds:g} s')
 def refuse_orders(context: Any, seconds: float) -> None:
     world = world_of(context)
--- a/features/support/machine_world.py
+++ b/features/support/machine_world.py
@@ -19,12 +19,14 @@
     Attributes:
         lost_answers: number of the next orders for machines that are carried
             out and not answered.
+        list_lag_s: time until the leader gets a list that it has requested.
         report_delay_s: time until a new worker's first report.
         over: incarnations declared over, with the time and the cause.
     """
 
     def __init__(self) -> None:
         self.lost_answers = 0
+        self.list_lag_s = 0.01
         self.report_delay_s = 0.0
         self.over: list[tuple[float, str, str]] = []
         super().__init__(seed=1)
@@ -85,9 +87,9 @@
     def put_plan(self) -> None:
         """Commit the plan with the pools of the search."""
         self._propose_pools()
-        self.advance_until(
-            lambda: self.leader_node().core.jobs.jobs.plan is not None, 2.0
-        )
+        core = self.leader_node().core
+        assert core is not None
+        self.advance_until(lambda: core.jobs.jobs.plan is not None, 2.0)
 
     def submit_lasting(
         self, job_id: str, task_count: int, millicores: int
@@ -123,6 +125,9 @@
     def _draw_report_delay_s(self) -> float:
         return self.report_delay_s
 
+    def _draw_list_delays_s(self) -> tuple[float, float]:
+        return 0.01, self.list_lag_s
+
     def _draw_duty_delays_s(self) -> tuple[float, float | None]:
         if not self.lost_answers:
             return 0.01, 0.01
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -40,9 +40,10 @@
 """Time from a duty's confirmation after which a machine without a new worker
 counts as lost; the platform takes 1.5 to 2 s."""
 
-STANDBY_UPKEEP_S = 3.5
-"""Time after which a standby machine that is listed as up counts as back from
-its upkeep: the platform takes 2 s, and the rest allows for a stale list."""
+SAME_WORKER_UPKEEP_S = 3.5
+"""Time after which a machine that is listed as up with the worker that it had
+before, or still without one, counts as back from its upkeep: the platform
+takes 2 s, and the rest allows for a stale list."""
 
 MACHINE_CYCLE_S = 4.5
 """Usual time to empty a machine, take it down and get it back."""
@@ -71,11 +72,15 @@
 
     Attributes:
         duty: the duty.
-        worker_id: the machine's worker, which the duty ends, or ''.
+        worker_id: the machine's worker by the newest list, or ''; it is
+            reserved.
         phase: the current phase.
         phase_at_s: when the phase began.
+        is_inherited: whether a former leader may have sent the order.
+        ends_life: key of the incarnation that the duty ends, or '' if that
+            isn't certain; see _send.
         retry_at_s: time before which the order isn't sent again.
-        is_call_pending: whether a call to the platform is unanswered.
+        call_number: number of the unanswered call to the platform, or 0.
         sent_count: number of calls to the platform in this term.
         sent_at_s: when the newest of them was made.
     """
@@ -84,8 +89,10 @@
     worker_id: str
     phase: DutyPhase
     phase_at_s: float
+    is_inherited: bool = False
+    ends_life: str = ''
     retry_at_s: float = float('-inf')
-    is_call_pending: bool = False
+    call_number: int = 0
     sent_count: int = 0
     sent_at_s: float = float('-inf')
 
@@ -105,6 +112,7 @@
         self._list_requested_at_s = float('-inf')
         self._pending_list: machines.ListMachines | None = None
         self._list_count = 0
+        self._call_count = 0
         self._has_listed = False
         self._list_times_s: list[float] = []
         self._calls: list[machines.MachineCall] = []
@@ -182,7 +190,7 @@
             if opened.phase is DutyPhase.RETURNING and (
                 machine is None or self._is_back(opened, machine)
             ):
-                del self.open_duties[opened.duty.machine]
+                self._close_duty(opened)
 
     def handle_duty_outcome(
         self,
@@ -196,9 +204,20 @@
             The records to propose.
         """
         opened = self.open_duties.get(order.duty.machine)
-        if opened is None or order.fence != self._fence:
+        is_current = order.fence == self._scheduler.fence
+        if (
+            opened is None
+            or not is_current
+            or order.number != opened.call_number
+        ):
+            self._scheduler.log_decision(
+                'duty_answer_outdated',
+                machine=order.duty.machine,
+                call=order.number,
+                outcome=str(outcome),
+            )
             return []
-        opened.is_call_pending = False
+        opened.call_number = 0
         self._scheduler.log_decision(
             'duty_answered',
             machine=order.duty.machine,
@@ -212,19 +231,34 @@
         )
         kinds = machines.DutyOutcome
         if outcome is kinds.DONE:
-            opened.phase = DutyPhase.RETURNING
-            opened.phase_at_s = now_s
-            view = self._find_worker(opened.worker_id)
-            if view is not None:
-                self._scheduler.declare_over(view, str(order.duty.kind))
-            return [state.DutySettled(order.duty, is_done=True)]
+            return self._settle(opened, now_s)
         if outcome is kinds.REFUSED:
             del self.open_duties[order.duty.machine]
-            self._release_worker(opened)
+            self._scheduler.release_worker(opened.worker_id)
             return [state.DutySettled(order.duty, is_done=False)]
         opened.retry_at_s = now_s + DUTY_RETRY_S
         return []
 
+    def _settle(self, opened: OpenDuty, now_s: float) -> list[state.JobRecord]:
+        """Settle a duty that is known to be carried out."""
+        opened.phase = DutyPhase.RETURNING
+        opened.phase_at_s = now_s
+        view = self._scheduler.workers.get(opened.ends_life)
+        if view is not None:
+            self._scheduler.declare_over(view, str(opened.duty.kind))
+        return [state.DutySettled(opened.duty, is_done=True)]
+
+    def _close_duty(self, opened: OpenDuty) -> None:
+        """Remove a duty whose machine is back, or isn't awaited any more."""
+        del self.open_duties[opened.duty.machine]
+        machine = self.machines.get(opened.duty.machine)
+        if machine is not None and machine.worker_id == opened.worker_id:
+            # An earlier order had carried the duty out, and this worker has
+            # joined after it.
+            self._scheduler.release_worker(opened.worker_id)
+        else:
+            self._scheduler.abandon_worker(opened.worker_id)
+
     def _reset(self, now_s: float) -> None:
         self._fence = self._scheduler.fence
         self._ordered_in_term.clear()
@@ -274,13 +308,14 @@
             return False
         if opened.duty.kind is state.DutyKind.MOVE:
             return machine.pool == opened.duty.pool
-        if not (opened.worker_id or machine.worker_id):
-            # A standby machine has no worker before its upkeep or after it.
+        if machine.worker_id == opened.worker_id:
+            # A standby machine has no worker before its upkeep or after it,
+            # and the upkeep may have been carried out by an earlier order.
             return (
                 self._list_requested_at_s
-                >= opened.phase_at_s + STANDBY_UPKEEP_S
+                >= opened.phase_at_s + SAME_WORKER_UPKEEP_S
             )
-        return machine.worker_id != opened.worker_id
+        return True
 
     def _advance_wave(
         self, wave: state.WaveState, now_s: float
@@ -396,10 +431,10 @@
             # A former leader may have sent this order already.
             opened.duty = ordered
             opened.phase = DutyPhase.SENDING
+            opened.is_inherited = True
         self.open_duties[duty.machine] = opened
+        self._reserve_worker(machine)
         view = self._find_worker(machine.worker_id)
-        if view is not None:
-            view.is_reserved = True
         self._scheduler.log_decision(
             'duty_begun',
             machine=duty.machine,
@@ -417,11 +452,13 @@
     ) -> list[state.JobRecord]:
         if opened.phase is DutyPhase.RETURNING:
             if now_s >= opened.phase_at_s + RETURN_TIMEOUT_S:
-                del self.open_duties[opened.duty.machine]
+                self._close_duty(opened)
             return []
         machine = self.machines.get(opened.duty.machine)
         if machine is not None and machine.worker_id != opened.worker_id:
             self._reserve_next_worker(opened, machine)
+        if machine is not None and self._is_moved(opened, machine):
+            return self._settle_listed_move(opened, machine, now_s)
         if opened.phase is DutyPhase.EMPTYING:
             if self._empty_machine(opened, now_s) and self._may_order(opened):
                 opened.phase = DutyPhase.COMMITTING
@@ -436,9 +473,9 @@
         self, opened: OpenDuty, machine: machines.Machine
     ) -> None:
         former, opened.worker_id = opened.worker_id, machine.worker_id
+        self._scheduler.abandon_worker(former)
+        self._reserve_worker(machine)
         view = self._find_worker(machine.worker_id)
-        if view is not None:
-            view.is_reserved = True
         self._scheduler.log_decision(
             'duty_worker_changed',
             machine=machine.name,
@@ -449,18 +486,60 @@
             runs=len(view.runs) if view is not None else 0,
         )
 
+    def _reserve_worker(self, machine: machines.Machine) -> None:
+        if machine.worker_id:
+            self._scheduler.reserve_worker(machine.worker_id)
+
+    def _is_moved(self, opened: OpenDuty, machine: machines.Machine) -> bool:
+        """Tell whether the list shows that a move has been carried out."""
+        return (
+            opened.phase is DutyPhase.SENDING
+            and opened.duty.kind is state.DutyKind.MOVE
+            and machine.pool == opened.duty.pool
+        )
+
+    def _settle_listed_move(
+        self, opened: OpenDuty, machine: machines.Machine, now_s: float
+    ) -> list[state.JobRecord]:
+        """Settle a move without waiting for the answer to the order."""
+        self._scheduler.log_decision(
+            'move_listed',
+            machine=machine.name,
+            pool=machine.pool,
+            worker=machine.worker_id,
+            sent=opened.sent_count,
+        )
+        opened.call_number = 0
+        records = self._settle(opened, now_s)
+        if self._is_back(opened, machine):
+            self._close_duty(opened)
+        return records
+
     def _send(self, opened: OpenDuty, now_s: float) -> None:
-        if opened.is_call_pending or now_s < opened.retry_at_s:
+        """Send the order of a duty whose machine is empty.
+
+        The platform also confirms an order that an earlier one has carried
+        out, and the machine may have another worker then. So a confirmation
+        ends the incarnation to which the first order was sent, and none if a
+        former leader may have sent it before.
+        """
+        if opened.call_number or now_s < opened.retry_at_s:
             return
         if not (
             self._empty_machine(opened, now_s) and self._may_order(opened)
         ):
             return
-        opened.is_call_pending = True
+        if not (opened.sent_count or opened.is_inherited):
+            view = self._find_worker(opened.worker_id)
+            opened.ends_life = view.key if view is not None else ''
+        self._call_count += 1
+        opened.call_number = self._call_count
         opened.sent_count += 1
         opened.sent_at_s = now_s
         self._calls.append(
-            machines.DutyOrder(opened.duty, self._holder, self._fence)
+            machines.DutyOrder(
+                opened.duty, self._holder, self._fence, self._call_count
+            )
         )
 
     def _may_order(self, opened: OpenDuty) -> bool:
@@ -547,10 +626,5 @@
         ):
             self._open_duty(duty, now_s)
 
-    def _release_worker(self, opened: OpenDuty) -> None:
-        view = self._find_worker(opened.worker_id)
-        if view is not None:
-            view.is_reserved = False
-
     def _find_worker(self, worker_id: str) -> WorkerView | None:
         return self._scheduler.newest_incarnation(worker_id)
--- a/greengagering/coordination/capacity/_machines.py
+++ b/greengagering/coordination/capacity/_machines.py
@@ -62,11 +62,14 @@
         duty: the duty.
         holder: replica id of the leader.
         fence: number of the leader's term.
+        number: number of this call to the platform, which matches an answer
+            to it.
     """
 
     duty: state.Duty
     holder: str
     fence: int
+    number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -84,6 +84,7 @@
         poll_candidates: keys of incarnations whose next poll may be due now.
         pending_voids: workers of runs whose RunsVoided record is proposed
             and not applied yet, by run name.
+        reserved_workers: ids of the workers whose machines are being emptied.
         suspect_queues: time until which the new jobs of a queue start apart,
             by host and path prefix.
         short_services: services with tasks that found no room when tasks
@@ -112,6 +113,7 @@
         self.decisions: list[Decision] = []
         self.poll_candidates: set[str] = set()
         self.pending_voids: dict[str, WorkerView] = {}
+        self.reserved_workers: set[str] = set()
         self.suspect_queues: dict[tuple[str, str], float] = {}
         self.short_services: set[str] = set()
         self.logged_once: set[str] = set()
@@ -134,6 +136,7 @@
         self.orders.clear()
         self.proposals.clear()
         self.pending_voids.clear()
+        self.reserved_workers.clear()
         self.suspect_queues.clear()
         self.short_services.clear()
         self.logged_once.clear()
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -179,6 +179,31 @@
         """Return the workers that a job's tasks may be assigned to."""
         return self._core.usable_workers(job)
 
+    def reserve_worker(self, worker_id: str) -> None:
+        """Give a worker no new runs, as its machine is being emptied.
+
+        That holds for incarnations that are not known yet as well.
+        """
+        self._core.reserved_workers.add(worker_id)
+        self._set_reserved(worker_id, is_reserved=True)
+
+    def release_worker(self, worker_id: str) -> None:
+        """Give a worker new runs again."""
+        self._core.reserved_workers.discard(worker_id)
+        self._set_reserved(worker_id, is_reserved=False)
+
+    def abandon_worker(self, worker_id: str) -> None:
+        """End the reservation of a worker that has left its machine.
+
+        Its known incarnation gets no runs, as nothing of it can run any more.
+        """
+        self._core.reserved_workers.discard(worker_id)
+
+    def _set_reserved(self, worker_id: str, *, is_reserved: bool) -> None:
+        view = self.newest_incarnation(worker_id)
+        if view is not None:
+            view.is_reserved = is_reserved
+
     def empty_run(self, view: WorkerView, run: RunView, now_s: float) -> None:
         """Order a run to stop, as its machine is emptied."""
         self._core.stop_run(view, run, now_s, StopCause.EMPTYING)
@@ -451,6 +476,7 @@
     def _add_worker(self, life: state.WorkerLife, now_s: float) -> None:
         view = WorkerView(life.facts, now_s)
         view.is_draining = life.is_draining
+        view.is_reserved = life.facts.worker_id in self._core.reserved_workers
         view.proposed_end = life.noted_end
         self._core.incarnations.add(view)
         self._core.poll_candidates.add(view.key)
