Take up a former leader's orders before a wave's next machine

Callers would have seen more machines down than a wave allows. A new leader opened duties for the next machines of a wave before those that its predecessor had ordered and not settled, and so didn't count these as down.

Change: open duties of the former leader are taken up first.

--- a/features/machine_answers.feature
+++ b/features/machine_answers.feature
@@ -41,3 +41,11 @@
     And the platform accepts no orders for 6 s
     And a machine with some of them is being emptied, and its worker crashes and is back
     Then no task starts on it before its upkeep
+
+  # Guards against more machines down than a wave allows: a new leader began the next machine before it took up a former leader's order.
+  Scenario: A new leader counts a machine of a wave whose order a former leader may have sent
+    Given the platform accepts no orders for 8 s
+    When a wave over two machines of service-a, one at a time, begins with one of them
+    And lasting tasks fill the other one, which makes it the first to be emptied
+    And the leader is replaced
+    Then the wave takes both down within 30 s, one at a time
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -134,6 +134,7 @@
         self._list_machines(now_s)
         if not self._has_listed:
             return []
+        self._reopen_duties(now_s)
         records: list[state.JobRecord] = []
         for wave in self.jobs.waves.values():
             records += self._advance_wave(wave, now_s)
@@ -611,13 +612,19 @@
                 return run.is_listed and run.percent >= FULL_PERCENT
         return False
 
-    def _plan_moves(self, now_s: float) -> None:
+    def _reopen_duties(self, now_s: float) -> None:
+        """Continue the duties that a former leader left open.
+
+        They come before new ones, as the machines of a wave among them count
+        as down.
+        """
         for duty in self.jobs.duties.values():
-            # Duties that a former leader left open are finished first.
             if duty.machine not in self.open_duties and (
                 duty.machine in self.machines
             ):
                 self._open_duty(duty, now_s)
+
+    def _plan_moves(self, now_s: float) -> None:
         for duty in self.pool_planner.find_moves(
             self._scheduler,
             self.machines,
