Send each order to a worker once in a call

What callers saw: a task could run twice at the same time. The client sent an order again when the worker closed the connection without an answer, as every order is idempotent. Its answer isn't: the worker may have carried out the first sending, or may do so seconds later, and refuse the second one (no room, unhealthy, permit). The refusal was taken for the outcome of both, so the run was voided and its task started elsewhere, and the grant of the lease was closed as not taken. A poll sent again could also reach a restarted worker of the same name with the former one's noted end, by which it drops ends of its own.

Cause: an answer is taken for the outcome of every sending of an order.

Design: a call sends once, so that an answer belongs to one sending; a broken connection is NO_ANSWER, for which starts, grants, stops and retries are accounted already, through agents as well and with processes of the former version. Weighed against it: an answer that tells how many sendings went unanswered. That saves the retry's 0.3 s, but needs a rule in every place that reads an answer, and a new field between processes. The retry is rare: a connection that the worker closes while it is idle is replaced without a failure.

--- /dev/null
+++ b/features/steps/worker_order_steps.py
@@ -0,0 +1,239 @@
+"""Steps about sendings of orders to workers that break connections."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.search import job_search
+from features.search import worker_fakes
+from greengagering import coordination
+from greengagering.platform import _worker_calls
+from greengagering import state
+
+NOTICE_ITERATIONS = 10
+"""Iterations of the event loop within which a client notices that an idle
+connection was closed."""
+
+KEY = state.RunKey('job1', '0.0.0', 1)
+
+DONE = b'200 OK\r\n', b'{"wallClockMs":1000}'
+NO_ROOM = b'409 Conflict\r\n', b'{"wallClockMs":1000,"reason":"room"}'
+
+Handler = Callable[[int], tuple[bytes, bytes] | None]
+
+
+class SocketWorker:
+    """A worker that answers as a handler says, and may break connections.
+
+    Attributes:
+        requests: bodies of the requests, in the order of their arrival.
+        connections: number of connections opened.
+        closed: number of connections closed.
+    """
+
+    def __init__(self, handler: Handler, *, closes_idle: bool = False) -> None:
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.closed = 0
+        self._handler = handler
+        self._closes_idle = closes_idle
+
+    async def run(
+        self, use: Callable[[state.WorkerFacts], Awaitable[None]]
+    ) -> None:
+        """Listen while a function uses the worker."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        try:
+            await use(create_facts(f'127.0.0.1:{port}'))
+        finally:
+            server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while await self._answer(reader, writer):
+                pass
+        finally:
+            writer.close()
+            await writer.wait_closed()
+            self.closed += 1
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a request; return whether the connection stays open."""
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            # The client has closed the connection.
+            return False
+        length = 0
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                length = int(line.partition(b':')[2])
+        self.requests.append(await reader.readexactly(length))
+        response = self._handler(len(self.requests))
+        if response is None:
+            return False
+        status, body = response
+        writer.write(
+            b'HTTP/1.1 ' + status + b'Content-Type: application/json\r\n'
+            b'Content-Length: %d\r\n\r\n' % len(body) + body
+        )
+        await writer.drain()
+        return not self._closes_idle
+
+
+def create_facts(address: str) -> state.WorkerFacts:
+    """Return what a worker at an address reports about itself."""
+    return state.WorkerFacts(
+        'worker-0', 1, 'service-a', address, 'dc-1', 'r', (), worker_fakes.ROOM
+    )
+
+
+def create_scheduler(facts: state.WorkerFacts) -> coordination.JobScheduler:
+    """Return the scheduler of a leader that has polled a worker.
+
+    One job with one lasting task waits.
+    """
+    jobs = state.JobsState()
+    step = state.StepSpec(1, state.Room(1000, 100), is_lasting=True)
+    spec = state.JobSpec(KEY.job_id, 'text', (step,))
+    record = state.JobAccepted(spec, job_search.QUEUE, 0)
+    state.apply_to_jobs(jobs, record)
+    state.apply_to_jobs(jobs, state.LifeSeen(facts))
+    scheduler = coordination.JobScheduler(jobs)
+    scheduler.start_leading(1, 0.0, 0)
+    report = coordination.WorkerReport(facts, 1, 900, is_draining=False)
+    scheduler.handle_report(report, 0.0)
+    poll = scheduler.next_poll(facts.key, 0.0)
+    assert poll is not None
+    lists = coordination.LookAnswer(
+        coordination.OrderOutcome.DONE, 900, facts.born_ms
+    )
+    scheduler.handle_poll_answer(poll, 0, lists, 0.0, 0.0)
+    return scheduler
+
+
+def commit(
+    scheduler: coordination.JobScheduler, now_s: float
+) -> list[state.JobRecord]:
+    """Run a step, commit its proposals and return them."""
+    records = scheduler.step(now_s, 0)
+    records += scheduler.take_proposals()
+    for record in records:
+        state.apply_to_jobs(scheduler.jobs, record)
+        scheduler.handle_applied(record, now_s, 0)
+    return records
+
+
+@given(
+    'a worker that closes the connection of the first order and refuses the '
+    'next ones for lack of room'
+)
+def breaking_worker(context: Any) -> None:
+    context.worker = SocketWorker(
+        lambda number: None if number == 1 else NO_ROOM
+    )
+
+
+@given('a worker that closes each connection after its answer')
+def closing_worker(context: Any) -> None:
+    context.worker = SocketWorker(lambda number: DONE, closes_idle=True)
+
+
+@when('the leader orders a start')
+def order_start(context: Any) -> None:
+    async def use(facts: state.WorkerFacts) -> None:
+        context.scheduler = scheduler = create_scheduler(facts)
+        commit(scheduler, 0.1)
+        (order,) = scheduler.take_orders()
+        assert isinstance(order, coordination.StartOrder)
+        context.sent_at_s = 0.1
+        grant = scheduler.open_start_grant(order, context.sent_at_s)
+        client = _worker_calls.WorkerCalls()
+        answer = await client.start(order)
+        await client.close()
+        scheduler.handle_order_answer(order, grant, answer, 0.2)
+        context.view = scheduler.workers[facts.key]
+        context.records = commit(scheduler, 0.2)
+
+    asyncio.run(context.worker.run(use))
+
+
+@then('the worker has received the order once')
+def check_received(context: Any) -> None:
+    count = len(context.worker.requests)
+    assert count == 1, f'received {count} times'
+
+
+@then('the run is not voided')
+def check_not_voided(context: Any) -> None:
+    assert not any(
+        isinstance(record, state.RunsVoided) for record in context.records
+    ), context.records
+    assert KEY.name in context.view.runs
+
+
+@then("the worker's lease counts as possibly held for {seconds:g} s")
+def check_lease(context: Any, seconds: float) -> None:
+    held_s = context.view.lease_ends_at_s() - context.sent_at_s
+    assert held_s >= seconds, held_s
+
+
+@when('the leader polls it')
+def poll_worker(context: Any) -> None:
+    async def use(facts: state.WorkerFacts) -> None:
+        client = _worker_calls.WorkerCalls()
+        context.answer = await client.poll(
+            coordination.LookOrder(facts, 1, 7, 0, 0)
+        )
+        await client.close()
+
+    asyncio.run(context.worker.run(use))
+
+
+@then('the poll counts as unanswered')
+def check_unanswered_poll(context: Any) -> None:
+    outcome = context.answer.outcome
+    assert outcome is coordination.OrderOutcome.NO_ANSWER, outcome
+
+
+@when('it gets {count:d} orders one after the other')
+def send_orders(context: Any, count: int) -> None:
+    context.outcomes = []
+
+    async def use(facts: state.WorkerFacts) -> None:
+        client = _worker_calls.WorkerCalls()
+        for _ in range(count):
+            order = coordination.StopOrder(facts, KEY, 1)
+            answer = await client.stop(order)
+            context.outcomes.append(answer.outcome)
+            await _wait_for_notice(context.worker)
+        await client.close()
+
+    asyncio.run(context.worker.run(use))
+
+
+async def _wait_for_notice(worker: SocketWorker) -> None:
+    """Wait until a worker's connections are closed at both ends."""
+    while worker.closed < worker.connections:
+        await asyncio.sleep(0)
+    for _ in range(NOTICE_ITERATIONS):
+        await asyncio.sleep(0)
+
+
+@then('each of them is answered over a connection of its own')
+def check_connections(context: Any) -> None:
+    outcomes = context.outcomes
+    done = coordination.OrderOutcome.DONE
+    assert all(outcome is done for outcome in outcomes), outcomes
+    assert context.worker.connections == len(outcomes)
--- /dev/null
+++ b/features/worker_orders.feature
@@ -0,0 +1,22 @@
+Feature: An answer to an order counts only for the sending that it belongs to
+
+  # Guards against a task that runs twice: the worker carries out a start, closes the connection, and refuses a second sending of it.
+  Scenario: A start whose connection breaks leaves the run and its lease open
+    Given a worker that closes the connection of the first order and refuses the next ones for lack of room
+    When the leader orders a start
+    Then the run is not voided
+    And the worker's lease counts as possibly held for 20 s
+    And the worker has received the order once
+
+  # Guards against run ends that a restarted worker drops by a number that was meant for the one before it.
+  Scenario: A poll whose connection breaks is not sent again
+    Given a worker that closes the connection of the first order and refuses the next ones for lack of room
+    When the leader polls it
+    Then the worker has received the order once
+    And the poll counts as unanswered
+
+  # Guards against orders that fail for a connection that the worker has closed since its last answer.
+  Scenario: An idle connection that the worker closes is replaced before the next order
+    Given a worker that closes each connection after its answer
+    When it gets 20 orders one after the other
+    Then each of them is answered over a connection of its own
--- a/greengagering/platform/_worker_calls.py
+++ b/greengagering/platform/_worker_calls.py
@@ -178,9 +178,12 @@
         body: dict[str, Any],
         timeout_s: float,
     ) -> tuple[int, bytes] | None:
-        """Send a request and return status and body, or None on failure.
+        """Send a request once; return status and body, or None on failure.
 
-        A request may be sent twice; every order is idempotent.
+        A request on a connection that breaks isn't sent again: the worker may
+        have carried it out, or still do so, and a refusal of a second sending
+        would be taken for the outcome of both. The scheduler repeats what is
+        still needed, and accounts for each sending.
         """
         if self._session is None:
             self._session = _create_session()
@@ -191,16 +194,13 @@
         }
         url = f'http://{life.address}{path}'
         try:
-            async with asyncio.timeout(timeout_s):
-                for _ in range(2):
-                    try:
-                        async with self._session.post(
-                            url, data=data, headers=headers
-                        ) as response:
-                            return response.status, await response.read()
-                    except aiohttp.ServerDisconnectedError:
-                        # The worker closed the idle connection; use a new one.
-                        continue
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.post(
+                    url, data=data, headers=headers
+                ) as response,
+            ):
+                return response.status, await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             logs.debug(
                 'worker_no_answer',
--- a/greengagering/transport/_worker_client.py
+++ b/greengagering/transport/_worker_client.py
@@ -8,7 +8,9 @@
 class WorkerClient(Protocol):
     """Calls workers; every method returns in bounded time.
 
-    A missing answer is reported as an outcome, never as an exception.
+    A call sends its order or poll to the worker at most once, so that the
+    answer belongs to that sending. A missing answer is reported as an outcome,
+    never as an exception.
     """
 
     async def start(
