Let a restarted worker refuse every run with an open start

What callers saw: a task could run twice at the same time. A start that an agent holds back reaches the worker's restarted process, which has the same name and so accepts it, after the task was started elsewhere.

Cause: an answer to one sending was taken for the outcome of all. Before a replaced incarnation is declared over, its successor must confirm that it refuses the runs whose start may still arrive. Runs that the worker had confirmed or refused, or that were being stopped, were left out, though an earlier start of them may have stayed without an answer.

Change: all runs but those confirmed by the answer to their only start.

--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 
 from behave import given
@@ -237,3 +238,104 @@
     done = coordination.OrderOutcome.DONE
     assert all(outcome is done for outcome in outcomes), outcomes
     assert context.worker.connections == len(outcomes)
+
+
+def answer_order(
+    scheduler: coordination.JobScheduler,
+    order: coordination.Order,
+    outcome: coordination.OrderOutcome,
+    now_s: float,
+) -> None:
+    """Let the scheduler handle an answer to an order."""
+    grant = 0
+    if isinstance(order, coordination.StartOrder):
+        grant = scheduler.open_start_grant(order, now_s)
+    clock_ms = 900 + int(now_s * 1000)
+    if outcome is coordination.OrderOutcome.NO_ANSWER:
+        answer = coordination.OrderAnswer(outcome)
+    else:
+        answer = coordination.OrderAnswer(outcome, clock_ms)
+    scheduler.handle_order_answer(order, grant, answer, now_s)
+
+
+def poll_lists(
+    scheduler: coordination.JobScheduler,
+    facts: state.WorkerFacts,
+    running: tuple[coordination.ListedRun, ...],
+    clock_ms: int,
+    now_s: float,
+) -> None:
+    """Let the scheduler poll a worker, and handle its lists."""
+    poll = scheduler.next_poll(facts.key, now_s)
+    assert poll is not None
+    grant = scheduler.open_poll_grant(poll, now_s)
+    lists = coordination.LookAnswer(
+        coordination.OrderOutcome.DONE, clock_ms, facts.born_ms, running
+    )
+    scheduler.handle_poll_answer(poll, grant, lists, now_s, now_s)
+
+
+@given('a worker that left a start unanswered, and {outcome} its repetition')
+def repeat_start(context: Any, outcome: str) -> None:
+    kinds = coordination.OrderOutcome
+    context.facts = create_facts('w:80')
+    context.scheduler = scheduler = create_scheduler(context.facts)
+    commit(scheduler, 0.1)
+    (first,) = scheduler.take_orders()
+    answer_order(scheduler, first, kinds.NO_ANSWER, 0.6)
+    poll_lists(scheduler, context.facts, (), 1600, 0.7)
+    commit(scheduler, 1.0)
+    (second,) = scheduler.take_orders()
+    assert isinstance(second, coordination.StartOrder)
+    kind = kinds.DONE if outcome == 'carried out' else kinds.UNHEALTHY
+    answer_order(scheduler, second, kind, 1.1)
+    commit(scheduler, 1.1)
+    for stop in scheduler.take_orders():
+        assert isinstance(stop, coordination.StopOrder)
+        answer_order(scheduler, stop, kinds.DONE, 1.2)
+
+
+@when('the worker restarts under its name and lists no run')
+def restart_worker(context: Any) -> None:
+    scheduler = context.scheduler
+    context.restarted = dataclasses.replace(context.facts, born_ms=1300)
+    report = coordination.WorkerReport(
+        context.restarted, 1, 10, is_draining=False
+    )
+    record = scheduler.handle_report(report, 1.31)
+    assert isinstance(record, state.LifeSeen)
+    state.apply_to_jobs(scheduler.jobs, record)
+    scheduler.handle_applied(record, 1.31, 0)
+    poll_lists(scheduler, context.restarted, (), 700, 2.0)
+    context.records = commit(scheduler, 2.0)
+
+
+def is_over(context: Any) -> bool:
+    """Tell whether the last step declared the earlier incarnation over."""
+    return any(
+        isinstance(record, state.LifeOver)
+        and record.life_key == context.facts.key
+        for record in context.records
+    )
+
+
+@then('the earlier incarnation is not over yet')
+def check_not_over(context: Any) -> None:
+    assert not is_over(context), context.records
+
+
+@when('the restarted worker confirms that it refuses the run')
+def confirm_refusal(context: Any) -> None:
+    scheduler = context.scheduler
+    (stop,) = scheduler.take_orders()
+    assert isinstance(stop, coordination.StopOrder), stop
+    assert stop.life == context.restarted
+    assert stop.key.name == KEY.name
+    done = coordination.OrderAnswer(coordination.OrderOutcome.DONE, 800)
+    scheduler.handle_order_answer(stop, 0, done, 2.1)
+    context.records = commit(scheduler, 2.4)
+
+
+@then('the earlier incarnation is over')
+def check_over(context: Any) -> None:
+    assert is_over(context), context.records
--- a/features/worker_orders.feature
+++ b/features/worker_orders.feature
@@ -20,3 +20,16 @@
     Given a worker that closes each connection after its answer
     When it gets 20 orders one after the other
     Then each of them is answered over a connection of its own
+
+  # Guards against a task that runs twice: a start that an agent holds back reaches the restarted worker after the run was given up.
+  Scenario Outline: A run with an unanswered start ends with its worker only once the restarted one refuses it
+    Given a worker that left a start unanswered, and <outcome> its repetition
+    When the worker restarts under its name and lists no run
+    Then the earlier incarnation is not over yet
+    When the restarted worker confirms that it refuses the run
+    Then the earlier incarnation is over
+
+    Examples:
+      | outcome     |
+      | carried out |
+      | refused     |
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -74,14 +74,17 @@
         Orders name the worker, so a later incarnation under the same name may
         accept those that were meant for this one. Therefore the lists of the
         later one must have been read, and it must have confirmed that it
-        refuses the runs whose start orders are still open.
+        refuses the runs of which a start order may still arrive.
         """
         if not successor.is_read:
             return
         if not view.are_blocks_requested:
             view.are_blocks_requested = True
             for run in view.runs.values():
-                if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
+                # A run that is confirmed, stopped or refused may have earlier
+                # start orders without an answer.
+                is_confirmed = run.phase is RunPhase.RUNNING
+                if not is_confirmed or run.unresolved_starts:
                     successor.blocked_runs[run.key.name] = run.key
         if successor.blocked_runs.keys() & view.runs.keys():
             self._order_blocks(successor, now_s)
