Order the pace again while an outdated order may take effect

What callers saw: a filling task goes on at a pace that the leader has replaced, beside a serving task above its target, or slowly where nothing is disturbed.

Cause: an answer to one order to pace was taken for the pace in effect. An unanswered order may be carried out up to 13.5 s later, after newer ones, and two orders under way at once may be carried out in either order. The pace was ordered only when it changed, so neither was corrected.

Change: after an unanswered order each poll orders the pace, until one poll after the time by which that order has been carried out or dropped; after an answer to an older order than the newest, the next poll does.

--- a/features/sharing_rules.feature
+++ b/features/sharing_rules.feature
@@ -29,6 +29,27 @@
     And the serving task's tail latency is reported as 20 ms
     Then the filling task is paced to 30 percent
 
+  # Guards against a filling task that goes on at an outdated pace, as an unanswered order takes effect after newer ones.
+  Scenario: While an unanswered order to pace may take effect, the pace is ordered with each poll
+    When the serving task's tail latency is reported as 20 ms
+    And the order to pace gets no answer
+    And the serving task's tail latency is reported as 130 ms, 3 times
+    And the serving task's tail latency is reported as 130 ms
+    Then the filling task is paced to 0 percent
+    When the serving task's tail latency is reported as 130 ms, 40 times
+    And the serving task's tail latency is reported as 130 ms
+    Then the filling task's pace is not ordered
+
+  # Guards against a pace that stays in effect although a newer one was answered first.
+  Scenario: After answers to two orders to pace in reverse order, the pace is ordered again once
+    When the serving task's tail latency is reported as 20 ms
+    And the serving task's tail latency is reported as 20 ms
+    And the orders to pace are answered, the newest first
+    And the serving task's tail latency is reported as 80 ms
+    Then the filling task is paced to 40 percent
+    When the serving task's tail latency is reported as 80 ms
+    Then the filling task's pace is not ordered
+
   Scenario: Without a serving task it runs at full pace
     When the serving task has ended
     Then the filling task is paced to 100 percent
--- a/features/steps/sharing_rule_steps.py
+++ b/features/steps/sharing_rule_steps.py
@@ -40,6 +40,7 @@
     context.now_s = 0.0
     context.running = (SERVING, FILLING)
     context.pace = None
+    context.paces = []
 
 
 def poll(context: Any, tail_ms: int) -> None:
@@ -64,6 +65,7 @@
         if isinstance(order, coordination.PaceOrder):
             assert order.key == FILLING
             context.pace = order
+            context.paces.append(order)
 
 
 @when("the serving task's tail latency is reported as {tail:d} ms")
@@ -87,6 +89,14 @@
     context.scheduler.handle_order_answer(context.pace, 0, none, context.now_s)
 
 
+@when('the orders to pace are answered, the newest first')
+def answer_newest_first(context: Any) -> None:
+    clock_ms = int(context.now_s * 1000)
+    done = coordination.OrderAnswer(coordination.OrderOutcome.DONE, clock_ms)
+    for order in reversed(context.paces):
+        context.scheduler.handle_order_answer(order, 0, done, context.now_s)
+
+
 @when('the serving task has ended')
 def end_serving(context: Any) -> None:
     context.running = (FILLING,)
@@ -101,6 +111,11 @@
     assert context.pace.percent == percent, context.pace
 
 
+@then("the filling task's pace is not ordered")
+def check_no_pace(context: Any) -> None:
+    assert context.pace is None, context.pace
+
+
 @given('a clock that follows the time of day')
 def new_clock(context: Any) -> None:
     context.clock = DueClock()
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -6,6 +6,7 @@
 from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._leader_core import to_ms
 from greengagering.coordination.scheduling._leader_core import VoidCause
+from greengagering.coordination.workers import handle_pace_answer
 from greengagering.coordination.workers import LEASE_S
 from greengagering.coordination.workers import MAX_LEASE_S
 from greengagering.coordination.workers import Order
@@ -128,9 +129,8 @@
             case StartOrder():
                 self._handle_start_answer(view, run, grant, answer, now_s)
             case PaceOrder():
-                if outcome is not OrderOutcome.DONE and run is not None:
-                    # The next poll orders the pace again.
-                    run.ordered_percent = None
+                if run is not None:
+                    handle_pace_answer(run, order, outcome, now_s)
             case StopOrder():
                 self._handle_stop_answer(view, order, run, outcome, now_s)
         if outcome is OrderOutcome.NO_ANSWER:
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -159,7 +159,7 @@
         self._delay_next_poll(view, answer, now_s)
         self._record_ends(view, answer, now_s)
         self._reconcile_runs(view, answer, sent_at_s, now_s)
-        self._core.orders += find_paces(view, self._core.fence)
+        self._core.orders += find_paces(view, self._core.fence, now_s)
         self._core.is_plan_due = True
 
     def _delay_next_poll(
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -19,6 +19,7 @@
 from greengagering.coordination.workers._orders import StopOrder
 from greengagering.coordination.workers._orders import WorkerReport
 from greengagering.coordination.workers._sharing import find_paces
+from greengagering.coordination.workers._sharing import handle_pace_answer
 from greengagering.coordination.workers._sharing import is_shared
 from greengagering.coordination.workers._sharing import SHARED_POLL_WAIT_S
 from greengagering.coordination.workers._worker_view import counted_cpu
@@ -71,5 +72,6 @@
     'WorkerView',
     'counted_cpu',
     'find_paces',
+    'handle_pace_answer',
     'is_shared',
 ]
--- a/greengagering/coordination/workers/_sharing.py
+++ b/greengagering/coordination/workers/_sharing.py
@@ -3,6 +3,8 @@
 """
 
 from greengagering.coordination.workers import _orders as orders
+from greengagering.coordination.workers._worker_view import MAX_ORDER_DELAY_S
+from greengagering.coordination.workers._worker_view import MAX_SEND_DELAY_S
 from greengagering.coordination.workers._worker_view import RunPhase
 from greengagering.coordination.workers._worker_view import RunView
 from greengagering.coordination.workers._worker_view import WorkerView
@@ -39,12 +41,15 @@
     )
 
 
-def find_paces(view: WorkerView, fence: int) -> list[orders.PaceOrder]:
+def find_paces(
+    view: WorkerView, fence: int, now_s: float
+) -> list[orders.PaceOrder]:
     """Return the orders that set the filling tasks to their pace.
 
     Args:
         view: a worker that was just polled.
         fence: number of the leader's term.
+        now_s: the leader's clock.
     """
     running = [
         run for run in view.runs.values() if run.phase is RunPhase.RUNNING
@@ -55,14 +60,38 @@
         if not run.step.fills:
             continue
         percent = _next_percent(run, tail_ratio, is_shared=is_shared(view))
-        if percent != run.ordered_percent:
+        if percent != run.ordered_percent or run.pace_due_until_s is not None:
             run.ordered_percent = percent
+            if _is_pace_settled(run, now_s):
+                run.pace_due_until_s = None
             pace_orders.append(
                 orders.PaceOrder(view.facts, run.key, percent, fence)
             )
     return pace_orders
 
 
+def handle_pace_answer(
+    run: RunView,
+    order: orders.PaceOrder,
+    outcome: orders.OrderOutcome,
+    now_s: float,
+) -> None:
+    """Order the pace again while another one may be, or come, in effect."""
+    if outcome is not orders.OrderOutcome.DONE:
+        run.ordered_percent = None
+        if outcome is orders.OrderOutcome.NO_ANSWER:
+            late_s = MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
+            run.pace_due_until_s = now_s + late_s
+    elif order.percent != run.ordered_percent and _is_pace_settled(run, now_s):
+        # A newer order may have been carried out before this one.
+        run.pace_due_until_s = now_s
+
+
+def _is_pace_settled(run: RunView, now_s: float) -> bool:
+    """Tell whether no unanswered order to pace may still take effect."""
+    return run.pace_due_until_s is None or now_s >= run.pace_due_until_s
+
+
 def _tail_ratio(run: RunView) -> float:
     """Return the ratio of a serving task's tail latency to its target."""
     if not run.step.tail_target_ms or run.figure is None:
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -108,6 +108,8 @@
         is_listed: whether the worker has listed it as running.
         percent: share of full speed at which it works, as listed.
         ordered_percent: share that was ordered last, or None.
+        pace_due_until_s: time until which each poll orders the pace again, as
+            an earlier order may still be carried out, or None.
         figure: newest measurement that the worker listed for it; see
             ListedRun.
         saved: newest saved progress that the worker listed.
@@ -126,6 +128,7 @@
     is_listed: bool = False
     percent: int = 100
     ordered_percent: int | None = None
+    pace_due_until_s: float | None = None
     figure: int | None = None
     saved: str = ''
     unresolved_starts: int = 0
