Take no response outside the interface for a refusal

What callers saw: a run was given up and its task started elsewhere after a response that says nothing about the order, such as 202, 500 or 504, although the worker may have carried it out. After a redirect the order was sent again, up to ten times, and the last response counted for all of them.

Cause: each status but 200 that the interface doesn't specify counted as a refusal, and redirects were followed.

Change: such a status below 400 or from 500 on counts as no answer, with a log line; redirects are not followed. 4xx remains a refusal.

--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -146,6 +146,13 @@
     )
 
 
+@given('a worker that responds with status {status}')
+def responding_worker(context: Any, status: str) -> None:
+    head = status.encode() + b'\r\nLocation: /run-start\r\n'
+    body = b'{"wallClockMs":1000}'
+    context.worker = SocketWorker(lambda number: (head, body))
+
+
 @given('a worker that closes each connection after its answer')
 def closing_worker(context: Any) -> None:
     context.worker = SocketWorker(lambda number: DONE, closes_idle=True)
@@ -176,11 +183,15 @@
     assert count == 1, f'received {count} times'
 
 
+@then('the run is voided')
+def check_voided(context: Any) -> None:
+    assert state.RunsVoided((KEY,)) in context.records, context.records
+
+
 @then('the run is not voided')
 def check_not_voided(context: Any) -> None:
-    assert not any(
-        isinstance(record, state.RunsVoided) for record in context.records
-    ), context.records
+    voided = state.RunsVoided((KEY,))
+    assert voided not in context.records, context.records
     assert KEY.name in context.view.runs
 
 
--- a/features/worker_orders.feature
+++ b/features/worker_orders.feature
@@ -15,6 +15,34 @@
     Then the worker has received the order once
     And the poll counts as unanswered
 
+  # Guards against a run that is given up by a response that tells nothing about the order, and against orders that follow a redirect.
+  Scenario Outline: A response that the interface doesn't specify proves nothing
+    Given a worker that responds with status <status>
+    When the leader orders a start
+    Then the run is not voided
+    And the worker's lease counts as possibly held for 20 s
+    And the worker has received the order once
+
+    Examples:
+      | status                    |
+      | 202 Accepted              |
+      | 307 Temporary Redirect    |
+      | 500 Internal Server Error |
+      | 504 Gateway Timeout       |
+
+  # Guards against a task that waits for ever on a worker that refuses it.
+  Scenario Outline: A refusal voids the only start
+    Given a worker that responds with status <status>
+    When the leader orders a start
+    Then the run is voided
+
+    Examples:
+      | status                  |
+      | 400 Bad Request         |
+      | 404 Not Found           |
+      | 429 Too Many Requests   |
+      | 503 Service Unavailable |
+
   # Guards against orders that fail for a connection that the worker has closed since its last answer.
   Scenario: An idle connection that the worker closes is replaced before the next order
     Given a worker that closes each connection after its answer
--- a/greengagering/platform/_worker_calls.py
+++ b/greengagering/platform/_worker_calls.py
@@ -197,7 +197,7 @@
             async with (
                 asyncio.timeout(timeout_s),
                 self._session.post(
-                    url, data=data, headers=headers
+                    url, data=data, headers=headers, allow_redirects=False
                 ) as response,
             ):
                 return response.status, await response.read()
@@ -234,8 +234,14 @@
         logs.debug('answer_without_body', status=status)
     if status == 409:
         outcome = _REASONS.get(answer.reason, _outcomes.INVALID)
+    elif status in _STATUSES:
+        outcome = _STATUSES[status]
+    elif 400 <= status < 500:
+        outcome = _outcomes.INVALID
     else:
-        outcome = _STATUSES.get(status, _outcomes.INVALID)
+        # Only a refusal proves that the order is not carried out.
+        logs.warning('status_unknown', status=status)
+        return coordination.OrderAnswer(_outcomes.NO_ANSWER)
     return coordination.OrderAnswer(outcome, answer.wall_clock_ms)
 
 
