Let a listed run go on when a repetition of its start is refused

What callers saw: work was lost. A start stays without an answer and takes effect, the worker lists the run, and the repetition that is under way then is refused, as the worker is unhealthy: the run was stopped.

Cause: the refusal of one sending was taken for the state of the run.

Measured: the new scenario failed before (an order to stop) and passes now.

--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -350,3 +350,30 @@
 @then('the earlier incarnation is over')
 def check_over(context: Any) -> None:
     assert is_over(context), context.records
+
+
+@given(
+    'a worker that left a start unanswered, and whose lists show the run '
+    'before it refuses the repetition'
+)
+def refuse_listed_run(context: Any) -> None:
+    kinds = coordination.OrderOutcome
+    facts = create_facts('w:80')
+    context.scheduler = scheduler = create_scheduler(facts)
+    commit(scheduler, 0.1)
+    (first,) = scheduler.take_orders()
+    answer_order(scheduler, first, kinds.NO_ANSWER, 0.6)
+    poll_lists(scheduler, facts, (), 1600, 0.7)
+    commit(scheduler, 1.0)
+    (second,) = scheduler.take_orders()
+    assert isinstance(second, coordination.StartOrder)
+    listed = coordination.ListedRun(KEY, '', 100, None)
+    poll_lists(scheduler, facts, (listed,), 1950, 1.05)
+    answer_order(scheduler, second, kinds.UNHEALTHY, 1.1)
+    context.records = commit(scheduler, 1.1)
+
+
+@then('no order to stop the run follows')
+def check_no_stop(context: Any) -> None:
+    assert not context.scheduler.take_orders()
+    assert state.RunsVoided((KEY,)) not in context.records
--- a/features/worker_orders.feature
+++ b/features/worker_orders.feature
@@ -61,3 +61,8 @@
       | outcome     |
       | carried out |
       | refused     |
+
+  # Guards against work that is lost: a run that the worker lists is stopped as a second start of it was refused.
+  Scenario: A run that is listed as running goes on when the repetition of its start is refused
+    Given a worker that left a start unanswered, and whose lists show the run before it refuses the repetition
+    Then no order to stop the run follows
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -270,7 +270,8 @@
 
         A refusal proves only that this order was not carried out. An earlier
         order without an answer may have started the run, or may still do so
-        until the run is stopped at the worker.
+        until the run is stopped at the worker. If the worker has listed the
+        run meanwhile, it goes on.
         """
         if outcome is OrderOutcome.NO_PERMIT:
             work = self._core.index.find(run.key)
@@ -279,6 +280,8 @@
         else:
             view.record_failure(now_s)
             view.paused_until_s = now_s + REFUSAL_PAUSE_S
+        if run.phase is RunPhase.RUNNING:
+            return
         if run.unresolved_starts:
             self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
         else:
