--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import dataclasses
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -15,11 +16,18 @@
 from greengagering import coordination
 from greengagering.platform import _worker_calls
 from greengagering import state
+from greengagering.transport._agent_client import AgentClient
+from greengagering.transport._agent_runner import AgentRunner
 
 NOTICE_ITERATIONS = 10
 """Iterations of the event loop within which a client notices that an idle
 connection was closed."""
 
+LARGE_FLEET = 272
+"""Workers of a fleet that is large enough for orders through agents."""
+
+LONG_S = 60.0
+NOW_S = 100.0
 KEY = state.RunKey('job1', '0.0.0', 1)
 
 DONE = b'200 OK\r\n', b'{"wallClockMs":1000}'
@@ -44,10 +52,21 @@
         self._handler = handler
         self._closes_idle = closes_idle
 
-    async def run(
+    def run(self, use: Callable[[state.WorkerFacts], Awaitable[None]]) -> None:
+        """Listen while a function uses the worker.
+
+        Timeouts are so long that a busy machine reaches none.
+        """
+        with (
+            mock.patch.object(_worker_calls, 'ORDER_TIMEOUT_S', LONG_S),
+            mock.patch.object(_worker_calls, 'CONNECT_TIMEOUT_S', LONG_S),
+            mock.patch('greengagering.clock.steady_s', lambda: NOW_S),
+        ):
+            asyncio.run(self._listen(use))
+
+    async def _listen(
         self, use: Callable[[state.WorkerFacts], Awaitable[None]]
     ) -> None:
-        """Listen while a function uses the worker."""
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         try:
@@ -174,7 +193,7 @@
         context.view = scheduler.workers[facts.key]
         context.records = commit(scheduler, 0.2)
 
-    asyncio.run(context.worker.run(use))
+    context.worker.run(use)
 
 
 @then('the worker has received the order once')
@@ -183,6 +202,42 @@
     assert count == 1, f'received {count} times'
 
 
+@when('the leader orders a start through an agent')
+def order_through_agent(context: Any) -> None:
+    offer = coordination.AgentOffer('boot-1', 'dc-1', NOW_S)
+
+    async def use(facts: state.WorkerFacts) -> None:
+        context.scheduler = scheduler = create_scheduler(facts)
+        commit(scheduler, 0.1)
+        (order,) = scheduler.take_orders()
+        assert isinstance(order, coordination.StartOrder)
+        context.sent_at_s = 0.1
+        grant = scheduler.open_start_grant(order, context.sent_at_s)
+        runner = AgentRunner(
+            'entry-1',
+            'boot-1',
+            _worker_calls.WorkerCalls(),
+            lambda address, answers: client.receive(answers),
+        )
+        client = AgentClient(
+            _worker_calls.WorkerCalls(),
+            coordination.AgentRegistry(),
+            lambda: LARGE_FLEET,
+            lambda: NOW_S + 1,
+            lambda agent, batch: runner.receive(batch),
+            'control-1',
+        )
+        client.receive_offer('entry-1', 'entry-1', offer, NOW_S)
+        answer = await client.start(order)
+        await runner.close()
+        await client.close()
+        scheduler.handle_order_answer(order, grant, answer, 0.2)
+        context.view = scheduler.workers[facts.key]
+        context.records = commit(scheduler, 0.2)
+
+    context.worker.run(use)
+
+
 @then('the run is voided')
 def check_voided(context: Any) -> None:
     assert state.RunsVoided((KEY,)) in context.records, context.records
@@ -210,7 +265,7 @@
         )
         await client.close()
 
-    asyncio.run(context.worker.run(use))
+    context.worker.run(use)
 
 
 @then('the poll counts as unanswered')
@@ -232,7 +287,7 @@
             await _wait_for_notice(context.worker)
         await client.close()
 
-    asyncio.run(context.worker.run(use))
+    context.worker.run(use)
 
 
 async def _wait_for_notice(worker: SocketWorker) -> None:
--- a/features/worker_orders.feature
+++ b/features/worker_orders.feature
@@ -8,6 +8,14 @@
     And the worker's lease counts as possibly held for 20 s
     And the worker has received the order once
 
+  # Guards against the same when an agent carries the order.
+  Scenario: A start whose connection to an agent breaks leaves the run and its lease open
+    Given a worker that closes the connection of the first order and refuses the next ones for lack of room
+    When the leader orders a start through an agent
+    Then the run is not voided
+    And the worker's lease counts as possibly held for 20 s
+    And the worker has received the order once
+
   # Guards against run ends that a restarted worker drops by a number that was meant for the one before it.
   Scenario: A poll whose connection breaks is not sent again
     Given a worker that closes the connection of the first order and refuses the next ones for lack of room
