Count the starts under way of a run, and block just those that are open

A restarted worker had to refuse all runs but the confirmed ones, also those whose only start was answered; so a worker with runs that were being stopped had its tasks started again later than needed. Now a run counts as open while an order to start it is queued, sent or unanswered, whatever its phase is.

--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -361,6 +361,28 @@
         answer_order(scheduler, stop, kinds.DONE, 1.2)
 
 
+@given('a worker that has stopped a run, and has not answered its start')
+def stop_unanswered(context: Any) -> None:
+    context.facts = create_facts('w:80')
+    context.scheduler = scheduler = create_scheduler(context.facts)
+    commit(scheduler, 0.1)
+    (start,) = scheduler.take_orders()
+    assert isinstance(start, coordination.StartOrder)
+    view = scheduler.workers[context.facts.key]
+    scheduler.empty_run(view, view.runs[KEY.name], 0.2)
+    (stop,) = scheduler.take_orders()
+    answer_order(scheduler, stop, coordination.OrderOutcome.DONE, 0.3)
+
+
+@given('a worker that has carried out the start of a run')
+def carry_out_start(context: Any) -> None:
+    context.facts = create_facts('w:80')
+    context.scheduler = scheduler = create_scheduler(context.facts)
+    commit(scheduler, 0.1)
+    (start,) = scheduler.take_orders()
+    answer_order(scheduler, start, coordination.OrderOutcome.DONE, 0.3)
+
+
 @when('the worker restarts under its name and lists no run')
 def restart_worker(context: Any) -> None:
     scheduler = context.scheduler
--- a/features/worker_orders.feature
+++ b/features/worker_orders.feature
@@ -70,6 +70,20 @@
       | carried out |
       | refused     |
 
+  # Guards against the same while the start's answer is awaited.
+  Scenario: A run that was stopped before its start was answered ends with its worker only once the restarted one refuses it
+    Given a worker that has stopped a run, and has not answered its start
+    When the worker restarts under its name and lists no run
+    Then the earlier incarnation is not over yet
+    When the restarted worker confirms that it refuses the run
+    Then the earlier incarnation is over
+
+  # Guards against tasks that wait longer than needed after a crash.
+  Scenario: A run whose only start was answered ends with its worker at once
+    Given a worker that has carried out the start of a run
+    When the worker restarts under its name and lists no run
+    Then the earlier incarnation is over
+
   # Guards against work that is lost: a run that the worker lists is stopped as a second start of it was refused.
   Scenario: A run that is listed as running goes on when the repetition of its start is refused
     Given a worker that left a start unanswered, and whose lists show the run before it refuses the repetition
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -2,7 +2,6 @@
 
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
-from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import SILENCE_S
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
@@ -81,10 +80,7 @@
         if not view.are_blocks_requested:
             view.are_blocks_requested = True
             for run in view.runs.values():
-                # A run that is confirmed, stopped or refused may have earlier
-                # start orders without an answer.
-                is_confirmed = run.phase is RunPhase.RUNNING
-                if not is_confirmed or run.unresolved_starts:
+                if run.is_start_open:
                     successor.blocked_runs[run.key.name] = run.key
         if successor.blocked_runs.keys() & view.runs.keys():
             self._order_blocks(successor, now_s)
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -112,16 +112,9 @@
     ) -> None:
         outcome = answer.outcome
         run = view.runs.get(order.key.name)
+        _note_start_answered(order, run)
         if view.is_clock_foreign(answer.clock_ms, now_s):
-            view.raise_lease_end(now_s)
-            if run is not None and run.phase is RunPhase.ORDERED:
-                run.phase = RunPhase.UNCERTAIN
-                run.phase_at_s = now_s
-                run.unresolved_starts += 1
-            self._tracker.handle_other_incarnation(view, now_s)
-            if run is not None:
-                # The incarnation may be the same, and its answer delayed.
-                self._schedule_retry(view, run, now_s)
+            self._handle_foreign_answer(view, order, run, now_s)
             return
         if outcome is not OrderOutcome.NO_ANSWER:
             view.update_clock(answer.clock_ms, now_s)
@@ -136,6 +129,27 @@
         if outcome is OrderOutcome.NO_ANSWER:
             self._core.mark_suspect(view, now_s, 'order')
 
+    def _handle_foreign_answer(
+        self,
+        view: WorkerView,
+        order: Order,
+        run: RunView | None,
+        now_s: float,
+    ) -> None:
+        """Handle an answer with the clock of another incarnation.
+
+        The incarnation may be the same, and its answer delayed.
+        """
+        view.raise_lease_end(now_s)
+        if run is not None and isinstance(order, StartOrder):
+            run.unresolved_starts += 1
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.UNCERTAIN
+                run.phase_at_s = now_s
+        self._tracker.handle_other_incarnation(view, now_s)
+        if run is not None:
+            self._schedule_retry(view, run, now_s)
+
     def handle_unsent_order(self, order: Order, now_s: float) -> None:
         """Retry an order that was dropped as the leader's lease had expired.
 
@@ -146,6 +160,7 @@
         run = view.runs.get(order.key.name) if view is not None else None
         if view is None or run is None or order.fence != self._core.fence:
             return
+        _note_start_answered(order, run)
         self._core.log_decision(
             'order_unsent', run=run.key.name, life=view.key
         )
@@ -204,6 +219,7 @@
         permit = ''
         if work is not None and job.queue.advice is not None:
             permit = self._core.permits.permit(work, view.key)
+        run.starts_under_way += 1
         self._core.orders.append(
             StartOrder(
                 life=view.facts,
@@ -370,3 +386,9 @@
             free_millicores=view.free_cpu,
             free_mb=view.free_memory,
         )
+
+
+def _note_start_answered(order: Order, run: RunView | None) -> None:
+    """Count a start order that is answered, unanswered for good or unsent."""
+    if run is not None and isinstance(order, StartOrder):
+        run.starts_under_way -= 1
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -115,6 +115,8 @@
         saved: newest saved progress that the worker listed.
         unresolved_starts: number of start orders that had no answer, came
             too late, or were answered with another incarnation's clock.
+        starts_under_way: number of start orders that are queued or sent, and
+            not answered yet.
         customer: customer that its job belongs to, or ''.
         isolated_s: run time until which nothing else starts on its worker.
     """
@@ -132,9 +134,20 @@
     figure: int | None = None
     saved: str = ''
     unresolved_starts: int = 0
+    starts_under_way: int = 0
     customer: str = ''
     isolated_s: float = 0.0
 
+    @property
+    def is_start_open(self) -> bool:
+        """Whether an order to start it may still be carried out.
+
+        That holds for a run that is confirmed, stopped or refused as well, if
+        another order was sent.
+        """
+        is_unknown = self.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN)
+        return is_unknown or self.unresolved_starts + self.starts_under_way > 0
+
 
 class RunObserver(Protocol):
     """Learns of every run that any view gets or no longer has."""
