--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -2,7 +2,6 @@
 
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
-from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import SILENCE_S
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
@@ -74,14 +73,14 @@
         Orders name the worker, so a later incarnation under the same name may
         accept those that were meant for this one. Therefore the lists of the
         later one must have been read, and it must have confirmed that it
-        refuses the runs whose start orders are still open.
+        refuses the runs of which a start order may still arrive.
         """
         if not successor.is_read:
             return
         if not view.are_blocks_requested:
             view.are_blocks_requested = True
             for run in view.runs.values():
-                if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
+                if run.is_start_open:
                     successor.blocked_runs[run.key.name] = run.key
         if successor.blocked_runs.keys() & view.runs.keys():
             self._order_blocks(successor, now_s)
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -6,6 +6,7 @@
 from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._leader_core import to_ms
 from greengagering.coordination.scheduling._leader_core import VoidCause
+from greengagering.coordination.workers import handle_pace_answer
 from greengagering.coordination.workers import LEASE_S
 from greengagering.coordination.workers import MAX_LEASE_S
 from greengagering.coordination.workers import Order
@@ -111,16 +112,9 @@
     ) -> None:
         outcome = answer.outcome
         run = view.runs.get(order.key.name)
+        _note_start_answered(order, run)
         if view.is_clock_foreign(answer.clock_ms, now_s):
-            view.raise_lease_end(now_s)
-            if run is not None and run.phase is RunPhase.ORDERED:
-                run.phase = RunPhase.UNCERTAIN
-                run.phase_at_s = now_s
-                run.unresolved_starts += 1
-            self._tracker.handle_other_incarnation(view, now_s)
-            if run is not None:
-                # The incarnation may be the same, and its answer delayed.
-                self._schedule_retry(view, run, now_s)
+            self._handle_foreign_answer(view, order, run, now_s)
             return
         if outcome is not OrderOutcome.NO_ANSWER:
             view.update_clock(answer.clock_ms, now_s)
@@ -128,14 +122,34 @@
             case StartOrder():
                 self._handle_start_answer(view, run, grant, answer, now_s)
             case PaceOrder():
-                if outcome is not OrderOutcome.DONE and run is not None:
-                    # The next poll orders the pace again.
-                    run.ordered_percent = None
+                if run is not None:
+                    handle_pace_answer(run, order, outcome, now_s)
             case StopOrder():
                 self._handle_stop_answer(view, order, run, outcome, now_s)
         if outcome is OrderOutcome.NO_ANSWER:
             self._core.mark_suspect(view, now_s, 'order')
 
+    def _handle_foreign_answer(
+        self,
+        view: WorkerView,
+        order: Order,
+        run: RunView | None,
+        now_s: float,
+    ) -> None:
+        """Handle an answer with the clock of another incarnation.
+
+        The incarnation may be the same, and its answer delayed.
+        """
+        view.raise_lease_end(now_s)
+        if run is not None and isinstance(order, StartOrder):
+            run.unresolved_starts += 1
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.UNCERTAIN
+                run.phase_at_s = now_s
+        self._tracker.handle_other_incarnation(view, now_s)
+        if run is not None:
+            self._schedule_retry(view, run, now_s)
+
     def handle_unsent_order(self, order: Order, now_s: float) -> None:
         """Retry an order that was dropped as the leader's lease had expired.
 
@@ -146,6 +160,7 @@
         run = view.runs.get(order.key.name) if view is not None else None
         if view is None or run is None or order.fence != self._core.fence:
             return
+        _note_start_answered(order, run)
         self._core.log_decision(
             'order_unsent', run=run.key.name, life=view.key
         )
@@ -204,6 +219,7 @@
         permit = ''
         if work is not None and job.queue.advice is not None:
             permit = self._core.permits.permit(work, view.key)
+        run.starts_under_way += 1
         self._core.orders.append(
             StartOrder(
                 life=view.facts,
@@ -270,7 +286,8 @@
 
         A refusal proves only that this order was not carried out. An earlier
         order without an answer may have started the run, or may still do so
-        until the run is stopped at the worker.
+        until the run is stopped at the worker. If the worker has listed the
+        run meanwhile, it goes on.
         """
         if outcome is OrderOutcome.NO_PERMIT:
             work = self._core.index.find(run.key)
@@ -279,6 +296,8 @@
         else:
             view.record_failure(now_s)
             view.paused_until_s = now_s + REFUSAL_PAUSE_S
+        if run.phase is RunPhase.RUNNING:
+            return
         if run.unresolved_starts:
             self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
         else:
@@ -367,3 +386,9 @@
             free_millicores=view.free_cpu,
             free_mb=view.free_memory,
         )
+
+
+def _note_start_answered(order: Order, run: RunView | None) -> None:
+    """Count a start order that is answered, unanswered for good or unsent."""
+    if run is not None and isinstance(order, StartOrder):
+        run.starts_under_way -= 1
