Refuse odd numbers, addresses and nesting where input is read

Callers saw: a heartbeat, job, configuration or wave that was nested 1,000 levels or deeper, or held a number above 64 bits, was answered 500 with a traceback, and answered so again by the next process. A job with firstMs 1e300 was accepted by an entry, whose step then failed at each sending and lost the other messages of that step. A port of 0, 99999 or other digits than ASCII was taken as an address.

Cause: msgspec raises RecursionError for depth, which no reader caught; numbers had no bounds, so OverflowError came where they were stored; and str.isdigit accepts digits that int can't convert.

Change: state.decode and state.decode_json are the only places where bytes are decoded, and both turn depth into a DecodeError. protocol.bounds holds the types and checks of numbers, addresses, ids and hosts for msgspec and pydantic models alike. A refusal names the field, with its position in a list, and the number, and is bounded in length; a value of a wrong type isn't shown, as it may be a key. A plan in force that a former version accepted is read without the bounds, as it would otherwise serve no call.

--- a/features/search/input_fuzz.py
+++ b/features/search/input_fuzz.py
@@ -5,10 +5,16 @@
 import random
 from typing import Any
 
+from greengagering import coordination
+from greengagering.platform import _jobs
+from greengagering.platform import _plans
+from greengagering.platform import _reports
+from greengagering.platform import _waves
 from greengagering import protocol
 from greengagering.protocol import errors
 from greengagering.protocol import link_pb2
 from greengagering.protocol import links
+from greengagering import state
 
 TICKET: dict[str, Any] = {
     'number': 5,
@@ -32,13 +38,91 @@
     'sequence': 1,
     'in_flight_count': 0,
 }
+HEARTBEAT: dict[str, Any] = {
+    'service': 'alpha',
+    'address': '10.0.0.9:8080',
+    'zone': 'z-1',
+    'state': 'ready',
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'wallClockMs': 482113,
+    'seq': 4,
+    'born': 1000,
+}
+JOB: dict[str, Any] = {
+    'spec': 'text',
+    'steps': [
+        {
+            'count': 2,
+            'cpu': 500,
+            'memMb': 256,
+            'estMs': 900,
+            'maxPerServer': 2,
+            'targetMs': 40,
+            'mayMiss': 1,
+        }
+    ],
+    'times': 2,
+    'firstMs': 1000,
+    'intervalMs': 500,
+}
+CONFIGURATION: dict[str, Any] = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'a.example',
+            'pathPrefix': '/quick/',
+            'timeoutMs': 3000,
+            'targetDurationMs': 600,
+            'priority': 1,
+            'service': 'alpha',
+            'attempts': 2,
+            'stretch': 1.6,
+            'advice': {'decideMs': 5, 'eachMs': 1, 'validityMs': 900},
+        }
+    ],
+    'services': [{'name': 'alpha', 'maxConns': 64}],
+    'limits': {'maxBodyBytes': 1000},
+    'tenants': [
+        {
+            'name': 'first',
+            'apiKeys': ['secret-1'],
+            'weight': 68,
+            'maxCount': {'cpu': 7000, 'memMb': 12000, 'gpu': 0},
+        }
+    ],
+}
+WAVE: dict[str, Any] = {
+    'wave': 1,
+    'machines': ['m-1', 'm-2'],
+    'deadlineS': 20,
+    'maxCount': 1,
+}
+NESTED_DEPTH = 5000
+"""More levels than any interpreter decodes by recursion."""
+
+NESTED = '@nested@'
 ODD_VALUES: tuple[Any, ...] = (
     None,
     True,
     -1,
     0,
+    2**63,
+    2**64 - 1,
     2**70,
+    10**30,
+    -(10**30),
     1.5,
+    1e300,
+    NESTED,
+    '10.0.0.9:0',
+    '10.0.0.9:99999',
+    '10.0.0.9:\u00b2',
+    '10.0.0.9:\u0663',
+    'a b:80',
+    '[::1:80',
+    '..:80',
     '',
     ' ',
     'x' * 5000,
@@ -79,28 +163,38 @@
             self._read(protocol.parse_ticket, self._mutate(TICKET))
             self._read(_announce, self._mutate(ANNOUNCEMENT))
             self._read(_decode, self._random_message())
+            self._read(_report, self._mutate(HEARTBEAT))
+            self._read(_parse_job, self._mutate(JOB))
+            self._read(_plans.parse_plan, self._mutate(CONFIGURATION))
+            self._read(_waves.parse_wave, self._mutate(WAVE))
 
     def _read(self, reader: Any, value: Any) -> None:
         try:
             if reader is protocol.parse_ticket:
-                reader(value, 'ticket')
+                read = reader(value, 'ticket')
             else:
-                reader(value)
-            self.accepted += 1
+                read = reader(value)
         except errors.InvalidInputError as error:
             self.refused += 1
             assert error.fields
             for field in error.fields:
                 assert field.field
+                assert len(field.field) < 400
                 assert len(field.value) < 200
         except errors.UnknownMessageError:
             self.refused += 1
+        else:
+            self.accepted += 1
+            # What is accepted can be stored and passed on.
+            assert state.decode(state.encode(read), type(read)) == read
 
     def _mutate(self, valid: dict[str, Any]) -> bytes:
         document = json.loads(json.dumps(valid))
         for _ in range(self.rng.randint(0, 2)):
             self._mutate_one(document)
-        data = json.dumps(document).encode()
+        nested = '[' * NESTED_DEPTH + ']' * NESTED_DEPTH
+        text = json.dumps(document).replace(f'"{NESTED}"', nested)
+        data = text.encode()
         if self.rng.random() < 0.2:
             data = self._cut_or_flip(data)
         return data
@@ -141,15 +235,24 @@
 
     def _random_message(self) -> link_pb2.Message:
         size = self.rng.choice((0, 1, 10, 100))
-        return link_pb2.Message(
-            kind=self.rng.choice(MESSAGE_KINDS),
-            body=self.rng.randbytes(size),
-        )
+        body = self.rng.randbytes(size)
+        if self.rng.random() < 0.1:
+            # A map with an unknown field, and lists of one element each.
+            body = b'\x81\xa1z' + b'\x91' * NESTED_DEPTH + b'\xc0'
+        return link_pb2.Message(kind=self.rng.choice(MESSAGE_KINDS), body=body)
+
+
+def _announce(data: bytes) -> coordination.Upstream:
+    return protocol.parse_announcement(data).to_upstream()
+
+
+def _report(data: bytes) -> coordination.WorkerReport:
+    return _reports.parse_heartbeat('i-1', data)
 
 
-def _announce(data: bytes) -> None:
-    protocol.parse_announcement(data).to_upstream()
+def _parse_job(data: bytes) -> state.JobSpec:
+    return _jobs.parse_job('0123456789abcdef', data)
 
 
-def _decode(message: link_pb2.Message) -> None:
-    links.decode_message(message)
+def _decode(message: link_pb2.Message) -> links.LinkMessage:
+    return links.decode_message(message)
--- a/features/support/key_world.py
+++ b/features/support/key_world.py
@@ -69,7 +69,7 @@
         self._node = node
         self._core = core
         self._waiters: dict[coordination.LogPosition, Any] = {}
-        self.review = PlanReview(core, _plans.parse_plan, self.now_s)
+        self.review = PlanReview(core, _plans.read_stored_plan, self.now_s)
         self.job_calls = JobCallHandler(
             core,
             self.commit,
--- a/greengagering/platform/_caller_app.py
+++ b/greengagering/platform/_caller_app.py
@@ -1,5 +1,7 @@
 """HTTP handlers of an entry for callers and the load balancer."""
 
+import re
+
 from aiohttp import web
 
 from greengagering import coordination
@@ -7,6 +9,8 @@
 from greengagering.platform import _jobs
 from greengagering.platform import _plans
 from greengagering.platform import _responses
+from greengagering import protocol
+from greengagering.protocol import bounds
 from greengagering.protocol import errors as protocol_errors
 from greengagering import state
 from greengagering.transport import gateway
@@ -18,6 +22,8 @@
 ANSWER_MARGIN_S = 0.05
 """Time reserved for the response to reach the caller before its deadline."""
 
+_PORT = re.compile(r':\d*$')
+
 _KINDS = {
     'POST': coordination.CallKind.SUBMIT,
     'GET': coordination.CallKind.SHOW,
@@ -65,6 +71,16 @@
             return _responses.error_response(
                 405, f'method {request.method} is not served'
             )
+        host = _PORT.sub('', request.host)
+        try:
+            # Bytes that aren't UTF-8 can't be passed on to control.
+            request.path.encode()
+            bounds.check_host(host)
+        except ValueError as error:
+            logs.info('call_invalid', host=protocol.shorten(host))
+            return _responses.error_response(
+                400, f'the Host header or the path is invalid: {error}'
+            )
         job_id = _jobs.find_job_id(request.path)
         spec = None
         if kind is coordination.CallKind.SUBMIT:
@@ -76,7 +92,6 @@
             if kind is coordination.CallKind.CANCEL:
                 return _responses.error_response(404, 'the path names no job')
             kind = coordination.CallKind.COUNT
-        host = request.host.partition(':')[0]
         answer = await self._node.call(
             kind,
             host,
@@ -107,10 +122,13 @@
     def _read_deadline_s(self, request: web.Request) -> float:
         settings = self._node.settings
         text = request.headers.get(DEADLINE_HEADER, '')
-        if not text.isdigit():
+        if not (text.isascii() and text.isdigit()):
             return settings.default_deadline_s
-        wanted_s = int(text) / 1000 - ANSWER_MARGIN_S
-        return min(max(wanted_s, 0.0), settings.max_deadline_s)
+        most_ms = int(settings.max_deadline_s * 1000)
+        wanted_ms = bounds.read_digits(text, most_ms)
+        if wanted_ms is None:
+            return settings.max_deadline_s
+        return max(wanted_ms / 1000 - ANSWER_MARGIN_S, 0.0)
 
 
 def read_key_digest(request: web.Request) -> str:
--- a/greengagering/platform/_control_app.py
+++ b/greengagering/platform/_control_app.py
@@ -12,6 +12,8 @@
 from greengagering.platform import _reports
 from greengagering.platform import _responses
 from greengagering.platform import _waves
+from greengagering import protocol
+from greengagering.protocol import bounds
 from greengagering.protocol import errors as protocol_errors
 from greengagering import state
 from greengagering.transport import control
@@ -74,8 +76,7 @@
         try:
             report = _reports.parse_heartbeat(worker_id, body)
         except protocol_errors.InvalidInputError as error:
-            logs.info('report_unreadable', worker=worker_id, cause=str(error))
-            return _responses.error_response(400, str(error))
+            return _refuse_report(worker_id, str(error))
         for _ in range(COMMITS_PER_HEARTBEAT):
             record = self._node.core.jobs.handle_report(
                 report, self._node.now_s()
@@ -166,9 +167,11 @@
         """Return the state of an upkeep wave."""
         text = request.match_info['number']
         waves = self._node.core.state.jobs.waves
-        wave = waves.get(int(text)) if text.isdigit() else None
+        number = bounds.read_digits(text, bounds.MAX_EXACT)
+        wave = waves.get(number) if number is not None else None
         if wave is None:
-            return _responses.error_response(404, f'no wave {text}')
+            shown = protocol.shorten(text)
+            return _responses.error_response(404, f'no wave {shown}')
         is_done = self._node.core.jobs.is_wave_done(wave)
         return _responses.json_response(
             {'state': 'succeeded' if is_done else 'running'}
@@ -204,6 +207,13 @@
         return web.Response(status=307, headers={'Location': location})
 
 
+def _refuse_report(worker_id: str, cause: str) -> web.Response:
+    logs.info(
+        'report_unreadable', worker=protocol.shorten(worker_id), cause=cause
+    )
+    return _responses.error_response(400, cause)
+
+
 def _no_leader_response() -> web.Response:
     return _responses.error_response(
         503, 'no control process leads just now', RETRY_AFTER_S
--- a/greengagering/platform/_early_lock.py
+++ b/greengagering/platform/_early_lock.py
@@ -22,5 +22,5 @@
         text = _settings_path.settings_path().read_bytes()
         folder = pathlib.Path(json.loads(text)['data_folder'])
         folder_lock.lock_early(folder)
-    except (OSError, KeyError, TypeError, ValueError):
+    except (OSError, KeyError, TypeError, ValueError, RecursionError):
         return
--- a/greengagering/platform/_jobs.py
+++ b/greengagering/platform/_jobs.py
@@ -4,6 +4,7 @@
 
 from greengagering import coordination
 from greengagering.platform import _formats
+from greengagering.protocol import bounds
 from greengagering import state
 
 SOURCE = 'job'
@@ -31,24 +32,24 @@
             them; called filling tasks in the code.
     """
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    est_ms: float = 0.0
+    count: bounds.Count = 1
+    cpu: bounds.Amount = 0
+    mem_mb: bounds.Amount = 0
+    gpu: bounds.Amount = 0
+    est_ms: bounds.DurationMs = 0.0
     after: tuple[int, ...] = ()
     saves_progress: bool = False
     gang: bool = False
     rack_local: bool = False
     requires: str = ''
     data_rack: str = ''
-    max_per_server: int = 0
+    max_per_server: bounds.Count = 0
     speculative: bool = False
     persistent: bool = False
     image: str = ''
-    target_ms: float = 0.0
+    target_ms: bounds.DurationMs = 0.0
     fills: bool = False
-    may_miss: int | None = None
+    may_miss: bounds.Count | None = None
 
 
 class _Job(_formats.WireModel):
@@ -62,8 +63,8 @@
     spec: str
     steps: tuple[_Step, ...]
     times: int = 0
-    first_ms: float = 0.0
-    interval_ms: float = 0.0
+    first_ms: bounds.UnixMsFloat = 0.0
+    interval_ms: bounds.DurationMs = 0.0
 
 
 def find_job_id(path: str) -> str:
@@ -127,13 +128,10 @@
 
 
 def _check_step(field: str, number: int, step: _Step) -> None:
-    amounts = (step.cpu, step.mem_mb, step.gpu, step.est_ms)
     if step.count < 1:
         raise _formats.invalid(
             SOURCE, f'{field}.count', 'must be positive', step.count
         )
-    if min(amounts) < 0:
-        raise _formats.invalid(SOURCE, field, 'amounts must not be negative')
     for earlier in step.after:
         if not 0 <= earlier < number:
             raise _formats.invalid(
--- a/greengagering/platform/_plans.py
+++ b/greengagering/platform/_plans.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from greengagering.platform import _formats
+from greengagering.protocol import bounds
 from greengagering import state
 
 SOURCE = 'configuration'
@@ -90,18 +91,42 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
-@functools.lru_cache(maxsize=1)
 def parse_plan(body: bytes) -> state.RoutePlan:
-    """Convert a configuration to a plan.
+    """Convert a new configuration to a plan.
 
-    The newest result is kept: a leader that has accepted a configuration
-    reads it again as the source of the plan in force.
+    Raises:
+        InvalidInputError: the body is malformed or has an invalid field.
+    """
+    wire = _read(body)
+    _check_ranges(wire)
+    return _to_plan(wire, body)
+
+
+def read_stored_plan(body: bytes) -> state.RoutePlan:
+    """Convert the source of a plan in force.
+
+    A former version accepted numbers of any size that could be stored. If
+    such a plan counted as invalid, it would be in force and serve no call.
 
     Raises:
         InvalidInputError: the body is malformed or has an invalid field.
     """
+    return _to_plan(_read(body), body)
+
+
+@functools.lru_cache(maxsize=1)
+def _read(body: bytes) -> _Configuration:
+    """Decode a configuration, and check what a plan needs to make sense.
+
+    The newest result is kept: a leader that has accepted a configuration
+    reads it again as the source of the plan in force.
+    """
     wire = _formats.read_body(body, _Configuration, SOURCE)
     _check(wire)
+    return wire
+
+
+def _to_plan(wire: _Configuration, body: bytes) -> state.RoutePlan:
     return state.RoutePlan(
         number=wire.version,
         queues=tuple(_to_queue(route) for route in wire.routes),
@@ -143,6 +168,49 @@
     _check_customers(wire.tenants)
 
 
+def _check_ranges(wire: _Configuration) -> None:
+    """Check that every number can be stored and is plausible."""
+    check = functools.partial(_formats.check_range, SOURCE)
+    check('version', wire.version, 1, bounds.MAX_VERSION)
+    check(
+        'limits.maxBodyBytes',
+        wire.limits.max_body_bytes,
+        0,
+        bounds.MAX_EXACT,
+    )
+    for number, route in enumerate(wire.routes):
+        _check_route_ranges(f'routes.{number}', route)
+    for number, service in enumerate(wire.services):
+        field = f'services.{number}.maxConns'
+        check(field, service.max_conns, 0, bounds.MAX_EXACT)
+    for number, tenant in enumerate(wire.tenants):
+        field = f'tenants.{number}'
+        check(f'{field}.weight', tenant.weight, 0, bounds.MAX_RANK)
+        for name, amount in _limits_of(tenant):
+            check(f'{field}.maxCount.{name}', amount, 0, bounds.MAX_EXACT)
+
+
+def _check_route_ranges(field: str, route: _Route) -> None:
+    rank, duration = bounds.MAX_RANK, bounds.MAX_DURATION_MS
+    advice = route.advice or _Advice()
+    for name, value, lowest, highest in (
+        ('timeoutMs', route.timeout_ms, 0, duration),
+        ('targetDurationMs', route.target_duration_ms, 0, duration),
+        ('priority', route.priority, -rank, rank),
+        ('attempts', route.attempts, -rank, rank),
+        ('stretch', route.stretch, 0, rank),
+        ('advice.decideMs', advice.decide_ms, 0, duration),
+        ('advice.eachMs', advice.each_ms, 0, duration),
+        ('advice.validityMs', advice.validity_ms, 0, duration),
+    ):
+        _formats.check_range(SOURCE, f'{field}.{name}', value, lowest, highest)
+
+
+def _limits_of(tenant: _Tenant) -> tuple[tuple[str, int], ...]:
+    most = tenant.max_count
+    return (('cpu', most.cpu), ('memMb', most.mem_mb), ('gpu', most.gpu))
+
+
 def _check_customers(tenants: tuple[_Tenant, ...]) -> None:
     """Check the customers. No message contains a key, as it may be logged."""
     _check_unique('tenants', [tenant.name for tenant in tenants])
@@ -168,12 +236,7 @@
         raise _formats.invalid(
             SOURCE, f'{field}.weight', 'must be positive', tenant.weight
         )
-    most = tenant.max_count
-    for name, amount in (
-        ('cpu', most.cpu),
-        ('memMb', most.mem_mb),
-        ('gpu', most.gpu),
-    ):
+    for name, amount in _limits_of(tenant):
         if amount < 0:
             raise _formats.invalid(
                 SOURCE,
--- a/greengagering/platform/_reports.py
+++ b/greengagering/platform/_reports.py
@@ -2,6 +2,7 @@
 
 from greengagering import coordination
 from greengagering.platform import _formats
+from greengagering.protocol import bounds
 from greengagering import state
 
 SOURCE = 'heartbeat'
@@ -9,9 +10,9 @@
 
 
 class _Capacity(_formats.WireModel):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: bounds.Amount
+    mem_mb: bounds.Amount
+    gpu: bounds.Amount = 0
 
 
 class _Heartbeat(_formats.WireModel):
@@ -29,10 +30,10 @@
     zone: str
     state: str
     capacity: _Capacity
-    seq: int
+    seq: bounds.Count
     labels: tuple[str, ...] = ()
-    wall_clock_ms: int | None = None
-    born: int = 0
+    wall_clock_ms: bounds.SteadyMs | None = None
+    born: bounds.UnixMs = 0
 
 
 def parse_heartbeat(worker_id: str, body: bytes) -> coordination.WorkerReport:
@@ -45,11 +46,14 @@
     wire = _formats.read_body(body, _Heartbeat, SOURCE)
     if wire.state not in STATES:
         raise _formats.invalid(SOURCE, 'state', 'unknown', wire.state)
-    host, separator, port = wire.address.rpartition(':')
-    if not (separator and host and port.isdigit()):
-        raise _formats.invalid(SOURCE, 'address', 'not host:port')
-    if min(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu) < 0:
-        raise _formats.invalid(SOURCE, 'capacity', 'must not be negative')
+    for field, value, check in (
+        ('id', worker_id, bounds.check_id),
+        ('address', wire.address, bounds.check_address),
+    ):
+        try:
+            check(value)
+        except ValueError as error:
+            raise _formats.invalid(SOURCE, field, str(error), value) from error
     rack = wire.labels[-1] if len(wire.labels) > 1 else ''
     facts = state.WorkerFacts(
         worker_id=worker_id,
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -34,7 +34,7 @@
                 settings.platform_url.removeprefix('http://')
             ),
             _adviser_calls.AdviserCalls(adviser_address),
-            _plans.parse_plan,
+            _plans.read_stored_plan,
         )
         app = control.ControlApi(self._node).create_app()
         _control_app.ControlApp(self._node).add_routes(app)
--- a/greengagering/platform/_waves.py
+++ b/greengagering/platform/_waves.py
@@ -1,6 +1,7 @@
 """Conversion of the operator's upkeep waves."""
 
 from greengagering.platform import _formats
+from greengagering.protocol import bounds
 from greengagering import state
 
 SOURCE = 'wave'
@@ -15,10 +16,10 @@
         max_count: most machines that may be down at the same time.
     """
 
-    wave: int
+    wave: bounds.Count
     machines: tuple[str, ...]
-    deadline_s: float
-    max_count: int
+    deadline_s: bounds.DurationS
+    max_count: bounds.Number
 
 
 def parse_wave(body: bytes) -> state.UpkeepWave:
@@ -28,10 +29,6 @@
         InvalidInputError: the body is malformed or has an invalid field.
     """
     wire = _formats.read_body(body, _Wave, SOURCE)
-    if wire.max_count < 1:
-        raise _formats.invalid(
-            SOURCE, 'maxCount', 'must be positive', wire.max_count
-        )
     return state.UpkeepWave(
         number=wire.wave,
         machines=tuple(dict.fromkeys(wire.machines)),
--- a/greengagering/protocol/__init__.py
+++ b/greengagering/protocol/__init__.py
@@ -8,22 +8,28 @@
 from greengagering.protocol._announcement_model import parse_announcement
 from greengagering.protocol import _headers as headers
 from greengagering.protocol._headers import CallOutcome
+from greengagering.protocol._settings import Address
 from greengagering.protocol._settings import ControlSettings
 from greengagering.protocol._settings import EntrySettings
 from greengagering.protocol._settings import GatewaySettings
+from greengagering.protocol._settings import Host
 from greengagering.protocol._settings import load_settings
+from greengagering.protocol._settings import Name
 from greengagering.protocol._ticket_model import parse_ticket
 from greengagering.protocol._ticket_model import TicketModel
 from greengagering.protocol._validation import InputModel
 from greengagering.protocol._validation import shorten
 
 __all__ = [
+    'Address',
     'AnnouncementModel',
     'InputModel',
     'CallOutcome',
     'ControlSettings',
     'EntrySettings',
     'GatewaySettings',
+    'Host',
+    'Name',
     'TicketModel',
     'headers',
     'load_settings',
--- a/greengagering/protocol/_announcement_model.py
+++ b/greengagering/protocol/_announcement_model.py
@@ -9,6 +9,7 @@
 from greengagering.protocol._settings import Address
 from greengagering.protocol._settings import Name
 from greengagering.protocol import _validation
+from greengagering.protocol import bounds
 from greengagering import state
 
 Count = Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
@@ -32,12 +33,14 @@
     rack: Name
     slot_count: PositiveCount
     connection_count: PositiveCount
-    cpu_cores: Annotated[float, pydantic.Field(ge=0, strict=False)] = 0.0
+    cpu_cores: Annotated[
+        float, pydantic.Field(ge=0, le=bounds.MAX_AMOUNT, strict=False)
+    ] = 0.0
     memory_mb: Count = 0
     accelerator_count: Count = 0
     boot_id: Name
-    boot_started_at_ms: Annotated[int, pydantic.Field(ge=0)]
-    sequence: Annotated[int, pydantic.Field(ge=1)]
+    boot_started_at_ms: bounds.UnixMs
+    sequence: bounds.Number
     in_flight_count: Count
     state: Annotated[AnnouncedState, pydantic.Field(strict=False)] = (
         AnnouncedState.UP
--- a/greengagering/protocol/_settings.py
+++ b/greengagering/protocol/_settings.py
@@ -7,22 +7,12 @@
 import pydantic
 
 from greengagering.protocol import _validation
+from greengagering.protocol import bounds
 from greengagering.protocol import errors
 
-MAX_PORT = 65535
-
 Settings = TypeVar('Settings', bound=_validation.InputModel)
 
 
-def _check_address(value: str) -> str:
-    host, separator, port = value.rpartition(':')
-    if not separator or not host:
-        raise ValueError('an address is host:port, as in 10.0.0.1:7100')
-    if not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError(f'the port must be a number from 0 to {MAX_PORT}')
-    return value
-
-
 def _check_url(value: str) -> str:
     if not value.startswith(('http://', 'https://')):
         raise ValueError('a URL starts with http:// or https://')
@@ -43,7 +33,8 @@
     return value
 
 
-Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+Address = Annotated[str, pydantic.AfterValidator(bounds.check_address)]
+Host = Annotated[str, pydantic.AfterValidator(bounds.check_host)]
 Url = Annotated[str, pydantic.AfterValidator(_check_url)]
 Name = Annotated[
     str,
--- a/greengagering/protocol/_ticket_model.py
+++ b/greengagering/protocol/_ticket_model.py
@@ -8,9 +8,9 @@
 from greengagering.protocol._settings import Name
 from greengagering.protocol._settings import Seconds
 from greengagering.protocol import _validation
+from greengagering.protocol import bounds
 from greengagering import state
 
-MAX_TICKET_NUMBER = 2**53 - 1
 MAX_TEXT_CHARACTERS = 2000
 
 Text = Annotated[
@@ -79,7 +79,7 @@
     max_failed_vms: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1
     return_timeout_s: Seconds = 600.0
     silent_timeout_s: Seconds = 120.0
-    not_before_ms: Annotated[int, pydantic.Field(ge=0)] = 0
+    not_before_ms: bounds.UnixMs = 0
     intent: Annotated[state.WaveIntent, pydantic.Field(strict=False)] = (
         state.WaveIntent.RUNNING
     )
@@ -123,7 +123,7 @@
 class TicketModel(_validation.InputModel):
     """A numbered change; see state.Ticket."""
 
-    number: Annotated[int, pydantic.Field(ge=1, le=MAX_TICKET_NUMBER)]
+    number: bounds.Number
     author: Text
     reason: Text
     pools: list[PoolModel] = []
--- a/greengagering/protocol/_validation.py
+++ b/greengagering/protocol/_validation.py
@@ -46,10 +46,14 @@
 def _to_field_error(
     model: type[pydantic.BaseModel], item: Any
 ) -> errors.FieldError:
-    field = '.'.join(str(part) for part in item['loc']) or WHOLE_INPUT
+    location = tuple(
+        part[:MAX_SHOWN_CHARACTERS] if isinstance(part, str) else part
+        for part in item['loc']
+    )
+    field = '.'.join(str(part) for part in location) or WHOLE_INPUT
     message = item['msg'].removeprefix('Value error, ')
     if item['type'] == 'extra_forbidden':
-        message = _describe_unknown(model, item['loc'])
+        message = _describe_unknown(model, location)
     return errors.FieldError(field, shorten(item.get('input')), message)
 
 
--- a/greengagering/protocol/pages.py
+++ b/greengagering/protocol/pages.py
@@ -27,6 +27,8 @@
 from greengagering.protocol._pages import VmLine
 from greengagering.protocol._pages import WavePage
 from greengagering.protocol import errors
+from greengagering import state
+from greengagering.state import errors as state_errors
 
 Page = TypeVar('Page')
 
@@ -75,8 +77,8 @@
         InvalidInputError: the body isn't such a page.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+        return state.decode_json(data, kind)
+    except state_errors.DecodeError as error:
         field = errors.FieldError(
             '(answer)', data[:80].decode(errors='replace'), str(error)
         )
--- a/greengagering/state/__init__.py
+++ b/greengagering/state/__init__.py
@@ -12,6 +12,7 @@
 from greengagering.state._claims import ClaimsPurged
 from greengagering.state._claims import ClaimVerdict
 from greengagering.state._codec import decode
+from greengagering.state._codec import decode_json
 from greengagering.state._codec import decode_record
 from greengagering.state._codec import encode
 from greengagering.state._codec import encode_record
@@ -178,6 +179,7 @@
     'apply_to_fleet',
     'check_ticket',
     'decode',
+    'decode_json',
     'decode_record',
     'encode',
     'encode_record',
--- a/greengagering/state/_codec.py
+++ b/greengagering/state/_codec.py
@@ -1,5 +1,6 @@
 """Encoding of records and state as MessagePack, and ticket digests."""
 
+from collections.abc import Callable
 import hashlib
 from typing import Any
 from typing import TypeVar
@@ -20,25 +21,59 @@
 
 
 def encode(value: Any) -> bytes:
-    """Return the MessagePack encoding of a data class."""
-    return msgspec.msgpack.encode(value)
+    """Return the MessagePack encoding of a data class.
+
+    Raises:
+        EncodeError: a part of it has no encoding.
+    """
+    try:
+        return msgspec.msgpack.encode(value)
+    except (OverflowError, UnicodeEncodeError) as error:
+        raise errors.EncodeError(
+            f'{type(value).__name__} has no encoding: {error}'
+        ) from error
 
 
 def decode(data: bytes, kind: type[Decoded]) -> Decoded:
-    """Return the data class that was encoded.
+    """Return the data class that was encoded as MessagePack.
+
+    Raises:
+        DecodeError: the bytes don't encode a value of this type.
+    """
+    return _decode(msgspec.msgpack.decode, data, kind)
+
+
+def decode_json(data: bytes, kind: type[Decoded]) -> Decoded:
+    """Return the value that JSON encodes.
 
     Raises:
-        StateError: the bytes don't encode a value of this type.
+        DecodeError: the bytes don't encode a value of this type.
     """
+    return _decode(msgspec.json.decode, data, kind)
+
+
+def _decode(
+    decoder: Callable[..., Any], data: bytes, kind: type[Decoded]
+) -> Decoded:
+    name = getattr(kind, '__name__', str(kind))
     try:
-        return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
-        raise errors.StateError(f'not a {kind.__name__}: {error}') from error
+        decoded: Decoded = decoder(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.DecodeError(name, str(error)) from error
+    except RecursionError:
+        # Fields that the type doesn't have are decoded to any depth. The
+        # error's traceback would hold a line for each level.
+        raise errors.DecodeError(name, 'is nested too deeply') from None
+    return decoded
 
 
 def encode_record(record: _model.Record) -> bytes:
-    """Return a log record as MessagePack with its type name."""
-    return msgspec.msgpack.encode([type(record).__name__, record])
+    """Return a log record as MessagePack with its type name.
+
+    Raises:
+        EncodeError: a part of it has no encoding.
+    """
+    return encode([type(record).__name__, record])
 
 
 def decode_record(data: bytes) -> _model.Record:
--- a/greengagering/state/errors.py
+++ b/greengagering/state/errors.py
@@ -5,6 +5,22 @@
     """Base class of every error that the state layer raises."""
 
 
+class DecodeError(StateError):
+    """Bytes that don't encode a value of the wanted type.
+
+    Attributes:
+        cause: what is wrong, without the type's name.
+    """
+
+    def __init__(self, kind_name: str, cause: str) -> None:
+        self.cause = cause
+        super().__init__(f'not a {kind_name}: {cause}')
+
+
+class EncodeError(StateError):
+    """A value that has no encoding, such as a number of over 64 bits."""
+
+
 class StorageError(StateError):
     """The data folder can't be read or written safely."""
 
--- a/greengagering/transport/_call_headers.py
+++ b/greengagering/transport/_call_headers.py
@@ -92,6 +92,10 @@
         _add_problem(
             problems, headers.IDEMPOTENCY_KEY, text, 'must not be empty'
         )
+    if not text.isprintable():
+        # Bytes that aren't UTF-8 can't be passed on to control.
+        allowed = 'must consist of printable characters'
+        _add_problem(problems, headers.IDEMPOTENCY_KEY, text, allowed)
     if len(text) > MAX_KEY_CHARACTERS:
         allowed = f'must have at most {MAX_KEY_CHARACTERS} characters'
         _add_problem(problems, headers.IDEMPOTENCY_KEY, text, allowed)
--- a/greengagering/transport/_control_api.py
+++ b/greengagering/transport/_control_api.py
@@ -6,6 +6,7 @@
 from greengagering.coordination import errors as coordination_errors
 from greengagering import logs
 from greengagering import protocol
+from greengagering.protocol import bounds
 from greengagering.protocol import errors as protocol_errors
 from greengagering.protocol import pages
 from greengagering import state
@@ -96,7 +97,8 @@
         if isinstance(control, web.Response):
             return control
         text = request.match_info['number']
-        entry = control.history.get(int(text)) if text.isdigit() else None
+        number = bounds.read_digits(text, bounds.MAX_EXACT)
+        entry = control.history.get(number) if number is not None else None
         if entry is None:
             return _not_found('number', text, 'no accepted ticket has it')
         return _http.page_response(_control_pages.ticket_page(entry))
