Read lists of workers, machines and the adviser row by row

Callers saw: one row of another type in a worker's list ended the task that polls it, so it was never polled again; an unknown word for an end, or an odd machine in the platform's list, made the whole list unreadable for as long as it was there.

Cause: rows were indexed after the decoding (AttributeError, IndexError), and a list was decoded as a whole.

Change: a list is decoded as a whole, and row by row only if that fails. An odd running row makes the lists incomplete, so that no run counts as absent; an odd end is left out; machines that a list with an odd entry lacks stay as they were listed; an odd row of the adviser permits nothing.

--- a/greengagering/platform/_adviser_calls.py
+++ b/greengagering/platform/_adviser_calls.py
@@ -8,10 +8,13 @@
 from greengagering import coordination
 from greengagering import logs
 from greengagering.platform import _formats
+from greengagering.protocol import bounds
+from greengagering.protocol import errors as protocol_errors
 
 ANSWER_TIMEOUT_S = 5.0
 """Timeout of a request; the adviser needs some time for each worker."""
 
+SOURCE = 'advice'
 MS_PER_S = 1000
 
 
@@ -22,8 +25,8 @@
         good: id and permit of each worker on which the step may run.
     """
 
-    good: tuple[tuple[str, str], ...]
-    validity_ms: float = 0.0
+    good: msgspec.Raw
+    validity_ms: bounds.DurationMs = 0.0
 
 
 class AdviserCalls:
@@ -52,20 +55,20 @@
                 ) as response:
                     data = await response.read()
                     response.raise_for_status()
-            wire = msgspec.json.decode(data, type=_Advice)
+            wire = _formats.read_body(data, _Advice, SOURCE)
+            # A worker whose row can't be read isn't permitted.
+            rows, _ = _formats.read_rows(wire.good, tuple[str, str], SOURCE)
         except (
             TimeoutError,
             aiohttp.ClientError,
             OSError,
-            msgspec.MsgspecError,
+            protocol_errors.InvalidInputError,
         ) as error:
             logs.warning(
                 'no_advice', step=request.step_name, cause=repr(error)
             )
             return None
-        return coordination.Advice(
-            dict(wire.good), wire.validity_ms / MS_PER_S
-        )
+        return coordination.Advice(dict(rows), wire.validity_ms / MS_PER_S)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/greengagering/platform/_machine_calls.py
+++ b/greengagering/platform/_machine_calls.py
@@ -9,6 +9,8 @@
 from greengagering import coordination
 from greengagering import logs
 from greengagering.platform import _formats
+from greengagering.protocol import bounds
+from greengagering.protocol import errors as protocol_errors
 from greengagering import state
 
 LIST_TIMEOUT_S = 3.0
@@ -20,6 +22,7 @@
 MAX_PAGES = 1000
 """Most pages of a list; a longer list is treated as unreadable."""
 
+LIST_SOURCE = 'machines'
 HOLDER_HEADER = 'Lease-Holder'
 FENCE_HEADER = 'Fence-Token'
 
@@ -34,9 +37,9 @@
 
 
 class _Capacity(_formats.WireModel):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: bounds.Amount = 0
+    mem_mb: bounds.Amount = 0
+    gpu: bounds.Amount = 0
 
 
 class _Machine(_formats.WireModel):
@@ -56,8 +59,8 @@
 
 
 class _Page(_formats.WireModel):
-    machines: tuple[_Machine, ...]
-    next_token: Any = None
+    machines: msgspec.Raw
+    next_token: str | int | None = None
 
 
 class _Refusal(_formats.WireModel):
@@ -71,17 +74,19 @@
         self._base = f'http://{address}'
         self._session: aiohttp.ClientSession | None = None
         self._is_unavailable = False
+        # The machines of the newest list, by name.
+        self._known: dict[str, coordination.Machine] = {}
 
     async def list_machines(self) -> tuple[coordination.Machine, ...] | None:
         """Return every machine, or None if the list can't be read."""
         try:
             async with asyncio.timeout(LIST_TIMEOUT_S):
-                listed = await self._read_pages()
+                listed, is_complete = await self._read_pages()
         except (
             TimeoutError,
             aiohttp.ClientError,
             OSError,
-            msgspec.MsgspecError,
+            protocol_errors.InvalidInputError,
         ) as error:
             if not self._is_unavailable:
                 logs.warning('machine_service_lost', cause=repr(error))
@@ -90,7 +95,13 @@
         if self._is_unavailable:
             logs.info('machine_service_regained')
         self._is_unavailable = False
-        return tuple(_to_machine(item) for item in listed)
+        machines = {item.machine: _to_machine(item) for item in listed}
+        if not is_complete:
+            # An entry that can't be read may be any of the machines that the
+            # list lacks, and they must not be taken for gone.
+            machines = {**self._known, **machines}
+        self._known = machines
+        return tuple(machines.values())
 
     async def carry_out(
         self, order: coordination.DutyOrder
@@ -136,9 +147,11 @@
             )
         return self._session
 
-    async def _read_pages(self) -> list[_Machine]:
+    async def _read_pages(self) -> tuple[list[_Machine], bool]:
+        """Return the entries that can be read, and whether these are all."""
         listed: list[_Machine] = []
-        token: Any = None
+        is_complete = True
+        token: str | int | None = None
         for _ in range(MAX_PAGES):
             params = {} if token is None else {'pageToken': str(token)}
             async with self._get_session().get(
@@ -146,11 +159,15 @@
             ) as response:
                 data = await response.read()
                 response.raise_for_status()
-            page = msgspec.json.decode(data, type=_Page)
-            listed += page.machines
+            page = _formats.read_body(data, _Page, LIST_SOURCE)
+            read, unread = _formats.read_rows(
+                page.machines, _Machine, LIST_SOURCE
+            )
+            listed += read
+            is_complete = is_complete and not unread
             token = page.next_token
             if token in (None, ''):
-                return listed
+                return listed, is_complete
         raise aiohttp.ClientError(f'the list has over {MAX_PAGES} pages')
 
 
@@ -174,8 +191,9 @@
         return _outcomes.REFUSED
     if status == 409:
         try:
-            refusal = msgspec.json.decode(data, type=_Refusal)
-        except msgspec.MsgspecError:
+            refusal = _formats.read_body(data, _Refusal, 'refusal')
+        except protocol_errors.InvalidInputError as error:
+            logs.warning('refusal_unreadable', cause=str(error))
             refusal = _Refusal()
         # Other reasons, such as a machine that is not part of the wave, are
         # permanent, so the duty is not retried.
--- a/greengagering/platform/_worker_calls.py
+++ b/greengagering/platform/_worker_calls.py
@@ -1,7 +1,9 @@
 """HTTP client of workers: orders and polls."""
 
 import asyncio
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import aiohttp
 import msgspec
@@ -10,6 +12,8 @@
 from greengagering import logs
 from greengagering.platform import _formats
 from greengagering.platform import _jobs
+from greengagering.protocol import bounds
+from greengagering.protocol import errors as protocol_errors
 from greengagering import state
 
 CONNECT_TIMEOUT_S = 0.4
@@ -31,6 +35,7 @@
 
 INSTANCE_HEADER = 'Expect-Instance'
 MISDIRECTED = 421
+LISTS_SOURCE = 'lists'
 
 _outcomes = coordination.OrderOutcome
 
@@ -59,6 +64,12 @@
     'alone': state.RunEnding.ALONE,
 }
 
+TaskName = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^[0-9A-Za-z_-]{1,64}(\.[0-9]{1,9}){3}$'),
+]
+"""Name of a task: its job, then the numbers of occurrence, step and task."""
+
 
 class _Answer(_formats.WireModel):
     """A worker's response to an order.
@@ -68,23 +79,46 @@
             the time of day.
     """
 
-    wall_clock_ms: int | None = None
+    wall_clock_ms: bounds.SteadyMs | None = None
     reason: str = ''
 
 
 class _Lists(_formats.WireModel):
-    """A worker's lists of runs; each run is an array of fields by position.
+    """A worker's lists of runs; see _RunningRow and _EndedRow.
+
+    A row that can't be read must not hide the others.
+    """
+
+    running: msgspec.Raw
+    ended: msgspec.Raw
+    wall_clock_ms: bounds.SteadyMs | None = None
+    born: bounds.UnixMs | None = None
+
+
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A run in progress.
 
     Attributes:
-        running: task, run, saved, percent and optionally a figure: tail
-            latency in ms of a serving task, millicores used by another.
-        ended: number, task, run, ending, saved.
+        percent: percentage of full speed.
+        figure: tail latency in ms of a serving task, millicores used by
+            another.
     """
 
-    running: tuple[tuple[Any, ...], ...]
-    ended: tuple[tuple[int, str, int, str, str], ...]
-    wall_clock_ms: int | None = None
-    born: int | None = None
+    task: TaskName
+    run: bounds.Count
+    saved: str
+    percent: bounds.Figure
+    figure: bounds.Figure | None = None
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """A run that has ended."""
+
+    number: bounds.Number
+    task: TaskName
+    run: bounds.Count
+    how: Literal['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone']
+    saved: str
 
 
 class WorkerCalls:
@@ -151,8 +185,9 @@
             answer = _read_answer(status, data)
             return coordination.LookAnswer(answer.outcome, answer.clock_ms)
         try:
-            return _read_lists(msgspec.json.decode(data, type=_Lists))
-        except (msgspec.MsgspecError, ValueError, KeyError) as error:
+            lists = _formats.read_body(data, _Lists, LISTS_SOURCE)
+            return _read_lists(order.life.key, lists)
+        except protocol_errors.InvalidInputError as error:
             logs.warning(
                 'lists_unreadable', life=order.life.key, cause=str(error)
             )
@@ -228,10 +263,10 @@
 def _read_answer(status: int, data: bytes) -> coordination.OrderAnswer:
     answer = _Answer()
     try:
-        answer = msgspec.json.decode(data, type=_Answer)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        answer = _formats.read_body(data, _Answer, 'answer')
+    except protocol_errors.InvalidInputError as error:
         # The status alone determines the outcome.
-        logs.debug('answer_without_body', status=status)
+        logs.debug('answer_without_body', status=status, cause=str(error))
     if status == 409:
         outcome = _REASONS.get(answer.reason, _outcomes.INVALID)
     else:
@@ -239,30 +274,42 @@
     return coordination.OrderAnswer(outcome, answer.wall_clock_ms)
 
 
-def _read_lists(lists: _Lists) -> coordination.LookAnswer:
-    running = tuple(
-        coordination.ListedRun(
-            key=_jobs.parse_task_name(row[0], row[1]),
-            saved=row[2],
-            percent=int(row[3]),
-            figure=int(row[4]) if len(row) > 4 else None,
-        )
-        for row in lists.running
+def _read_lists(life_key: str, lists: _Lists) -> coordination.LookAnswer:
+    """Convert a worker's lists, without the rows that can't be read.
+
+    A running row may stand for a run that the leader has assigned. Without
+    it the lists count as incomplete, so that no run is taken for absent and
+    started elsewhere. An ended row is of a run that is over in any case.
+    """
+    running, unread = _formats.read_rows(
+        lists.running, _RunningRow, f'running at {life_key}'
     )
-    ended = tuple(
-        state.RunEnd(
-            number=number,
-            key=_jobs.parse_task_name(task, run),
-            ending=_ENDINGS[how],
-            saved=saved,
-        )
-        for number, task, run, how, saved in lists.ended
+    ended, unread_ends = _formats.read_rows(
+        lists.ended, _EndedRow, f'ended at {life_key}'
     )
+    is_list_full = len(ended) + len(unread_ends) >= ENDS_PER_LIST
     return coordination.LookAnswer(
         outcome=_outcomes.DONE,
         clock_ms=lists.wall_clock_ms,
         born_ms=lists.born,
-        running=running,
-        ended=ended,
-        is_complete=len(ended) < ENDS_PER_LIST,
+        running=tuple(_to_listed_run(row) for row in running),
+        ended=tuple(
+            state.RunEnd(
+                number=row.number,
+                key=_jobs.parse_task_name(row.task, row.run),
+                ending=_ENDINGS[row.how],
+                saved=row.saved,
+            )
+            for row in ended
+        ),
+        is_complete=not (unread or is_list_full),
+    )
+
+
+def _to_listed_run(row: _RunningRow) -> coordination.ListedRun:
+    return coordination.ListedRun(
+        key=_jobs.parse_task_name(row.task, row.run),
+        saved=row.saved,
+        percent=min(int(row.percent), 100),
+        figure=int(row.figure) if row.figure is not None else None,
     )
