Go on after a message or a call that fails unexpectedly

Callers saw: a message between processes that was nested too deeply, or that its handler couldn't use, broke the link, and did so again when it was sent again; one that couldn't be encoded lost the messages behind it; a link to an odd address, and the polls of a worker stored with an address that the HTTP client rejects with a UnicodeError, stopped for good.

Cause: errors that weren't expected left the task that carries the link or the polls.

Change: such a message is dropped, such a call counts as unanswered, and such a list as not read, each with a log line (message_failed, message_unsent, worker_call_failed, poll_failed, machine_list_failed).

--- a/greengagering/transport/_addresses.py
+++ b/greengagering/transport/_addresses.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from greengagering.protocol import bounds
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostPort:
@@ -15,6 +17,10 @@
 
 
 def parse_address(address: str) -> HostPort:
-    """Split host:port; the text was validated when the settings were read."""
-    host, _, port = address.rpartition(':')
+    """Split host:port.
+
+    Raises:
+        ValueError: it is not a valid address.
+    """
+    host, _, port = bounds.check_address(address).rpartition(':')
     return HostPort(host.strip('[]'), int(port))
--- a/greengagering/transport/_limited_client.py
+++ b/greengagering/transport/_limited_client.py
@@ -9,6 +9,7 @@
 
 from greengagering import clock
 from greengagering import coordination
+from greengagering import logs
 from greengagering.transport._worker_client import WorkerClient
 
 MAX_ORDERS_PER_WORKER = 4
@@ -26,6 +27,7 @@
 OrderType = TypeVar('OrderType', bound=coordination.Order)
 
 _NOT_SENT = coordination.OrderAnswer(coordination.OrderOutcome.NOT_SENT)
+_NO_ANSWER = coordination.OrderAnswer(coordination.OrderOutcome.NO_ANSWER)
 
 
 class LimitedClient:
@@ -69,7 +71,11 @@
         """Return a worker's lists of running and ended runs."""
         if not self._may_send(order.fence):
             return coordination.LookAnswer(coordination.OrderOutcome.NOT_SENT)
-        return await self._client.poll(order)
+        try:
+            return await self._client.poll(order)
+        except Exception as error:
+            _log_failure(order, error)
+            return coordination.LookAnswer(coordination.OrderOutcome.NO_ANSWER)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -87,7 +93,11 @@
             # The permission may have expired while the order waited.
             if not self._may_send(order.fence):
                 return _NOT_SENT
-            return await call(order)
+            try:
+                return await call(order)
+            except Exception as error:
+                _log_failure(order, error)
+                return _NO_ANSWER
 
     @contextlib.asynccontextmanager
     async def _worker_slot(self, key: str) -> AsyncIterator[None]:
@@ -103,3 +113,20 @@
             if not self._order_counts[key]:
                 del self._order_counts[key]
                 del self._worker_limits[key]
+
+
+def _log_failure(
+    order: coordination.Order | coordination.LookOrder, error: Exception
+) -> None:
+    """Log a call that failed in a way that the client doesn't expect.
+
+    An address that a former version stored may be one that the HTTP client
+    can't use. The worker then counts as silent; without any answer it would
+    never be polled again, or be taken for the silence of an agent.
+    """
+    logs.error(
+        'worker_call_failed',
+        life=order.life.key,
+        order=type(order).__name__,
+        cause=repr(error),
+    )
--- a/greengagering/transport/_machine_runner.py
+++ b/greengagering/transport/_machine_runner.py
@@ -5,6 +5,7 @@
 
 from greengagering import clock
 from greengagering import coordination
+from greengagering import logs
 from greengagering import state
 from greengagering.transport._machine_client import MachineClient
 from greengagering.transport import _metrics
@@ -49,7 +50,7 @@
     async def _call(self, call: coordination.MachineCall) -> None:
         async with self._call_limit:
             if isinstance(call, coordination.ListMachines):
-                listed = await self._client.list_machines()
+                listed = await self._read_list()
                 self._manager.handle_machine_list(
                     call, listed, clock.steady_s()
                 )
@@ -67,3 +68,11 @@
                     call, outcome, clock.steady_s()
                 )
             )
+
+    async def _read_list(self) -> tuple[coordination.Machine, ...] | None:
+        try:
+            return await self._client.list_machines()
+        except Exception as error:
+            # The manager requests the next list only after an answer.
+            logs.error('machine_list_failed', cause=repr(error))
+            return None
--- a/greengagering/transport/_mesh.py
+++ b/greengagering/transport/_mesh.py
@@ -15,6 +15,7 @@
 from greengagering.protocol import link_grpc
 from greengagering.protocol import link_pb2
 from greengagering.protocol import links
+from greengagering.state import errors as state_errors
 from greengagering.transport import _addresses
 from greengagering.transport._peer_link import LinkIdentity
 from greengagering.transport._peer_link import PeerLink
@@ -98,7 +99,11 @@
         if link is None:
             link = PeerLink(self.identity, peer_id, address)
             self._links[peer_id] = link
-        link.send(message)
+        try:
+            link.send(message)
+        except state_errors.EncodeError as error:
+            # The messages that the caller sends next must not be lost too.
+            logs.error('message_unsent', peer=peer_id, cause=str(error))
 
     def links(self) -> dict[str, PeerLink]:
         """Return the links by peer, for metrics and dumps."""
@@ -162,7 +167,17 @@
                     'message_dropped', peer=frame.sender_id, cause=str(error)
                 )
                 continue
-            self._handler(sender, decoded)
+            try:
+                self._handler(sender, decoded)
+            except Exception as error:
+                # The rest of the frame is handled, and the stream goes on:
+                # the peer would send the same again on the next one.
+                logs.error(
+                    'message_failed',
+                    peer=frame.sender_id,
+                    kind=message.kind,
+                    cause=repr(error),
+                )
 
 
 class _AckSender:
--- a/greengagering/transport/_order_runner.py
+++ b/greengagering/transport/_order_runner.py
@@ -146,9 +146,14 @@
         sent_at_s = clock.steady_s()
         grant = self._scheduler.open_poll_grant(order, sent_at_s)
         answer = await self._client.poll(order)
-        self._scheduler.handle_poll_answer(
-            order, grant, answer, sent_at_s, clock.steady_s()
-        )
+        try:
+            self._scheduler.handle_poll_answer(
+                order, grant, answer, sent_at_s, clock.steady_s()
+            )
+        except Exception as error:
+            # The worker must be polled again, or its lease would expire.
+            logs.error('poll_failed', life=order.life.key, cause=repr(error))
+            return False
         self._schedule_step()
         return answer.outcome is coordination.OrderOutcome.DONE
 
--- a/greengagering/transport/_peer_link.py
+++ b/greengagering/transport/_peer_link.py
@@ -124,7 +124,11 @@
         self._queue.clear()
 
     async def _connect_and_send(self) -> None:
-        endpoint = _addresses.parse_address(self.address)
+        try:
+            endpoint = _addresses.parse_address(self.address)
+        except ValueError as error:
+            # Peers' messages name addresses too.
+            raise errors.LinkError(str(error)) from error
         channel = Channel(endpoint.host, endpoint.port)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
