Leave out an odd seed of the settings

Callers saw: one odd address among the seeds ended a process with a traceback, or raised an error in the handler of SIGHUP.

Cause: seeds weren't checked before they were converted, which raised pydantic's own error.

Change: an odd seed is left out with a log line while a valid one is left. At a first start it is refused, as the seeds are the first voters there and must be the same on every machine.

--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -1,17 +1,47 @@
 """Settings files that the platform renders, and their conversion."""
 
+from typing import Annotated
+from typing import Any
 from typing import TypeVar
 
+import pydantic
 
+from greengagering import logs
 from greengagering.platform import _settings_path
+from greengagering.protocol import Address
+from greengagering.protocol import bounds
 from greengagering.protocol import ControlSettings
 from greengagering.protocol import GatewaySettings
+from greengagering.protocol import Host
 from greengagering.protocol import InputModel
 from greengagering.protocol import load_settings
+from greengagering.protocol import Name
+from greengagering.protocol import shorten
 
 HostSettings = TypeVar('HostSettings', bound=InputModel)
 
 
+def _require_seed(addresses: tuple[Any, ...]) -> tuple[Any, ...]:
+    if not any(map(_is_address, addresses)):
+        raise ValueError('at least one must be host:port, as in 10.0.0.1:80')
+    return addresses
+
+
+def _is_address(address: Any) -> bool:
+    if not isinstance(address, str):
+        return False
+    try:
+        bounds.check_address(address)
+    except ValueError:
+        return False
+    return True
+
+
+Seeds = Annotated[tuple[Any, ...], pydantic.AfterValidator(_require_seed)]
+"""Addresses of control replicas. Others serve as well as an invalid one, so
+that is left out."""
+
+
 class ControlHost(InputModel):
     """A control machine's settings, as deploy/control.json renders them.
 
@@ -25,19 +55,31 @@
         metrics_port: port for metrics on this machine.
     """
 
-    host: str
-    data_centre: str
+    host: Host
+    data_centre: Name
     data_folder: str
-    http_address: str
-    link_port: int
-    seed_addresses: tuple[str, ...]
+    http_address: Address
+    link_port: bounds.Port
+    seed_addresses: Seeds
     is_first_start: bool
     tolerated_losses: int
     machine_service_address: str
     adviser_address: str
-    metrics_port: int
+    metrics_port: bounds.Port
     log_level: str = 'info'
 
+    @pydantic.model_validator(mode='after')
+    def _require_first_seeds(self) -> 'ControlHost':
+        # They are the first voters, which must be the same on every machine.
+        if self.is_first_start and not all(
+            map(_is_address, self.seed_addresses)
+        ):
+            raise ValueError(
+                'at a first start every one of seed_addresses must be '
+                'host:port, as in 10.0.0.1:80'
+            )
+        return self
+
     @property
     def metrics_address(self) -> str:
         """Address of the metrics server."""
@@ -70,15 +112,15 @@
         metrics_port: port for metrics on this machine.
     """
 
-    entry_id: str
-    host: str
-    data_centre: str
-    http_address: str
-    ready_address: str
-    link_port: int
-    seed_addresses: tuple[str, ...]
+    entry_id: Name
+    host: Host
+    data_centre: Name
+    http_address: Address
+    ready_address: Address
+    link_port: bounds.Port
+    seed_addresses: Seeds
     grace_s: float
-    metrics_port: int
+    metrics_port: bounds.Port
     log_level: str = 'info'
 
     @property
@@ -116,7 +158,12 @@
 
 
 def _link_addresses(
-    addresses: tuple[str, ...], link_port: int
+    addresses: tuple[Any, ...], link_port: int
 ) -> tuple[str, ...]:
-    hosts = [address.rpartition(':')[0] for address in addresses]
+    hosts = []
+    for address in addresses:
+        if _is_address(address):
+            hosts.append(address.rpartition(':')[0])
+        else:
+            logs.warning('seed_invalid', address=shorten(address))
     return tuple(f'{host}:{link_port}' for host in hosts)
