Don't let implausible numbers hide or replace a worker

Callers saw, with one heartbeat by another writer under a worker's id: with a start far in the future the worker counted as replaced, and its tasks started again elsewhere; with a number far too large all its later reports were acknowledged and ignored, its draining too. One listed end with a number far too large hid the later ends, whose tasks started again; the end of a task that its step lacks let that task start.

Cause: the later start and the higher number always won.

A start over 10 minutes ahead is refused while the worker that it would replace goes on; a number more than 1,000 below the newest starts the counting anew; draining counts in a late report; an end over 1,000,000 above the newest is left out.

--- a/greengagering/coordination/jobs/_work_index.py
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -143,6 +143,9 @@
         if work is None:
             return
         index = int(key.task.rpartition('.')[2])
+        if index >= work.step.task_count:
+            # A worker may list the end of a task that the step lacks.
+            return
         task = work.job.tasks.get(key.task)
         is_waiting = task is None or not (task.is_done or task.live_runs)
         if is_waiting and key.task_name not in self._proposed:
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -26,6 +26,7 @@
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
+from greengagering.coordination.workers import SILENCE_S
 from greengagering.coordination.workers import StartOrder
 from greengagering.coordination.workers import WorkerReport
 from greengagering.coordination.workers import WorkerView
@@ -38,6 +39,14 @@
 FINISHED_RETENTION_S = 240.0
 """How long a finished job can be queried; callers may rely on half of it."""
 
+MAX_BORN_AHEAD_MS = 600_000
+"""How far the start of an incarnation may lie ahead of the leader's time of
+day before it is implausible; the clocks of machines differ by less."""
+
+MAX_LATE_REPORTS = 1000
+"""Most reports by which a late one is behind the newest; they come about once
+a second."""
+
 STALE_LEADERLESS_S = 2.0
 """Time without a leader from which a new one gives a worker no start before
 its next report, as its room may have shrunk. Elections take less."""
@@ -208,6 +217,7 @@
         """
         self.stop_leading()
         self._core.fence = term
+        self._core.now_ms = now_ms
         self._core.limits.follow_plan(self.jobs.plan)
         self._logged_plan = self.jobs.plan
         for life in self.jobs.lives.values():
@@ -340,6 +350,26 @@
             case _:
                 self._apply_run_record(record, now_s)
 
+    def find_report_fault(self, report: WorkerReport, now_s: float) -> str:
+        """Return why a report must not be used, or ''.
+
+        The later of two incarnations replaces the earlier one, so a start far
+        in the future would replace a worker that goes on. It counts only once
+        that worker is silent: time of day may be wrong here, and then a
+        worker that has restarted reports such a start too.
+        """
+        ahead_ms = report.facts.born_ms - self._core.now_ms
+        if ahead_ms <= MAX_BORN_AHEAD_MS or report.facts.key in self.workers:
+            return ''
+        for view in self._core.incarnations.related(report.facts):
+            is_heard = now_s < view.heard_at_s + SILENCE_S
+            if is_heard and view.suspect_since_s is None and not view.is_over:
+                return (
+                    f'field born: is {ahead_ms} ms ahead, while {view.key} '
+                    f'goes on (value: {report.facts.born_ms})'
+                )
+        return ''
+
     def handle_report(
         self, report: WorkerReport, now_s: float
     ) -> state.JobRecord | None:
@@ -354,22 +384,40 @@
             if self._core.incarnations.is_outdated(report.facts):
                 return None
             return state.LifeSeen(report.facts)
-        if report.sequence <= view.sequence:
-            return None
-        view.mark_reported(report.sequence, now_s)
-        view.update_clock(report.clock_ms, now_s)
-        if view.suspect_since_s is not None:
-            self._core.poll_candidates.add(key)
-        if report.facts.room != view.room:
-            self._follow_room(view, report.facts.room)
         life = self.jobs.lives[key]
+        is_newest = self._is_newest(view, report)
+        if is_newest:
+            view.mark_reported(report.sequence, now_s)
+            view.update_clock(report.clock_ms, now_s)
+            if view.suspect_since_s is not None:
+                self._core.poll_candidates.add(key)
+            if report.facts.room != view.room:
+                self._follow_room(view, report.facts.room)
         if report.is_draining and not life.is_draining:
+            # That is final, so it also holds in a late report.
             view.is_draining = True
             return state.LifeDraining(key)
-        if report.facts.room != life.facts.room:
+        if is_newest and report.facts.room != life.facts.room:
             return state.LifeSeen(report.facts)
         return None
 
+    def _is_newest(self, view: WorkerView, report: WorkerReport) -> bool:
+        """Tell whether a report is newer than the others of its worker.
+
+        A number that is far below the newest isn't a late report's. The
+        newest one was implausible then, and would hide all that follow.
+        """
+        behind = view.sequence - report.sequence
+        if behind > MAX_LATE_REPORTS:
+            self._core.log_decision(
+                'report_number_reset',
+                life=view.key,
+                former=view.sequence,
+                number=report.sequence,
+            )
+            return True
+        return behind < 0
+
     def _follow_room(self, view: WorkerView, room: state.Room) -> None:
         """Use the room that a worker reports from now on."""
         former = view.room
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -31,6 +31,10 @@
 waits for room in its pool, so that one poll fetches ends that are close
 together."""
 
+MAX_END_GAP = 1_000_000
+"""Largest step from the number of a noted end to that of a new one. With the
+number of an end that is further off, later ends would not be noted."""
+
 STOP_GRACE_S = 1.0
 """Time after which a stopped run must have ended; workers take 0.9 s at
 most."""
@@ -192,10 +196,21 @@
     def _record_ends(
         self, view: WorkerView, answer: LookAnswer, now_s: float
     ) -> None:
+        highest = view.proposed_end + MAX_END_GAP
         new_ends = [e for e in answer.ended if e.number > view.proposed_end]
+        odd_ends = [e for e in new_ends if e.number > highest]
+        if odd_ends:
+            self._core.log_decision(
+                'ends_implausible',
+                life=view.key,
+                count=len(odd_ends),
+                number=odd_ends[-1].number,
+                highest=highest,
+            )
+            new_ends = [e for e in new_ends if e.number <= highest]
         if not new_ends:
             return
-        view.proposed_end = new_ends[-1].number
+        view.proposed_end = max(e.number for e in new_ends)
         self._core.proposals.append(state.EndsNoted(view.key, tuple(new_ends)))
         for end in new_ends:
             # The worker lists an end only after its room has become free.
--- a/greengagering/platform/_control_app.py
+++ b/greengagering/platform/_control_app.py
@@ -77,6 +77,11 @@
             report = _reports.parse_heartbeat(worker_id, body)
         except protocol_errors.InvalidInputError as error:
             return _refuse_report(worker_id, str(error))
+        fault = self._node.core.jobs.find_report_fault(
+            report, self._node.now_s()
+        )
+        if fault:
+            return _refuse_report(worker_id, fault)
         for _ in range(COMMITS_PER_HEARTBEAT):
             record = self._node.core.jobs.handle_report(
                 report, self._node.now_s()
