Count a bounded demand for stored estimates

Callers saw: a job with an estimate of 1e308 ms on a step that needs many cores stopped the leader's decisions: each step failed with OverflowError, after a restart too, as the job is in the log.

Cause: the sum of core-seconds was infinite, and no number of machines is found for it.

Change: a step counts as 1e13 seconds of work at most.

--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -46,6 +46,23 @@
     Then no task number 99 starts within 6 s
     And every replica has the same state
 
+  # Guards against a leader that fails at every step for one stored record.
+  Scenario Outline: Records with odd values that a former version stored are loaded
+    Given <record> is stored
+    When every replica has stored a snapshot and all restart
+    Then one leads within 6 s
+    And 4 jobs of 4 tasks succeed within 40 s
+    And every replica has the same state
+
+    Examples:
+      | record                                               |
+      | a worker with a start of 2^64 - 1                    |
+      | a worker with the port 99999                         |
+      | a worker with a room of 2^64 - 1                     |
+      | a job with an estimate of 1e305 s and a room of 2^64 - 1 |
+      | a job with 3 occurrences 2^64 - 1 ms apart           |
+      | a plan with a stretch of 1e308 and a priority of 2^64 - 1 |
+
   Scenario: A plan in force that would be refused now is read in full
     When the source of a plan in force has a priority of 2^62 and a stretch of 1e300
     Then a new configuration like it is refused, naming priority
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -47,6 +47,10 @@
 """Most reports by which a late one is behind the newest; they come about once
 a second."""
 
+MAX_STEP_WORK_S = 1e13
+"""Most work of a step that counts as demand. A former version stored estimates
+of any size, and no number of machines is found for an infinite sum."""
+
 STALE_LEADERLESS_S = 2.0
 """Time without a leader from which a new one gives a worker no start before
 its next report, as its room may have shrunk. Elections take less."""
@@ -545,7 +549,7 @@
         for step in job.spec.steps:
             if step.is_lasting or job.spec.first_due_ms:
                 continue
-            work_s = step.estimate_s * step.task_count
+            work_s = min(step.estimate_s * step.task_count, MAX_STEP_WORK_S)
             core_s += step.room.cpu_millicores / 1000 * work_s
             memory_mb_s += step.room.memory_mb * work_s
         if core_s:
