--- /dev/null
+++ b/features/steps/claim_rule_steps.py
@@ -0,0 +1,184 @@
+"""Steps about claims and outcomes that cross between entries."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from greengagering import coordination
+from greengagering import state
+from greengagering.transport import _claim_resolver
+
+KEY = 'key-1'
+DIGEST = 'digest'
+DEADLINE_S = 3600.0
+"""Time that callers have left: so long that no deadline passes."""
+
+LOOP_ITERATIONS = 20
+REQUEST_BY_ENTRY_2 = coordination.OutcomeRequest(
+    'entry-2', 'entry-2', 'boot-1', KEY
+)
+CLAIM_OF_ENTRY_1 = state.Claim(DIGEST, 'entry-1', 'boot-1', 0)
+ANSWER = coordination.KeptAnswer(200, (), b'whole')
+
+
+class ClaimWorld:
+    """entry-1 with callers of the same work, on an event loop of its own."""
+
+    def __init__(self) -> None:
+        self.core = coordination.EntryCore(
+            coordination.EntryIdentity('entry-1', 'boot-1', 'entry-1', 'dc-1'),
+            random.Random(1),
+        )
+        self.resolver = _claim_resolver.ClaimResolver(self.core, lambda: None)
+        self.callers: list[asyncio.Task[_claim_resolver.Resolution]] = []
+        self.loop = asyncio.new_event_loop()
+
+    def close(self) -> None:
+        """Cancel the callers and close the loop."""
+        for caller in self.callers:
+            caller.cancel()
+        self.run_callbacks()
+        self.loop.close()
+
+    def run_callbacks(self) -> None:
+        """Run the callbacks that are due; no timeout expires."""
+
+        async def run() -> None:
+            for _ in range(LOOP_ITERATIONS):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(run())
+
+    def call(self, act: Callable[[], None]) -> None:
+        """Call a function as a callback of the loop does."""
+
+        async def run() -> None:
+            act()
+
+        self.loop.run_until_complete(run())
+
+    def add_callers(self, count: int) -> None:
+        """Let callers send the work."""
+        for _ in range(count):
+            work = _claim_resolver.KeyedWork(
+                KEY, DIGEST, 0, time.monotonic() + DEADLINE_S
+            )
+            caller = self.loop.create_task(self.resolver.resolve(work))
+            self.callers.append(caller)
+        self.run_callbacks()
+
+    def receive_verdict(
+        self, verdict: state.ClaimVerdict, holder: state.Claim
+    ) -> None:
+        """Receive the leader's verdict on the claim."""
+        answer = state.ClaimAnswer(KEY, verdict, holder)
+        self.resolver.receive_verdicts(
+            coordination.ClaimResponse('boot-1', (answer,))
+        )
+
+    def receive_grant(self) -> None:
+        """Receive the verdict that entry-1 holds the claim."""
+        self.receive_verdict(state.ClaimVerdict.GRANTED, CLAIM_OF_ENTRY_1)
+
+    def take_response(self) -> coordination.OutcomeResponse | None:
+        """Return the response to entry-2, or None if there is none yet."""
+        outcomes = self.core.claims.take_outcomes()
+        assert len(outcomes) <= 1, outcomes
+        return outcomes[0].response if outcomes else None
+
+    def take_results(self) -> list[_claim_resolver.Resolution]:
+        """Return the results of the callers that no longer wait."""
+        done = [caller for caller in self.callers if caller.done()]
+        self.callers = [c for c in self.callers if not c.done()]
+        return [caller.result() for caller in done]
+
+
+@given("{count:d} callers that wait at entry-1 for the claim of a key's work")
+def callers_wait(context: Any, count: int) -> None:
+    context.claims = ClaimWorld()
+    context.add_cleanup(context.claims.close)
+    context.claims.add_callers(count)
+
+
+@when(
+    'the claim is granted to entry-1 and entry-2 requests the outcome at once'
+)
+def grant_and_request(context: Any) -> None:
+    world = context.claims
+
+    def receive_both() -> None:
+        # Both messages arrive before the event loop runs any caller.
+        world.receive_grant()
+        world.core.claims.answer_outcome_request(REQUEST_BY_ENTRY_2)
+
+    world.call(receive_both)
+    world.run_callbacks()
+
+
+@then(
+    'entry-2 has no response yet, and {count:d} of the callers runs the work'
+)
+def check_running(context: Any, count: int) -> None:
+    response = context.claims.take_response()
+    results = context.claims.take_results()
+    assert response is None, (response, results)
+    permit = _claim_resolver.WorkPermit(KEY)
+    assert results == [permit] * count, results
+
+
+@when('the work is answered')
+def answer_work(context: Any) -> None:
+    context.claims.call(
+        lambda: context.claims.resolver.finish(
+            _claim_resolver.WorkPermit(KEY),
+            coordination.WorkState.ANSWERED,
+            ANSWER,
+        )
+    )
+    context.claims.run_callbacks()
+
+
+@then('entry-2 and the other callers get the answer')
+def check_answered(context: Any) -> None:
+    response = context.claims.take_response()
+    assert response is not None
+    assert response.answer == ANSWER, response
+    results = context.claims.take_results()
+    assert results, 'no caller was left'
+    assert not context.claims.callers, context.claims.callers
+    assert all(result == ANSWER for result in results), results
+
+
+@when(
+    'they disconnect after the claim is granted and entry-2 requests the '
+    'outcome'
+)
+def disconnect_after_grant(context: Any) -> None:
+    world = context.claims
+
+    def receive_and_disconnect() -> None:
+        world.receive_grant()
+        for caller in world.callers:
+            caller.cancel()
+        world.core.claims.answer_outcome_request(REQUEST_BY_ENTRY_2)
+
+    world.call(receive_and_disconnect)
+    world.run_callbacks()
+
+
+@then("entry-2's response is that entry-1 gave the work up")
+def check_given_up(context: Any) -> None:
+    response = context.claims.take_response()
+    assert response is not None
+    assert response.state is coordination.KeptState.GIVEN_UP, response
+
+
+@then('entry-1 may not run the work any more')
+def check_not_begun(context: Any) -> None:
+    assert not context.claims.core.claims.begin(KEY)
--- a/greengagering/coordination/entries/_claim_table.py
+++ b/greengagering/coordination/entries/_claim_table.py
@@ -1,5 +1,6 @@
 """Claims that an entry requests and holds, and the answers that it keeps."""
 
+import collections
 import dataclasses
 import enum
 
@@ -32,14 +33,12 @@
         state: state of the work.
         answer: the kept answer; None if there is none, or if it was dropped
             to free memory.
-        outcome_requests: requests of entries that wait for the outcome.
         held_since_s: entry's clock at the grant.
     """
 
     body_digest: str
     state: WorkState
     answer: claim_msgs.KeptAnswer | None
-    outcome_requests: list[claim_msgs.OutcomeRequest]
     held_since_s: float
 
 
@@ -63,7 +62,9 @@
     """Lets the work of each key run at most once in this process.
 
     The work of a granted claim is run by this process, or is given up for
-    good so that another entry may take the claim over.
+    good so that another entry may take the claim over. It isn't given up
+    while callers wait for it here: they would be told that its outcome is
+    unknown although it hasn't run.
     """
 
     def __init__(self, boot_id: str) -> None:
@@ -71,6 +72,8 @@
         self.kept_bytes = 0
         self._held: dict[str, HeldClaim] = {}
         self._pending: dict[str, _PendingRequest] = {}
+        self._caller_counts: collections.Counter[str] = collections.Counter()
+        self._outcome_requests: dict[str, list[claim_msgs.OutcomeRequest]] = {}
         self._outcomes: list[OutgoingOutcome] = []
 
     def __len__(self) -> int:
@@ -80,6 +83,17 @@
         """Return the claim of a key, if this process holds it."""
         return self._held.get(key_id)
 
+    def add_caller(self, key_id: str) -> None:
+        """Record a caller that waits for the work of a key."""
+        self._caller_counts[key_id] += 1
+
+    def remove_caller(self, key_id: str) -> None:
+        """Record that a caller runs the work, or no longer waits for it."""
+        self._caller_counts[key_id] -= 1
+        if not self._caller_counts[key_id]:
+            del self._caller_counts[key_id]
+            self._answer_requests(key_id)
+
     def request_claim(self, ask: state.ClaimAsk) -> None:
         """Queue a request for a claim to the leader."""
         if ask.key_id not in self._pending:
@@ -109,7 +123,6 @@
                 body_digest=pending.ask.body_digest,
                 state=WorkState.NOT_RUN,
                 answer=None,
-                outcome_requests=[],
                 held_since_s=now_s,
             )
         return True
@@ -138,27 +151,19 @@
         if answer is not None:
             self.kept_bytes += len(answer.body)
             self._drop_answers()
-        for request in held.outcome_requests:
-            self._respond(request, held)
-        held.outcome_requests.clear()
+        self._answer_requests(key_id)
 
     def answer_outcome_request(
         self, request: claim_msgs.OutcomeRequest
     ) -> None:
-        """Answer a request for an outcome, at once or when the work ends."""
-        held = self._held.get(request.key_id)
-        if held is None or request.boot_id != self.boot_id:
-            response = claim_msgs.OutcomeResponse(
-                request.boot_id,
-                request.key_id,
-                claim_msgs.KeptState.UNKNOWN,
-            )
-            self._outcomes.append(OutgoingOutcome(request, response))
-        elif held.state is WorkState.RUNNING:
-            if request not in held.outcome_requests:
-                held.outcome_requests.append(request)
-        else:
-            self._respond(request, held)
+        """Answer a request for an outcome once the outcome is settled."""
+        if request.boot_id != self.boot_id:
+            self._respond(request, claim_msgs.KeptState.UNKNOWN)
+            return
+        requests = self._outcome_requests.setdefault(request.key_id, [])
+        if request not in requests:
+            requests.append(request)
+        self._answer_requests(request.key_id)
 
     def take_outcomes(self) -> list[OutgoingOutcome]:
         """Return and clear the outcomes to send to other entries."""
@@ -178,19 +183,34 @@
         for key_id in old:
             self._drop_answer(self._held.pop(key_id))
 
+    def _answer_requests(self, key_id: str) -> None:
+        """Answer the waiting requests if the outcome of a key is settled."""
+        if not self._is_settled(key_id):
+            return
+        held = self._held.get(key_id)
+        for request in self._outcome_requests.pop(key_id, []):
+            if held is None:
+                self._respond(request, claim_msgs.KeptState.UNKNOWN)
+            else:
+                self._respond(request, _settle(held), held.answer)
+
+    def _is_settled(self, key_id: str) -> bool:
+        """Return whether the work neither runs here nor will by a caller."""
+        held = self._held.get(key_id)
+        if held is None:
+            return True
+        if held.state is WorkState.NOT_RUN:
+            return key_id not in self._caller_counts
+        return held.state is not WorkState.RUNNING
+
     def _respond(
-        self, request: claim_msgs.OutcomeRequest, held: HeldClaim
+        self,
+        request: claim_msgs.OutcomeRequest,
+        kept: claim_msgs.KeptState,
+        answer: claim_msgs.KeptAnswer | None = None,
     ) -> None:
-        kept = claim_msgs.KeptState.UNKNOWN
-        if held.state is WorkState.ANSWERED and held.answer is not None:
-            kept = claim_msgs.KeptState.ANSWERED
-        if held.state in (WorkState.NOT_RUN, WorkState.GIVEN_UP):
-            # From now on this process never starts the work, so the
-            # requesting entry may.
-            held.state = WorkState.GIVEN_UP
-            kept = claim_msgs.KeptState.GIVEN_UP
         response = claim_msgs.OutcomeResponse(
-            request.boot_id, request.key_id, kept, held.answer
+            request.boot_id, request.key_id, kept, answer
         )
         self._outcomes.append(OutgoingOutcome(request, response))
 
@@ -205,3 +225,15 @@
         if held.answer is not None:
             self.kept_bytes -= len(held.answer.body)
             held.answer = None
+
+
+def _settle(held: HeldClaim) -> claim_msgs.KeptState:
+    """Return the outcome of a claim; give its work up if it hasn't run."""
+    if held.state in (WorkState.NOT_RUN, WorkState.GIVEN_UP):
+        # From now on this process never starts the work, so the requesting
+        # entry may.
+        held.state = WorkState.GIVEN_UP
+        return claim_msgs.KeptState.GIVEN_UP
+    if held.state is WorkState.ANSWERED and held.answer is not None:
+        return claim_msgs.KeptState.ANSWERED
+    return claim_msgs.KeptState.UNKNOWN
--- a/greengagering/transport/_claim_resolver.py
+++ b/greengagering/transport/_claim_resolver.py
@@ -93,10 +93,15 @@
 
     async def resolve(self, work: KeyedWork) -> Resolution:
         """Return a permit, the stored answer, or the reason for a refusal."""
-        held = self._core.claims.get(work.key_id)
-        if held is not None:
-            return await self._resolve_held(work, held)
-        return await self._request_claim(work, taken_from='')
+        self._core.claims.add_caller(work.key_id)
+        try:
+            held = self._core.claims.get(work.key_id)
+            if held is not None:
+                return await self._resolve_held(work, held)
+            return await self._request_claim(work, taken_from='')
+        finally:
+            self._core.claims.remove_caller(work.key_id)
+            self._schedule_step()
 
     def finish(
         self,
