Keep requests for an outcome until the verdict on the claim has arrived

Callers at one entry could be told 409 outcome_unknown while another entry held the claim and was about to run the work.

Cause: the leader sends its verdicts to the entries at the same time. An entry that learnt that the claim is held asked the holder, and the request could arrive before the holder's own verdict, or after that verdict was lost with a link. The holder knew of no claim and answered "unknown".

Three new scenarios of claim_rules.feature, with fake messages and no time passing, failed before: the response was "unknown".

Change: while a process has a request for the key's claim without a verdict, it keeps requests for the outcome, and answers them by the verdict: the outcome once the work has ended, given up if nobody waits for the work here, unknown if the claim is another's.

--- a/features/claim_rules.feature
+++ b/features/claim_rules.feature
@@ -14,3 +14,24 @@
     When they disconnect after the claim is granted and entry-2 requests the outcome
     Then entry-2's response is that entry-1 gave the work up
     And entry-1 may not run the work any more
+
+  # Guards against callers that are told unknown because their entry asked the holder before the leader's verdict reached it.
+  Scenario: A holder that hasn't heard of its claim yet keeps requests for the outcome
+    Given 3 callers that wait at entry-1 for the claim of a key's work
+    When entry-2 requests the outcome before the claim is granted to entry-1
+    Then entry-2 has no response yet, and 1 of the callers runs the work
+    When the work is answered
+    Then entry-2 and the other callers get the answer
+
+  # Guards against work whose outcome is unknown for ever because the verdict on its claim was lost or came late.
+  Scenario: A process that learns late that it holds a claim gives the work up
+    Given 2 callers that wait at entry-1 for the claim of a key's work
+    When they disconnect, entry-2 requests the outcome, and the claim is granted to entry-1
+    Then entry-2's response is that entry-1 gave the work up
+    And entry-1 may not run the work any more
+
+  # Guards against requests that wait for a claim that the process doesn't hold.
+  Scenario: A process whose claim was refused answers requests for the outcome with unknown
+    Given 2 callers that wait at entry-1 for the claim of a key's work
+    When they disconnect, entry-2 requests the outcome, and the claim is held by entry-3
+    Then entry-2's response is that the outcome is unknown
--- a/features/steps/claim_rule_steps.py
+++ b/features/steps/claim_rule_steps.py
@@ -172,6 +172,53 @@
     world.run_callbacks()
 
 
+@when('entry-2 requests the outcome before the claim is granted to entry-1')
+def request_before_grant(context: Any) -> None:
+    world = context.claims
+
+    def receive_both() -> None:
+        world.core.claims.answer_outcome_request(REQUEST_BY_ENTRY_2)
+        world.receive_grant()
+
+    world.call(receive_both)
+    world.run_callbacks()
+
+
+def _disconnect_and_request(world: ClaimWorld) -> None:
+    for caller in world.callers:
+        caller.cancel()
+    world.run_callbacks()
+    world.core.claims.answer_outcome_request(REQUEST_BY_ENTRY_2)
+
+
+@when(
+    'they disconnect, entry-2 requests the outcome, and the claim is granted '
+    'to entry-1'
+)
+def request_before_late_grant(context: Any) -> None:
+    _disconnect_and_request(context.claims)
+    context.claims.receive_grant()
+
+
+@when(
+    'they disconnect, entry-2 requests the outcome, and the claim is held by '
+    'entry-3'
+)
+def request_before_refusal(context: Any) -> None:
+    _disconnect_and_request(context.claims)
+    assert context.claims.take_response() is None
+    context.claims.receive_verdict(
+        state.ClaimVerdict.HELD, state.Claim(DIGEST, 'entry-3', 'boot-3', 0)
+    )
+
+
+@then("entry-2's response is that the outcome is unknown")
+def check_unknown(context: Any) -> None:
+    response = context.claims.take_response()
+    assert response is not None
+    assert response.state is coordination.KeptState.UNKNOWN, response
+
+
 @then("entry-2's response is that entry-1 gave the work up")
 def check_given_up(context: Any) -> None:
     response = context.claims.take_response()
--- a/greengagering/coordination/entries/_claim_table.py
+++ b/greengagering/coordination/entries/_claim_table.py
@@ -125,6 +125,7 @@
                 answer=None,
                 held_since_s=now_s,
             )
+        self._answer_requests(answer.key_id)
         return True
 
     def begin(self, key_id: str) -> bool:
@@ -198,7 +199,9 @@
         """Return whether the work neither runs here nor will by a caller."""
         held = self._held.get(key_id)
         if held is None:
-            return True
+            # The leader's verdict on this process's request may still be on
+            # its way although another entry has got its own.
+            return key_id not in self._pending
         if held.state is WorkState.NOT_RUN:
             return key_id not in self._caller_counts
         return held.state is not WorkState.RUNNING
