Let callers wait again when another of them runs refused work

Of several callers with the same key at one entry, all but one were told 409 outcome_unknown when the work that they waited for was refused without running.

Cause: the first of them to be woken ran the work; the others looked only once whether it ran, found it running, and took that for an unknown outcome.

A new scenario of claim_rules.feature, without time passing, failed before: one caller got the permit, the other two outcome_unknown.

Change: a caller waits as long as the work runs, whoever runs it, until its own deadline.

--- a/features/claim_rules.feature
+++ b/features/claim_rules.feature
@@ -35,3 +35,12 @@
     Given 2 callers that wait at entry-1 for the claim of a key's work
     When they disconnect, entry-2 requests the outcome, and the claim is held by entry-3
     Then entry-2's response is that the outcome is unknown
+
+  # Guards against callers that are told unknown while another caller's work of their key runs.
+  Scenario: Of several callers whose work was refused, one runs it and the others wait
+    Given 4 callers that wait at entry-1 for the claim of a key's work
+    And the claim is granted to entry-1 and one of them runs the work
+    When the work is refused without running
+    Then 1 of the callers runs the work, and the others still wait
+    When the work is answered
+    Then the other callers get the answer
--- a/features/steps/claim_rule_steps.py
+++ b/features/steps/claim_rule_steps.py
@@ -86,6 +86,16 @@
         """Receive the verdict that entry-1 holds the claim."""
         self.receive_verdict(state.ClaimVerdict.GRANTED, CLAIM_OF_ENTRY_1)
 
+    def finish(
+        self,
+        outcome: coordination.WorkState,
+        answer: coordination.KeptAnswer | None,
+    ) -> None:
+        """End the work that a caller runs."""
+        permit = _claim_resolver.WorkPermit(KEY)
+        self.call(lambda: self.resolver.finish(permit, outcome, answer))
+        self.run_callbacks()
+
     def take_response(self) -> coordination.OutcomeResponse | None:
         """Return the response to entry-2, or None if there is none yet."""
         outcomes = self.core.claims.take_outcomes()
@@ -126,22 +136,37 @@
 )
 def check_running(context: Any, count: int) -> None:
     response = context.claims.take_response()
-    results = context.claims.take_results()
-    assert response is None, (response, results)
-    permit = _claim_resolver.WorkPermit(KEY)
-    assert results == [permit] * count, results
+    assert response is None, response
+    _check_permits(context.claims, count)
+
+
+@given('the claim is granted to entry-1 and one of them runs the work')
+def grant_and_run(context: Any) -> None:
+    context.claims.call(context.claims.receive_grant)
+    context.claims.run_callbacks()
+    _check_permits(context.claims, 1)
+
+
+def _check_permits(world: ClaimWorld, count: int) -> None:
+    """Check that count callers got a permit and that no other got a result."""
+    results = world.take_results()
+    assert results == [_claim_resolver.WorkPermit(KEY)] * count, results
+
+
+@when('the work is refused without running')
+def refuse_work(context: Any) -> None:
+    context.claims.finish(coordination.WorkState.NOT_RUN, None)
+
+
+@then('{count:d} of the callers runs the work, and the others still wait')
+def check_next_runs(context: Any, count: int) -> None:
+    _check_permits(context.claims, count)
+    assert context.claims.callers
 
 
 @when('the work is answered')
 def answer_work(context: Any) -> None:
-    context.claims.call(
-        lambda: context.claims.resolver.finish(
-            _claim_resolver.WorkPermit(KEY),
-            coordination.WorkState.ANSWERED,
-            ANSWER,
-        )
-    )
-    context.claims.run_callbacks()
+    context.claims.finish(coordination.WorkState.ANSWERED, ANSWER)
 
 
 @then('entry-2 and the other callers get the answer')
@@ -149,6 +174,11 @@
     response = context.claims.take_response()
     assert response is not None
     assert response.answer == ANSWER, response
+    check_callers_answered(context)
+
+
+@then('the other callers get the answer')
+def check_callers_answered(context: Any) -> None:
     results = context.claims.take_results()
     assert results, 'no caller was left'
     assert not context.claims.callers, context.claims.callers
--- a/greengagering/transport/_claim_resolver.py
+++ b/greengagering/transport/_claim_resolver.py
@@ -131,7 +131,9 @@
     ) -> Resolution:
         if held.body_digest != work.body_digest:
             return coordination.RefusalReason.KEY_REUSED
-        if held.state is coordination.WorkState.RUNNING:
+        # Work that was refused without running may run again, by the first
+        # of the callers that waited for it.
+        while held.state is coordination.WorkState.RUNNING:
             left_s = work.deadline_s - time.monotonic()
             if not await self._completions.wait(work.key_id, left_s):
                 return coordination.RefusalReason.OUTCOME_UNKNOWN
