Look for a claim's holder in a list of entries newer than the verdict

Callers at one entry could be told 409 outcome_unknown while a live entry ran the work of their key.

Cause: an entry looks its claim's holder up in the list of live entries that came with its last lease, up to 0.3 s ago, and took a holder that it doesn't list for one that is gone. An entry that has just got its first lease isn't in the others' lists yet; a new leader's first lists are incomplete, too.

A new scenario of claim_rules.feature failed before: the caller was told outcome_unknown by the old list.

Change: the follower notes for which of its reports the leader last listed all entries, and the outcome is unknown only if a list requested after the verdict lacks the holder. Until then the caller waits within its deadline. A holder that is gone is found out one report and one check later, at most 0.8 s after the verdict.

--- a/features/claim_rules.feature
+++ b/features/claim_rules.feature
@@ -44,3 +44,24 @@
     Then 1 of the callers runs the work, and the others still wait
     When the work is answered
     Then the other callers get the answer
+
+  # Guards against callers that are told unknown because their entry's list of entries is older than the holder's lease.
+  Scenario: A holder that isn't in an old list of entries is looked for in the next one
+    Given entry-1 with a list of live entries that lacks entry-2
+    And 1 callers that wait at entry-1 for the claim of a key's work
+    When the claim turns out to be held by entry-2
+    Then entry-1 requests no outcome, and its caller still waits
+    When a newer incomplete list without entry-2 arrives
+    Then entry-1 requests no outcome, and its caller still waits
+    When a newer complete list with entry-2 arrives
+    Then entry-1 requests the outcome from entry-2
+    When entry-2 responds with the answer
+    Then the other callers get the answer
+
+  # Guards against callers that wait until their deadline for a holder that is gone.
+  Scenario: The outcome is unknown once a newer list lacks the holder
+    Given entry-1 with a list of live entries that lacks entry-2
+    And 1 callers that wait at entry-1 for the claim of a key's work
+    When the claim turns out to be held by entry-2
+    And a newer complete list without entry-2 arrives
+    Then the caller is told that the outcome is unknown
--- a/features/steps/claim_rule_steps.py
+++ b/features/steps/claim_rule_steps.py
@@ -5,6 +5,7 @@
 import random
 import time
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -23,7 +24,11 @@
 REQUEST_BY_ENTRY_2 = coordination.OutcomeRequest(
     'entry-2', 'entry-2', 'boot-1', KEY
 )
+LIST_AGE_S = 10.0
+"""Difference in time between an old list of entries and a newer one."""
+
 CLAIM_OF_ENTRY_1 = state.Claim(DIGEST, 'entry-1', 'boot-1', 0)
+CLAIM_OF_ENTRY_2 = state.Claim(DIGEST, 'entry-2', 'boot-2', 0)
 ANSWER = coordination.KeptAnswer(200, (), b'whole')
 
 
@@ -96,6 +101,38 @@
         self.call(lambda: self.resolver.finish(permit, outcome, answer))
         self.run_callbacks()
 
+    def receive_entries(
+        self, names: tuple[str, ...], sent_at_s: float, *, is_complete: bool
+    ) -> None:
+        """Receive a lease with a list of the live entries.
+
+        Args:
+            names: the entries.
+            sent_at_s: when entry-1 sent the report that the lease answers.
+            is_complete: whether the leader knows all entries.
+        """
+        grant = coordination.LeaseGrant(
+            leader_id='control-1',
+            term=1,
+            entry_boot_id='boot-1',
+            report_sent_at_s=sent_at_s,
+            duration_s=DEADLINE_S,
+            confirmed_revision=0,
+            entries=tuple(coordination.EntryAddress(n, n) for n in names),
+            is_complete=is_complete,
+        )
+        self.core.receive('control-1', grant, sent_at_s)
+        self.run_callbacks()
+
+    def take_outcome_requests(self) -> list[str]:
+        """Return the entries from which the outcome was requested."""
+        return [
+            outgoing.entry_id
+            for outgoing in self.core.take_outbox()
+            if isinstance(outgoing, coordination.ToPeer)
+            and isinstance(outgoing.message, coordination.OutcomeRequest)
+        ]
+
     def take_response(self) -> coordination.OutcomeResponse | None:
         """Return the response to entry-2, or None if there is none yet."""
         outcomes = self.core.claims.take_outcomes()
@@ -111,9 +148,82 @@
 
 @given("{count:d} callers that wait at entry-1 for the claim of a key's work")
 def callers_wait(context: Any, count: int) -> None:
+    if 'claims' not in context:
+        _create_world(context)
+    context.claims.add_callers(count)
+
+
+def _create_world(context: Any) -> None:
     context.claims = ClaimWorld()
     context.add_cleanup(context.claims.close)
-    context.claims.add_callers(count)
+
+
+@given('entry-1 with a list of live entries that lacks entry-2')
+def set_old_list(context: Any) -> None:
+    # The list is looked at again in each iteration of the loop, so that the
+    # scenario needn't wait.
+    _set_request_interval(context, 0.0)
+    _create_world(context)
+    context.claims.receive_entries(
+        ('entry-1',), time.monotonic() - LIST_AGE_S, is_complete=True
+    )
+
+
+def _set_request_interval(context: Any, interval_s: float) -> None:
+    patch = mock.patch.object(
+        _claim_resolver, 'OUTCOME_REQUEST_INTERVAL_S', interval_s
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when('the claim turns out to be held by entry-2')
+def find_holder(context: Any) -> None:
+    world = context.claims
+    held = state.ClaimVerdict.HELD
+    world.call(lambda: world.receive_verdict(held, CLAIM_OF_ENTRY_2))
+    world.run_callbacks()
+
+
+@when('a newer {kind} list {relation} entry-2 arrives')
+def receive_list(context: Any, kind: str, relation: str) -> None:
+    names = ('entry-1', 'entry-2')
+    context.claims.receive_entries(
+        names if relation == 'with' else names[:1],
+        time.monotonic() + LIST_AGE_S,
+        is_complete=kind == 'complete',
+    )
+
+
+@then('entry-1 requests no outcome, and its caller still waits')
+def check_no_request(context: Any) -> None:
+    assert not context.claims.take_outcome_requests()
+    results = context.claims.take_results()
+    assert not results, results
+
+
+@then('entry-1 requests the outcome from entry-2')
+def check_request(context: Any) -> None:
+    assert set(context.claims.take_outcome_requests()) == {'entry-2'}
+    # From now on the caller waits for the response.
+    _set_request_interval(context, DEADLINE_S)
+    context.claims.run_callbacks()
+
+
+@when('entry-2 responds with the answer')
+def respond(context: Any) -> None:
+    world = context.claims
+    response = coordination.OutcomeResponse(
+        'boot-2', KEY, coordination.KeptState.ANSWERED, ANSWER
+    )
+    world.call(lambda: world.resolver.receive_outcome(response))
+    world.run_callbacks()
+
+
+@then('the caller is told that the outcome is unknown')
+def check_told_unknown(context: Any) -> None:
+    results = context.claims.take_results()
+    assert results == [coordination.RefusalReason.OUTCOME_UNKNOWN], results
 
 
 @when(
--- a/greengagering/coordination/entries/_entry.py
+++ b/greengagering/coordination/entries/_entry.py
@@ -445,8 +445,20 @@
         self._digested_at_s = now_s
         self._send(self._random.choice(peers), self.table.digest())
 
+    def lists_entries_since(self, since_s: float) -> bool:
+        """Return whether the list of live entries is newer than a time.
+
+        A newer list holds every entry that had a lease at that time and still
+        has it.
+        """
+        return self.follower.entries_known_at_s >= since_s
+
     def request_outcome(self, holder: state.Claim, key_id: str) -> bool:
-        """Ask a claim's holder for the outcome; return False if it is down."""
+        """Ask a claim's holder for the outcome if it is a live entry.
+
+        Returns:
+            Whether it is one, by the list that the leader sent last.
+        """
         request = claim_msgs.OutcomeRequest(
             self.identity.entry_id,
             self.identity.address,
--- a/greengagering/coordination/entries/_follower.py
+++ b/greengagering/coordination/entries/_follower.py
@@ -5,7 +5,13 @@
 
 
 class FleetFollower:
-    """Applies the feed in order, and tracks the lease."""
+    """Applies the feed in order, and tracks the lease.
+
+    Attributes:
+        entries: the entries with a lease, as the leader last listed them.
+        entries_known_at_s: this entry's clock; a lease granted before then is
+            in the list unless it has ended.
+    """
 
     def __init__(self, boot_id: str) -> None:
         self.boot_id = boot_id
@@ -16,6 +22,7 @@
         self.leader_id = ''
         self.leader_term = 0
         self.entries: tuple[entry_msgs.EntryAddress, ...] = ()
+        self.entries_known_at_s = float('-inf')
         self.snapshots_applied = 0
 
     @property
@@ -47,6 +54,10 @@
         self.leader_id = grant.leader_id
         if grant.entries is not None:
             self._update_entries(grant.entries, is_complete=grant.is_complete)
+        if grant.is_complete:
+            self.entries_known_at_s = max(
+                self.entries_known_at_s, grant.report_sent_at_s
+            )
         return is_new
 
     def _update_entries(
--- a/greengagering/transport/_claim_resolver.py
+++ b/greengagering/transport/_claim_resolver.py
@@ -190,8 +190,13 @@
         """
         if holder.body_digest != work.body_digest:
             return coordination.RefusalReason.KEY_REUSED
+        learned_at_s = time.monotonic()
         while time.monotonic() < work.deadline_s:
-            if not self._core.request_outcome(holder, work.key_id):
+            is_listed = self._core.request_outcome(holder, work.key_id)
+            # The holder's lease may be younger than this entry's list of
+            # entries, so only a list requested since then shows that it has
+            # gone.
+            if not is_listed and self._core.lists_entries_since(learned_at_s):
                 return coordination.RefusalReason.OUTCOME_UNKNOWN
             self._schedule_step()
             response = await self._outcomes.wait(
