Wait for the entry that takes a claim over, instead of answering unknown

A caller at an entry that had just given the work up to another entry was told 409 outcome_unknown, although the other was about to run the work.

Cause: until the other entry's request is committed, the leader confirms the claim to its former holder, which may not run the work any more and took the outcome for unknown.

A new scenario of claim_rules.feature failed before.

Change: the entry asks for the claim again, within the caller's deadline, until another entry has taken it over and can be asked for the outcome.

--- a/features/claim_rules.feature
+++ b/features/claim_rules.feature
@@ -65,3 +65,15 @@
     When the claim turns out to be held by entry-2
     And a newer complete list without entry-2 arrives
     Then the caller is told that the outcome is unknown
+
+  # Guards against callers that are told unknown while another entry takes over the work that their entry gave up.
+  Scenario: A caller at an entry that gave the work up waits for the entry that takes it over
+    Given entry-1 holds the claim of a key's work and has given it up to entry-2
+    And 1 callers that wait at entry-1 for the claim of a key's work
+    When the claim is granted to entry-1 again, as entry-2's request is on its way
+    Then entry-1 requests the claim again, and its caller still waits
+    When the claim turns out to be held by entry-2
+    And a newer complete list with entry-2 arrives
+    Then entry-1 requests the outcome from entry-2
+    When entry-2 responds with the answer
+    Then the other callers get the answer
--- a/features/steps/claim_rule_steps.py
+++ b/features/steps/claim_rule_steps.py
@@ -124,6 +124,10 @@
         self.core.receive('control-1', grant, sent_at_s)
         self.run_callbacks()
 
+    def take_claim_requests(self) -> tuple[state.ClaimAsk, ...]:
+        """Return the requests for claims that are due."""
+        return self.core.claims.take_due_requests(time.monotonic())
+
     def take_outcome_requests(self) -> list[str]:
         """Return the entries from which the outcome was requested."""
         return [
@@ -177,6 +181,38 @@
     context.add_cleanup(patch.stop)
 
 
+@given(
+    "entry-1 holds the claim of a key's work and has given it up to entry-2"
+)
+def give_up(context: Any) -> None:
+    # The claim is requested again in each iteration of the loop, so that the
+    # scenario needn't wait.
+    _set_request_interval(context, 0.0)
+    _create_world(context)
+    world = context.claims
+    world.core.claims.request_claim(state.ClaimAsk(KEY, DIGEST, 0))
+    world.receive_grant()
+    world.core.claims.answer_outcome_request(REQUEST_BY_ENTRY_2)
+    check_given_up(context)
+
+
+@when(
+    "the claim is granted to entry-1 again, as entry-2's request is on its way"
+)
+def grant_again(context: Any) -> None:
+    world = context.claims
+    assert world.take_claim_requests(), 'the claim was not requested'
+    world.call(world.receive_grant)
+    world.run_callbacks()
+
+
+@then('entry-1 requests the claim again, and its caller still waits')
+def check_requested_again(context: Any) -> None:
+    results = context.claims.take_results()
+    assert not results, results
+    assert context.claims.take_claim_requests()
+
+
 @when('the claim turns out to be held by entry-2')
 def find_holder(context: Any) -> None:
     world = context.claims
--- a/greengagering/transport/_claim_resolver.py
+++ b/greengagering/transport/_claim_resolver.py
@@ -148,6 +148,32 @@
     async def _request_claim(
         self, work: KeyedWork, taken_from: str
     ) -> Resolution:
+        while True:
+            answer = await self._ask_leader(work, taken_from)
+            if answer is None:
+                return coordination.RefusalReason.CLAIM_UNAVAILABLE
+            is_granted = answer.verdict is state.ClaimVerdict.GRANTED
+            if not is_granted or not self._has_given_up(work):
+                return await self._resolve_verdict(work, answer)
+            # The entry that the work was given up to may still take the claim
+            # over, and then knows the outcome.
+            left_s = work.deadline_s - time.monotonic()
+            if left_s <= 0:
+                return coordination.RefusalReason.OUTCOME_UNKNOWN
+            await asyncio.sleep(min(left_s, OUTCOME_REQUEST_INTERVAL_S))
+
+    def _has_given_up(self, work: KeyedWork) -> bool:
+        held = self._core.claims.get(work.key_id)
+        return (
+            held is not None
+            and held.body_digest == work.body_digest
+            and held.state is coordination.WorkState.GIVEN_UP
+        )
+
+    async def _ask_leader(
+        self, work: KeyedWork, taken_from: str
+    ) -> state.ClaimAnswer | None:
+        """Return the leader's verdict, or None if the deadline passes."""
         self._core.claims.request_claim(
             state.ClaimAsk(
                 work.key_id, work.body_digest, work.issued_at_ms, taken_from
@@ -155,9 +181,11 @@
         )
         self._schedule_step()
         left_s = work.deadline_s - time.monotonic()
-        answer = await self._verdicts.wait(work.key_id, left_s)
-        if answer is None:
-            return coordination.RefusalReason.CLAIM_UNAVAILABLE
+        return await self._verdicts.wait(work.key_id, left_s)
+
+    async def _resolve_verdict(
+        self, work: KeyedWork, answer: state.ClaimAnswer
+    ) -> Resolution:
         match answer.verdict:
             case state.ClaimVerdict.EXPIRED:
                 return coordination.RefusalReason.KEY_EXPIRED
@@ -175,7 +203,7 @@
             return coordination.RefusalReason.KEY_REUSED
         if self._core.claims.begin(work.key_id):
             return WorkPermit(work.key_id)
-        if held is None or held.state is coordination.WorkState.GIVEN_UP:
+        if held is None:
             return coordination.RefusalReason.OUTCOME_UNKNOWN
         # Another call with the same key has begun to run the work meanwhile.
         return await self._resolve_held(work, held)
