Don't take a short term for the end of the time without a leader

Cause: a new leader used stored rooms if it had heard any leader within 2 s. That leader may have led too briefly for workers to report to it, or to commit what they reported.

Change: only a term of 2 s, the interval of reports, ends the time without a leader. Each replica keeps that time, also for its own terms, and a leader sends it with its entries, so that a replica that has just started doesn't hold starts back. What a leader sends counts once it has been heard for 0.8 s, as messages that were held back arrive at once.

--- a/features/replica_rules.feature
+++ b/features/replica_rules.feature
@@ -106,3 +106,28 @@
     Given a leader of three that syncs in the background and has written an entry
     When the sync fails
     Then it leads no more, and no sync is due
+
+  # Guards against a time without a leader that a short term seems to end.
+  Scenario: A term that is too short doesn't end the time without a leader
+    Given a replica that has heard the leader of term 1 for 3 s
+    When it hears nobody for 0.6 s, the leader of term 2 for 1 s, and nobody for 0.6 s
+    Then it takes nobody to have led for 2.2 s
+
+  # Guards against work that waits for reports as a replica that has just restarted leads.
+  Scenario: A replica that has just started learns from the leader that it has led for long
+    Given a replica that has just started
+    When it hears the leader of term 1, which has led for long, for 1 s
+    Then it takes nobody to have led for 0 s
+
+  # Guards against messages of a leader that is gone, which a paused process handles when it goes on.
+  Scenario: Messages that were held back don't show that a leader has just led
+    Given a replica that has heard the leader of term 1 for 3 s
+    When it is paused for 4 s, and then handles 3 s of the leader's messages at once
+    Then it takes nobody to have led for 4 s
+
+  # Guards against work that waits for reports as the same replica leads again.
+  Scenario: A leader that loses its followers remembers its own term
+    Given a leader of three that its followers have answered for 3 s
+    When nobody answers it for 1 s
+    Then it leads no more
+    And it takes nobody to have led for 1 s
--- a/features/room_rules.feature
+++ b/features/room_rules.feature
@@ -25,6 +25,19 @@
     Then all 26 of its tasks run within 5 s
     And no start brought a worker over its room
 
+  # Guards against a chain of terms, each too short for a worker's report to be committed.
+  Scenario: A leader that follows several short terms starts nothing by a room that has shrunk meanwhile
+    When worker-1 shrinks to 2000 millicores, and nobody reports while each leader is lost 0.3 s after it began, for 4.5 s
+    And a job with 26 lasting tasks is submitted
+    Then all 26 of its tasks run within 5 s
+    And no start brought a worker over its room
+
+  # Guards against starts that wait for reports after an ordinary change of leader.
+  Scenario: A leader that follows a long term starts tasks before any report
+    When the leader is lost, and nobody reports for 3 s
+    And a job with 32 lasting tasks is submitted
+    Then all 32 of its tasks run within 1 s
+
   # Guards against an order that is sent again to a worker that has no room for it any more.
   Scenario: An unanswered start isn't ordered again at a worker that has shrunk
     Given a worker with a start of 6000 millicores that has no answer
--- a/features/steps/room_rule_steps.py
+++ b/features/steps/room_rule_steps.py
@@ -66,6 +66,30 @@
     world.advance_until(world.has_leader, seconds)
 
 
+@when(
+    '{name} shrinks to {millicores:d} millicores, and nobody reports while '
+    'each leader is lost {term_s:g} s after it began, for {seconds:g} s'
+)
+def lose_leaders(
+    context: Any, name: str, millicores: int, term_s: float, seconds: float
+) -> None:
+    world = world_of(context)
+    world.workers[name].change_room(_room(millicores), world.now_s)
+    ends_s = world.now_s + seconds
+    for other in world.workers:
+        world._reports_s[other] = ends_s + REPORT_S
+    while world.now_s < ends_s:
+        leader = world.leader().replica.identity.replica_id
+        world.network.heal()
+        followers = [n for n in world.controls if n != leader]
+        world.network.isolate(leader, followers)
+        world.advance_until(lambda: not world.has_leader(), REPORT_S)
+        world.advance_until(world.has_leader, REPORT_S)
+        world.advance(term_s)
+    for other in world.workers:
+        world._reports_s[other] = world.now_s + REPORT_S
+
+
 @then('no start brought a worker over its room')
 def check_starts(context: Any) -> None:
     # The simulation raises an InvariantError at such a start.
--- a/greengagering/coordination/agreement/_messages.py
+++ b/greengagering/coordination/agreement/_messages.py
@@ -49,6 +49,8 @@
         entries: consecutive entries, possibly none.
         commit_index: the leader's commit index.
         sent_at_s: the leader's own clock, copied into the response.
+        leaderless_s: see Replica.leaderless_s; infinity from a leader of the
+            former version, which doesn't send it.
     """
 
     term: int
@@ -57,6 +59,7 @@
     entries: tuple[state.LogEntry, ...]
     commit_index: int
     sent_at_s: float
+    leaderless_s: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/coordination/agreement/_replica.py
+++ b/greengagering/coordination/agreement/_replica.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from greengagering.coordination.agreement._leadership import LeadershipRecord
 from greengagering.coordination.agreement import _messages as messages
 from greengagering.coordination.agreement._progress import FollowerProgress
 from greengagering.coordination.agreement._replica_log import ReplicaLog
@@ -108,7 +109,9 @@
         # vote within the minimum election timeout.
         self.leader_heard_s = now_s if former_over_s is None else former_over_s
         self._election_due_s = 0.0
-        self._has_heard_leader = False
+        self._leadership = LeadershipRecord(
+            self.options.steady_lead_s, self.options.election_max_s
+        )
         self._reset_election(self.leader_heard_s)
 
     @property
@@ -223,6 +226,9 @@
         """Send heartbeats, check the quorum, or start an election."""
         if self.is_leader:
             self._tick_leader(now_s)
+            if self.has_lease(now_s):
+                contact_s = self.quorum_contact_s(now_s)
+                self._leadership.note(self.term, contact_s)
         elif now_s >= self._election_due_s:
             self._start_election(now_s, is_pre=True)
 
@@ -321,10 +327,12 @@
         return self.quorum_contact_s(now_s) + lease_s
 
     def leaderless_s(self, now_s: float) -> float:
-        """Return how long it has heard no other leader; infinity if never."""
-        if not self._has_heard_leader:
-            return float('inf')
-        return now_s - self.leader_heard_s
+        """Return how long ago a replica last led for long enough.
+
+        Terms shorter than steady_lead_s don't count. It is infinity if this
+        process knows of no longer one.
+        """
+        return self._leadership.leaderless_s(now_s)
 
     def hears_leader(self, now_s: float) -> bool:
         """Return whether a leader was heard within election_max_s."""
@@ -707,6 +715,7 @@
                 entries=entries,
                 commit_index=self.commit_index,
                 sent_at_s=now_s,
+                leaderless_s=self.leaderless_s(now_s),
             ),
         )
 
@@ -738,7 +747,7 @@
     def _on_append_request(
         self, peer: str, request: messages.AppendRequest, now_s: float
     ) -> None:
-        if not self._follow(peer, request.term, now_s):
+        if not self._follow(peer, request.term, now_s, request.leaderless_s):
             self._send_append_failure(peer, request, 0)
             return
         conflict_index = self._find_conflict(request)
@@ -766,7 +775,13 @@
             ),
         )
 
-    def _follow(self, peer: str, term: int, now_s: float) -> bool:
+    def _follow(
+        self,
+        peer: str,
+        term: int,
+        now_s: float,
+        leaderless_s: float = math.inf,
+    ) -> bool:
         """Accept a leader's message; return False if its term is outdated."""
         if term < self.term:
             return False
@@ -774,7 +789,7 @@
             self._become_follower(term, peer, now_s)
         self.leader_id = peer
         self.leader_heard_s = now_s
-        self._has_heard_leader = True
+        self._leadership.note(term, now_s, leaderless_s)
         self._reset_election(now_s)
         return True
 
--- a/greengagering/coordination/agreement/_replica_model.py
+++ b/greengagering/coordination/agreement/_replica_model.py
@@ -47,6 +47,9 @@
         syncs_in_background: whether a leader sends entries before its own
             disk has synced them, while the caller of this class runs the
             syncs.
+        steady_lead_s: time for which a leader must have led to end the time
+            without one, see Replica.leaderless_s; the interval of workers'
+            reports, and the timeout of a report to a process that is gone.
     """
 
     heartbeat_s: float = 0.08
@@ -60,6 +63,7 @@
     max_lag_entries: int = 64
     flush_interval_s: float = 0.012
     syncs_in_background: bool = False
+    steady_lead_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -40,7 +40,8 @@
 
 STALE_LEADERLESS_S = 2.0
 """Time without a leader from which a new one gives a worker no start before
-its next report, as its room may have shrunk. Elections take less."""
+its next report, as its room may have shrunk. Elections take less. A term that
+was too short for every worker to report in it doesn't end that time."""
 
 STALL_CHECK_INTERVAL_S = 0.2
 """Time between two searches for stalled runs."""
@@ -203,8 +204,8 @@
             term: the leader's term, which is the fence of its orders.
             now_s: the leader's clock.
             now_ms: wall-clock time.
-            leaderless_s: how long nobody may have led, so that no report was
-                stored.
+            leaderless_s: how long nobody may have led for long enough, so
+                that reports may not have been stored.
         """
         self.stop_leading()
         self._core.fence = term
