Record a reported room while another one's record is on its way

What callers would see: a worker whose room has shrunk again gets starts by the room before that, once the leader is lost within a report's interval (LIMIT).

Cause: a report was compared with the stored room only. If it was the same, and a record of another room was proposed and not committed yet, the report was acknowledged, and that record then stored the other room.

Change: a report is recorded too if its room isn't the one of the newest record that this leader has proposed.

Evidence: the new scenario of room_rules fails before (no record), and passes.

--- a/features/room_rules.feature
+++ b/features/room_rules.feature
@@ -63,3 +63,9 @@
   Scenario: The room that a worker reports last is stored
     When the room of worker-1 is 3000, then 5000 millicores in committed records
     Then the state has 5000 millicores for it, and keeps its runs
+
+  # Guards against a report that is acknowledged while the newest record, not committed yet, has another room.
+  Scenario: A room that is as stored is recorded again if another one is on its way
+    Given a worker of 8000 millicores whose report of 4000 is not committed
+    When it reports that its room is 8000 millicores
+    Then a record of 8000 millicores is to be committed before the acknowledgement
--- a/features/steps/room_rule_steps.py
+++ b/features/steps/room_rule_steps.py
@@ -128,12 +128,14 @@
         state.apply_to_jobs(self.jobs, record)
         self.scheduler.handle_applied(record, self.now_s, 10_000)
 
-    def report(self, room: state.Room, sequence: int) -> None:
-        """Let the worker report its room."""
+    def report(
+        self, room: state.Room, sequence: int
+    ) -> state.JobRecord | None:
+        """Let the worker report its room; return the record to commit."""
         facts = state.WorkerFacts(
             'worker-0', 1, 'service-a', 'a:80', 'dc-1', '', (), room
         )
-        self.scheduler.handle_report(
+        return self.scheduler.handle_report(
             coordination.WorkerReport(facts, sequence, 1000, False), self.now_s
         )
 
@@ -159,10 +161,20 @@
     one.scheduler.handle_order_answer(order, 0, answer, one.now_s)
 
 
+@given(
+    'a worker of 8000 millicores whose report of {millicores:d} is not '
+    'committed'
+)
+def report_uncommitted(context: Any, millicores: int) -> None:
+    context.one = _OneWorker()
+    record = context.one.report(_room(millicores), 2)
+    assert isinstance(record, state.LifeSeen), record
+
+
 @when('it reports that its room is {millicores:d} millicores')
 def report_room(context: Any, millicores: int) -> None:
     context.one.now_s += 0.1
-    context.one.report(_room(millicores), 2)
+    context.record = context.one.report(_room(millicores), 3)
     context.one.view.mark_responsive(context.one.now_s)
 
 
@@ -189,6 +201,15 @@
     assert [type(record) for record in records] == [state.RunsVoided], records
 
 
+@then(
+    'a record of {millicores:d} millicores is to be committed before the '
+    'acknowledgement'
+)
+def check_recorded(context: Any, millicores: int) -> None:
+    assert isinstance(context.record, state.LifeSeen), context.record
+    assert context.record.facts.room == _room(millicores), context.record
+
+
 @then('the backlog of service-a counts {cores:d} cores')
 def check_backlog(context: Any, cores: int) -> None:
     views = list(world_of(context).leader().jobs.workers.values())
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -367,7 +367,9 @@
         if report.is_draining and not life.is_draining:
             view.is_draining = True
             return state.LifeDraining(key)
-        if report.facts.room != life.facts.room:
+        stored = life.facts.room
+        if not report.facts.room == stored == view.proposed_room:
+            view.proposed_room = report.facts.room
             return state.LifeSeen(report.facts)
         return None
 
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -150,6 +150,7 @@
         facts: what the worker reported about itself.
         room: its capacity, which may change while it runs; facts has the one
             that it had when it was first seen.
+        proposed_room: the room in the newest record of it that was proposed.
         runs: runs assigned to it, by run name.
         free_cpu: millicores that no run uses.
         free_memory: megabytes that no run uses.
@@ -193,6 +194,7 @@
     def __init__(self, facts: state.WorkerFacts, now_s: float) -> None:
         self.facts = facts
         self.room = facts.room
+        self.proposed_room = facts.room
         self.runs: dict[str, RunView] = {}
         self.free_cpu = facts.room.cpu_millicores
         self.free_memory = facts.room.memory_mb
