--- a/features/steps/room_rule_steps.py
+++ b/features/steps/room_rule_steps.py
@@ -66,6 +66,30 @@
     world.advance_until(world.has_leader, seconds)
 
 
+@when(
+    '{name} shrinks to {millicores:d} millicores, and nobody reports while '
+    'each leader is lost {term_s:g} s after it began, for {seconds:g} s'
+)
+def lose_leaders(
+    context: Any, name: str, millicores: int, term_s: float, seconds: float
+) -> None:
+    world = world_of(context)
+    world.workers[name].change_room(_room(millicores), world.now_s)
+    ends_s = world.now_s + seconds
+    for other in world.workers:
+        world._reports_s[other] = ends_s + REPORT_S
+    while world.now_s < ends_s:
+        leader = world.leader().replica.identity.replica_id
+        world.network.heal()
+        followers = [n for n in world.controls if n != leader]
+        world.network.isolate(leader, followers)
+        world.advance_until(lambda: not world.has_leader(), REPORT_S)
+        world.advance_until(world.has_leader, REPORT_S)
+        world.advance(term_s)
+    for other in world.workers:
+        world._reports_s[other] = world.now_s + REPORT_S
+
+
 @then('no start brought a worker over its room')
 def check_starts(context: Any) -> None:
     # The simulation raises an InvariantError at such a start.
@@ -104,12 +128,14 @@
         state.apply_to_jobs(self.jobs, record)
         self.scheduler.handle_applied(record, self.now_s, 10_000)
 
-    def report(self, room: state.Room, sequence: int) -> None:
-        """Let the worker report its room."""
+    def report(
+        self, room: state.Room, sequence: int
+    ) -> state.JobRecord | None:
+        """Let the worker report its room; return the record to commit."""
         facts = state.WorkerFacts(
             'worker-0', 1, 'service-a', 'a:80', 'dc-1', '', (), room
         )
-        self.scheduler.handle_report(
+        return self.scheduler.handle_report(
             coordination.WorkerReport(facts, sequence, 1000, False), self.now_s
         )
 
@@ -135,10 +161,20 @@
     one.scheduler.handle_order_answer(order, 0, answer, one.now_s)
 
 
+@given(
+    'a worker of 8000 millicores whose report of {millicores:d} is not '
+    'committed'
+)
+def report_uncommitted(context: Any, millicores: int) -> None:
+    context.one = _OneWorker()
+    record = context.one.report(_room(millicores), 2)
+    assert isinstance(record, state.LifeSeen), record
+
+
 @when('it reports that its room is {millicores:d} millicores')
 def report_room(context: Any, millicores: int) -> None:
     context.one.now_s += 0.1
-    context.one.report(_room(millicores), 2)
+    context.record = context.one.report(_room(millicores), 3)
     context.one.view.mark_responsive(context.one.now_s)
 
 
@@ -165,6 +201,15 @@
     assert [type(record) for record in records] == [state.RunsVoided], records
 
 
+@then(
+    'a record of {millicores:d} millicores is to be committed before the '
+    'acknowledgement'
+)
+def check_recorded(context: Any, millicores: int) -> None:
+    assert isinstance(context.record, state.LifeSeen), context.record
+    assert context.record.facts.room == _room(millicores), context.record
+
+
 @then('the backlog of service-a counts {cores:d} cores')
 def check_backlog(context: Any, cores: int) -> None:
     views = list(world_of(context).leader().jobs.workers.values())
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -54,7 +54,8 @@
 
 STALE_LEADERLESS_S = 2.0
 """Time without a leader from which a new one gives a worker no start before
-its next report, as its room may have shrunk. Elections take less."""
+its next report, as its room may have shrunk. Elections take less. A term that
+was too short for every worker to report in it doesn't end that time."""
 
 STALL_CHECK_INTERVAL_S = 0.2
 """Time between two searches for stalled runs."""
@@ -247,8 +248,8 @@
             term: the leader's term, which is the fence of its orders.
             now_s: the leader's clock.
             now_ms: wall-clock time.
-            leaderless_s: how long nobody may have led, so that no report was
-                stored.
+            leaderless_s: how long nobody may have led for long enough, so
+                that reports may not have been stored.
         """
         self.stop_leading()
         self._core.fence = term
@@ -432,7 +433,10 @@
             # That is final, so it also holds in a late report.
             view.is_draining = True
             return state.LifeDraining(key)
-        if is_newest and report.facts.room != life.facts.room:
+        stored = life.facts.room
+        is_changed = not report.facts.room == stored == view.proposed_room
+        if is_newest and is_changed:
+            view.proposed_room = report.facts.room
             return state.LifeSeen(report.facts)
         return None
 
