Declare a worker over that has left only once a poll of it fails

Callers could have seen one task run twice at the same time. A worker whose notice to leave gets no acknowledgement goes on for some seconds. The leader declared it over 1 s after the notice unless it had answered a poll sent after the notice, but a poll waits there for up to 1.5 s, and the next one is sent only after it.

Evidence: the scenario 'A draining worker whose poll waits while it leaves counts as running until a later poll fails' failed before: 'job0.0.0.1 starts on worker-0 and runs on worker-3'.

Change: after that 1 s, a worker that has runs and isn't suspect is polled without a wait, and declared over once a poll fails. A worker that has ended fails the poll that waits there at once, so nothing is later for it.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -131,6 +131,15 @@
     And it runs for 2 s and an earlier notice to leave comes once worker-3 drains
     Then worker-3 is not declared over within 3 s
 
+  # Guards against two runs of a task: a worker whose notice to leave got no acknowledgement goes on, and a poll sent before the notice was still waiting there.
+  Scenario: A draining worker whose poll waits while it leaves counts as running until a later poll fails
+    Given runs take 100 s
+    When a job with 12 tasks of 2000 millicores is submitted
+    And it runs for 2 s and worker-3 says that it leaves, goes on, and a poll waits there
+    Then worker-3 is not declared over within 3 s
+    When worker-3 ends after a second notice
+    Then worker-3 is declared over within 2.6 s
+
   # Guards against a task that runs twice: an unanswered start order takes effect after a second one was refused.
   Scenario: A refused start order doesn't void a run whose earlier order has no answer
     Given runs take 100 s
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -534,6 +534,41 @@
     scheduler.handle_leave(name, node.clock.read(world.now_s))
 
 
+@when('a job with {count:d} tasks of {millicores:d} millicores is submitted')
+def sized_job(context: Any, count: int, millicores: int) -> None:
+    step = state.StepSpec(count, state.Room(millicores, 100), 100.0)
+    submit_job(context, step)
+
+
+@when(
+    'it runs for {seconds:g} s and {name} says that it leaves, goes on, and a '
+    'poll waits there'
+)
+def notice_during_poll(context: Any, seconds: float, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    assert name in world.running(context.job_id).values()
+    world.waiting_workers.add(name)
+    world.advance_until(lambda: bool(world.held_polls), 4.0)
+    notice_while_draining(context, 0.0, name)
+
+
+@when('{name} ends after a second notice')
+def end_after_notice(context: Any, name: str) -> None:
+    world = world_of(context)
+    scheduler = world.leader().jobs
+    scheduler.handle_leave(name, world.leader_node().clock.read(world.now_s))
+    world.workers[name].crash()
+
+
+@then('{name} is declared over within {seconds:g} s')
+def check_over(context: Any, name: str, seconds: float) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: world.leader().jobs.newest_incarnation(name) is None, seconds
+    )
+
+
 @then('{name} is not declared over within {seconds:g} s')
 def check_not_over(context: Any, name: str, seconds: float) -> None:
     world = world_of(context)
--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -36,6 +36,10 @@
         self.machine_calls: list[tuple[float, Any]] = []
         self.machines: dict[str, coordination.Machine] = {}
         self.is_platform_silent = False
+        # Names of workers that answer a poll only after the time for which
+        # it may wait; the others answer at once.
+        self.waiting_workers: set[str] = set()
+        self.held_polls: list[job_search.Transit] = []
         # Set where a scenario itself sets the list of machines.
         self.keeps_machines = False
         self.started: list[tuple[float, str, str, int]] = []
@@ -187,6 +191,20 @@
             if isinstance(call, coordination.DutyOrder)
         ]
 
+    def _deliver(self, transit: job_search.Transit) -> None:
+        order = transit.order
+        if (
+            isinstance(order, coordination.LookOrder)
+            and order.wait_ms
+            and order.life.worker_id in self.waiting_workers
+            and not transit.is_answer
+            and not any(held is transit for held in self.held_polls)
+        ):
+            self.held_polls.append(transit)
+            self._push(self.now_s + order.wait_ms / 1000, transit)
+            return
+        super()._deliver(transit)
+
     def _take_machine_calls(
         self, node: job_search.ControlNode, core: coordination.ControlCore
     ) -> None:
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -15,7 +15,8 @@
 assumes allow for that."""
 
 LEAVE_GRACE_S = 1.0
-"""Time after a worker's notice to leave by which its process has ended."""
+"""Time after a worker's notice to leave by which its process has ended, if the
+worker got the acknowledgement; without one it goes on for some seconds."""
 
 
 class IncarnationTracker:
@@ -53,6 +54,15 @@
         if successor is not None:
             self._end_if_successor_has_no_runs(view, successor, now_s)
 
+    def _end_left(self, view: WorkerView) -> None:
+        """Declare a worker over that has left, once it fails to answer."""
+        if view.runs and view.suspect_since_s is None:
+            # A poll that was sent before the notice may still wait there.
+            view.is_list_due = True
+            self._core.poll_candidates.add(view.key)
+            return
+        self._core.declare_over(view, 'left')
+
     def _end_replaced(self, view: WorkerView, now_s: float) -> None:
         successor = self._core.workers.get(view.successor)
         if successor is None or successor.is_over:
@@ -107,7 +117,7 @@
                 self._end_replaced(view, now_s)
                 continue
             if now_s >= view.left_at_s + LEAVE_GRACE_S:
-                self._core.declare_over(view, 'left')
+                self._end_left(view)
                 continue
             is_silent = view.suspect_since_s is not None or (
                 now_s >= view.heard_at_s + SILENCE_S
