Count a failure once that a worker lists again after it was cut off

Callers saw, or could see, a job fail with attempts left: one failure of a task counted up to attempt_limit times.

Cause: a worker keeps its ends until a poll names them as noted, and a worker without runs isn't polled. When its lease had expired in a cut, its incarnation was removed with the highest number of its noted ends. Heard again, the same incarnation began at 0, and the ends it listed counted as new. Progress that an older run had saved could replace newer progress in the same way.

Evidence: the scenario 'A failure that a worker lists again after it was cut off counts once' failed before: one failure, two cuts of 8 s, job FAILED with failed_runs=3 while its second run was at work.

Change: the state keeps this number for the latest incarnation of a worker whose lease has expired, until the worker is heard again.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -146,3 +146,10 @@
     And workers that refuse the second order for a run and carry out the first 3 s late
     When a job with 2 lasting tasks is submitted
     Then no task runs twice at once, and all 2 tasks run within 15 s
+
+  # Guards against a job that fails with attempts left: a worker that was cut off listed a failure again, and it was counted again.
+  Scenario: A failure that a worker lists again after it was cut off counts once
+    Given every worker fails what it starts
+    When a job with 1 tasks of 2000 millicores is submitted
+    And its first run fails, and the worker of it is cut off 2 times for 8 s
+    Then the job is still active after 1 failed run
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -631,3 +631,32 @@
     )
     world.advance(seconds)
     assert len(world.running(context.job_id)) == count
+
+
+@when(
+    'its first run fails, and the worker of it is cut off {count:d} times for '
+    '{seconds:g} s'
+)
+def cut_after_failure(context: Any, count: int, seconds: float) -> None:
+    world = world_of(context)
+    task = f'{context.job_id}.0.0.0'
+    world.advance_until(lambda: task in world.ledger.failed_ends, 4.0)
+    for worker in world.workers.values():
+        worker.fails_all = False
+        worker.run_s = 100.0
+    # The end is committed soon, and the worker forgets it only when it is
+    # polled for its next run.
+    world.advance(2.0)
+    name = next(n for n, worker in world.workers.items() if worker.ended)
+    assert name not in world.running(context.job_id).values()
+    for _ in range(count):
+        world.disconnected_until_s[name] = world.now_s + seconds
+        world.advance(seconds + 4.0)
+
+
+@then('the job is still active after {count:d} failed run')
+def check_failed_runs(context: Any, count: int) -> None:
+    world = world_of(context)
+    job = world.job(context.job_id)
+    assert job.status is state.JobStatus.ACTIVE, job
+    assert job.tasks['0.0.0'].failed_runs == count, job.tasks
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -6,6 +6,7 @@
 from greengagering.coordination.workers import SILENCE_S
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
+from greengagering import state
 
 RESTART_PAUSE_S = 0.6
 """Time without polls and orders for a restarted worker; just above the timeout
@@ -129,4 +130,4 @@
                 # suspect.
                 continue
             if now_s >= view.lease_ends_at_s():
-                self._core.declare_over(view, 'lease lapsed')
+                self._core.declare_over(view, state.LEASE_LAPSED)
--- a/greengagering/state/__init__.py
+++ b/greengagering/state/__init__.py
@@ -43,6 +43,7 @@
 from greengagering.state._jobs_model import JobSpec
 from greengagering.state._jobs_model import JobsState
 from greengagering.state._jobs_model import JobStatus
+from greengagering.state._jobs_model import LEASE_LAPSED
 from greengagering.state._jobs_model import LifeDraining
 from greengagering.state._jobs_model import LifeOver
 from greengagering.state._jobs_model import LifeSeen
@@ -109,6 +110,7 @@
     'JobSpec',
     'JobsState',
     'JobStatus',
+    'LEASE_LAPSED',
     'LifeDraining',
     'LifeOver',
     'LifeSeen',
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -47,7 +47,7 @@
             if record.life_key in state.lives:
                 state.lives[record.life_key].is_draining = True
         case model.LifeOver():
-            _remove_incarnation(state, record.life_key)
+            _remove_incarnation(state, record)
             _crash_counts.count_crash(state, record)
         case model.RunsAllotted():
             _assign_runs(state, record)
@@ -62,7 +62,11 @@
     """Add an incarnation, or update the room of a known one."""
     incarnation = state.lives.get(facts.key)
     if incarnation is None:
-        state.lives[facts.key] = model.WorkerLife(facts)
+        noted_end = 0
+        lapsed = state.lapsed.pop(facts.worker_id, None)
+        if lapsed is not None and lapsed.born_ms == facts.born_ms:
+            noted_end = lapsed.noted_end
+        state.lives[facts.key] = model.WorkerLife(facts, noted_end)
         return
     incarnation.facts = dataclasses.replace(incarnation.facts, room=facts.room)
 
@@ -110,10 +114,17 @@
     )
 
 
-def _remove_incarnation(state: model.JobsState, life_key: str) -> None:
-    incarnation = state.lives.pop(life_key, None)
+def _remove_incarnation(
+    state: model.JobsState, record: model.LifeOver
+) -> None:
+    incarnation = state.lives.pop(record.life_key, None)
     if incarnation is None:
         return
+    if record.cause == model.LEASE_LAPSED and incarnation.noted_end:
+        facts = incarnation.facts
+        state.lapsed[facts.worker_id] = model.LapsedLife(
+            facts.born_ms, incarnation.noted_end
+        )
     for key in incarnation.runs.values():
         task = state.find_task(key)
         if task is not None:
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -471,6 +471,23 @@
     life_key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LapsedLife:
+    """An incarnation whose lease has expired.
+
+    Attributes:
+        born_ms: when it started; see WorkerFacts.
+        noted_end: highest number of its run ends that is committed.
+    """
+
+    born_ms: int
+    noted_end: int
+
+
+LEASE_LAPSED = 'lease lapsed'
+"""Cause of a LifeOver after which the incarnation may be heard again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LifeOver:
     """An incarnation of a worker is over; none of its runs is running.
@@ -630,6 +647,8 @@
         waves: upkeep waves by number.
         duties: duties without a known outcome, by machine.
         ordered_at_ms: Unix time of the newest duty, by machine.
+        lapsed: the latest incarnation whose lease has expired, by worker; one
+            that was only cut off is heard again, and lists its ends again.
     """
 
     plan: RoutePlan | None = None
@@ -638,6 +657,7 @@
     waves: dict[int, WaveState] = dataclasses.field(default_factory=dict)
     duties: dict[str, Duty] = dataclasses.field(default_factory=dict)
     ordered_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    lapsed: dict[str, LapsedLife] = dataclasses.field(default_factory=dict)
 
     def find_task(self, key: RunKey) -> Task | None:
         """Return the task of a run, or None if it is unknown."""
