Count only the lists of one silence before a worker counts as gone

Callers could have seen one task run twice at the same time. A silent worker counts as gone after two lists of machines without it, both requested after it fell silent. A list of an earlier silence, or of an earlier term of the same process, was counted as the first of them, so one list was enough, which may be older than the worker's machine.

Evidence: the scenario 'A list of an earlier silence doesn't count for the next one' failed before: lost after the first list of the second silence.

Change: the count is kept with the time since which the worker has been silent.

--- a/features/machine_rules.feature
+++ b/features/machine_rules.feature
@@ -82,3 +82,9 @@
     Given two workers of different services, and lists that hold only the other one
     When both fall silent 0.1 s after the first was seen, and the lists go on
     Then the first never counts as lost
+
+  # Guards against two runs of a task: a list requested while the worker was silent before counted for its next silence.
+  Scenario: A list of an earlier silence doesn't count for the next one
+    Given two workers that were listed, and lists that hold only the other one
+    When the first falls silent for one list, answers, and falls silent again
+    Then the first counts as lost after 2 more lists
--- a/features/steps/machine_rule_steps.py
+++ b/features/steps/machine_rule_steps.py
@@ -183,6 +183,40 @@
             context.lost.append((requested_at_s, view.facts.worker_id))
 
 
+@given('two workers that were listed, and lists that hold only the other one')
+def list_both_then_one(context: Any) -> None:
+    list_one(context, 'service-a')
+    context.finder = capacity.LostWorkerFinder()
+    other = context.listed['machine-2']
+    both = dict(context.listed)
+    both['machine-1'] = dataclasses.replace(
+        other, name='machine-1', worker_id='worker-1'
+    )
+    context.listed['machine-1'] = dataclasses.replace(
+        other, name='machine-1', worker_id=''
+    )
+    context.finder.find_lost(both, context.views, 100.0)
+
+
+@when('the first falls silent for one list, answers, and falls silent again')
+def fall_silent_twice(context: Any) -> None:
+    view = context.views[0]
+    view.mark_suspect(100.1)
+    context.finder.find_lost(context.listed, context.views, 100.5)
+    view.mark_responsive(100.6)
+    view.mark_suspect(100.7)
+
+
+@then('the first counts as lost after {count:d} more lists')
+def check_lists(context: Any, count: int) -> None:
+    for number in range(1, count + 1):
+        lost = context.finder.find_lost(
+            context.listed, context.views, 101.0 + number * 0.5
+        )
+        names = [view.facts.worker_id for view in lost]
+        assert names == ['worker-1'] * (number == count), (number, names)
+
+
 @then('the first counts as lost after 3 s, and not before')
 def check_lost(context: Any) -> None:
     assert context.lost
--- a/greengagering/coordination/capacity/_lost_workers.py
+++ b/greengagering/coordination/capacity/_lost_workers.py
@@ -26,7 +26,8 @@
 
     def __init__(self) -> None:
         self._machine_by_worker: dict[str, str] = {}
-        self._missing_counts: dict[str, int] = {}
+        # Since when a worker has been silent, and the lists without it since.
+        self._missing_counts: dict[str, tuple[float, int]] = {}
 
     def find_lost(
         self,
@@ -73,8 +74,10 @@
             )
             if worker_id in listed_workers or not may_be_missing:
                 continue
-            count = counts.get(view.key, 0) + 1
-            self._missing_counts[view.key] = count
+            # Lists of an earlier silence, or of another term, don't count.
+            since_s, count = counts.get(view.key, (suspect_s, 0))
+            count = count + 1 if since_s == suspect_s else 1
+            self._missing_counts[view.key] = (suspect_s, count)
             if count >= MISSING_LIST_COUNT:
                 lost.append(view)
         return lost
