Take no single list for the end of a silent worker's machine

Callers could have seen one task run twice at the same time. A silent worker was declared over at once if one list lacked its machine. The list is read in pages, so one that changes meanwhile may lack a machine that is there, and the worker may only be cut off.

Evidence: the scenario 'A silent worker whose machine is missing from one list doesn't count as lost' failed before: lost after the first list.

Change: a machine that is missing counts like a worker that is missing: after two lists in a row.

--- a/features/machine_rules.feature
+++ b/features/machine_rules.feature
@@ -88,3 +88,9 @@
     Given two workers that were listed, and lists that hold only the other one
     When the first falls silent for one list, answers, and falls silent again
     Then the first counts as lost after 2 more lists
+
+  # Guards against two runs of a task: one list without a machine, read in pages while the fleet changed, was taken for the machine's end.
+  Scenario: A silent worker whose machine is missing from one list doesn't count as lost
+    Given two workers that were listed, and lists that hold only the other one's machine
+    When the first falls silent
+    Then the first counts as lost after 2 more lists
--- a/features/steps/machine_rule_steps.py
+++ b/features/steps/machine_rule_steps.py
@@ -198,6 +198,20 @@
     context.finder.find_lost(both, context.views, 100.0)
 
 
+@given(
+    "two workers that were listed, and lists that hold only the other one's "
+    'machine'
+)
+def list_both_then_one_machine(context: Any) -> None:
+    list_both_then_one(context)
+    del context.listed['machine-1']
+
+
+@when('the first falls silent')
+def fall_silent(context: Any) -> None:
+    context.views[0].mark_suspect(100.7)
+
+
 @when('the first falls silent for one list, answers, and falls silent again')
 def fall_silent_twice(context: Any) -> None:
     view = context.views[0]
--- a/greengagering/coordination/capacity/_lost_workers.py
+++ b/greengagering/coordination/capacity/_lost_workers.py
@@ -19,9 +19,10 @@
     """Remembers which machine each worker runs on, by the platform's lists.
 
     A silent worker may still run its tasks until its lease ends. It doesn't if
-    its machine is down, gone or another worker's, or if no machine has it any
-    more: a machine that moved to the standby pool has no worker at all, and a
-    new leader doesn't know which machine a worker had before its first list.
+    its machine is down or another worker's, or if no machine has it any more:
+    a machine may leave the fleet, one that moved to the standby pool has no
+    worker at all, and a new leader doesn't know which machine a worker had
+    before its first list.
     """
 
     def __init__(self) -> None:
@@ -85,14 +86,15 @@
     def _is_machine_lost(
         self, view: WorkerView, listed: dict[str, machines.Machine]
     ) -> bool:
-        """Tell whether the machine of a worker is down, gone or another's."""
+        """Tell whether the machine of a worker is down or another's."""
         worker_id = view.facts.worker_id
         name = self._machine_by_worker.get(worker_id)
-        if name is None:
+        present = listed.get(name) if name is not None else None
+        if present is None:
+            # The list is read in pages, so one that changes meanwhile may
+            # lack a machine once.
             return False
-        present = listed.get(name)
         return (
-            present is None
-            or present.status is machines.MachineState.DOWN
+            present.status is machines.MachineState.DOWN
             or present.worker_id not in ('', worker_id)
         )
