--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -131,9 +131,25 @@
     And it runs for 2 s and an earlier notice to leave comes once worker-3 drains
     Then worker-3 is not declared over within 3 s
 
+  # Guards against two runs of a task: a worker whose notice to leave got no acknowledgement goes on, and a poll sent before the notice was still waiting there.
+  Scenario: A draining worker whose poll waits while it leaves counts as running until a later poll fails
+    Given runs take 100 s
+    When a job with 12 tasks of 2000 millicores is submitted
+    And it runs for 2 s and worker-3 says that it leaves, goes on, and a poll waits there
+    Then worker-3 is not declared over within 3 s
+    When worker-3 ends after a second notice
+    Then worker-3 is declared over within 2.6 s
+
   # Guards against a task that runs twice: an unanswered start order takes effect after a second one was refused.
   Scenario: A refused start order doesn't void a run whose earlier order has no answer
     Given runs take 100 s
     And workers that refuse the second order for a run and carry out the first 3 s late
     When a job with 2 lasting tasks is submitted
     Then no task runs twice at once, and all 2 tasks run within 15 s
+
+  # Guards against a job that fails with attempts left: a worker that was cut off listed a failure again, and it was counted again.
+  Scenario: A failure that a worker lists again after it was cut off counts once
+    Given every worker fails what it starts
+    When a job with 1 tasks of 2000 millicores is submitted
+    And its first run fails, and the worker of it is cut off 2 times for 8 s
+    Then the job is still active after 1 failed run
--- a/greengagering/coordination/capacity/_lost_workers.py
+++ b/greengagering/coordination/capacity/_lost_workers.py
@@ -19,14 +19,16 @@
     """Remembers which machine each worker runs on, by the platform's lists.
 
     A silent worker may still run its tasks until its lease ends. It doesn't if
-    its machine is down, gone or another worker's, or if no machine has it any
-    more: a machine that moved to the standby pool has no worker at all, and a
-    new leader doesn't know which machine a worker had before its first list.
+    its machine is down or another worker's, or if no machine has it any more:
+    a machine may leave the fleet, one that moved to the standby pool has no
+    worker at all, and a new leader doesn't know which machine a worker had
+    before its first list.
     """
 
     def __init__(self) -> None:
         self._machine_by_worker: dict[str, str] = {}
-        self._missing_counts: dict[str, int] = {}
+        # Since when a worker has been silent, and the lists without it since.
+        self._missing_counts: dict[str, tuple[float, int]] = {}
 
     def find_lost(
         self,
@@ -73,8 +75,10 @@
             )
             if worker_id in listed_workers or not may_be_missing:
                 continue
-            count = counts.get(view.key, 0) + 1
-            self._missing_counts[view.key] = count
+            # Lists of an earlier silence, or of another term, don't count.
+            since_s, count = counts.get(view.key, (suspect_s, 0))
+            count = count + 1 if since_s == suspect_s else 1
+            self._missing_counts[view.key] = (suspect_s, count)
             if count >= MISSING_LIST_COUNT:
                 lost.append(view)
         return lost
@@ -82,14 +86,15 @@
     def _is_machine_lost(
         self, view: WorkerView, listed: dict[str, machines.Machine]
     ) -> bool:
-        """Tell whether the machine of a worker is down, gone or another's."""
+        """Tell whether the machine of a worker is down or another's."""
         worker_id = view.facts.worker_id
         name = self._machine_by_worker.get(worker_id)
-        if name is None:
+        present = listed.get(name) if name is not None else None
+        if present is None:
+            # The list is read in pages, so one that changes meanwhile may
+            # lack a machine once.
             return False
-        present = listed.get(name)
         return (
-            present is None
-            or present.status is machines.MachineState.DOWN
+            present.status is machines.MachineState.DOWN
             or present.worker_id not in ('', worker_id)
         )
