Search for runs that overlap after broken connections and refused repetitions

The sending search closes connections without an answer, carries the order out at once, later or never, lets agents send orders after the leader has timed out, also to a restarted worker, and has workers refuse repetitions. Its faults come from a generator of their own, so the schedules of the other searches stay the same.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -42,6 +42,12 @@
     Then no schedule violates an invariant
     And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, late_orders, held, unsent, leaders, deadly_jobs, crashes_by_tasks, given_up, room_changes and withdrawn
 
+  # Guards against an answer that is taken for the outcome of an earlier sending, which still takes effect.
+  Scenario: No task runs twice while connections break, agents hold orders back and repetitions are refused
+    When 100 schedules of the sending search run from seed 0
+    Then no schedule violates an invariant
+    And the schedules exercised accepted, cancelled, starts, succeeded, crashes, worker_restarts, late_orders, held, unsent, refusals, leaders, broken, queued and refused_repeats
+
   # Guards against answers that are matched to other calls after restarts, delays and duplicates.
   Scenario: No caller gets an answer that belongs to another job or to an earlier call
     When 300 schedules of the reply search run from seed 0
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -34,6 +34,13 @@
 AGENT_FAULTS = (0.06, 0.05, 0.04)
 """Shares of orders that an agent delays, does not send, and sends twice."""
 
+BREAK_RATIO = 0.08
+"""Share of orders whose connection the worker closes without an answer."""
+
+QUEUED_RATIO = 0.05
+"""Share of orders that an agent sends to whichever process has the worker's
+name by then."""
+
 REPORT_INTERVAL_S = 1.5
 CRASH_DOWN_S = 3.0
 """Time until a worker that a task has crashed is back."""
@@ -83,6 +90,10 @@
         given_up: such jobs that failed.
         room_changes: changes of a worker's room while it ran.
         withdrawn: starts not ordered, or not again, as a limit was lowered.
+        broken: orders whose connection was closed without an answer.
+        queued: orders that an agent sends after the leader has timed out.
+        refused_repeats: starts that a worker refused after a broken or queued
+            one of the same run.
     """
 
     accepted: int = 0
@@ -105,6 +116,9 @@
     crashes_by_tasks: int = 0
     given_up: int = 0
     room_changes: int = 0
+    broken: int = 0
+    queued: int = 0
+    refused_repeats: int = 0
 
     def add(self, other: 'JobResult') -> None:
         """Add another schedule's counts."""
@@ -137,6 +151,7 @@
         answer: the answer, or None for none.
         is_answer: whether this is the way back.
         is_answer_lost: whether the order's answer is dropped.
+        is_queued: whether no process of the worker has received it yet.
         limits_number: number of the limits that were in force before the step
             that sent it.
     """
@@ -148,6 +163,7 @@
     answer: Any = None
     is_answer: bool = False
     is_answer_lost: bool = False
+    is_queued: bool = False
     limits_number: int = 0
 
 
@@ -161,6 +177,7 @@
         has_agents: bool = False,
         has_customers: bool = False,
         has_deadly_tasks: bool = False,
+        breaks_connections: bool = False,
     ) -> None:
         self.has_agents = has_agents
         self.has_customers = has_customers
@@ -170,10 +187,16 @@
         self.limits = customer_limits.LimitLedger()
         self.has_deadly_tasks = has_deadly_tasks
         self.deadly_rng = random.Random(f'deadly {seed}')
+        self.breaks_connections = breaks_connections
+        self.sending_rng = random.Random(f'sendings {seed}')
+        # Runs with a start that was broken or queued.
+        self._unanswered_starts: set[str] = set()
         # A worker may refuse the second copy of an order that it has carried
-        # out. Real agents send no order twice, so a schedule has either
-        # copies or refusals.
-        self.has_refusals = not has_agents or seed % 2 == 0
+        # out. Real clients send an order once in a call and report a broken
+        # connection, so a schedule has either copies or refusals.
+        self.has_refusals = (
+            not has_agents or seed % 2 == 0 or breaks_connections
+        )
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.step_s = STEP_S
@@ -665,11 +688,45 @@
             self._push(self.now_s + self.rng.uniform(0.001, 1.0), unanswered)
         return False
 
+    def _break_sending(self, transit: Transit) -> bool:
+        """Simulate a connection that breaks, or an order left in a queue.
+
+        Returns:
+            Whether the order must not be sent normally as well.
+        """
+        rng = self.sending_rng
+        draw = rng.random()
+        unanswered = dataclasses.replace(transit, is_answer_lost=True)
+        no_answer = dataclasses.replace(transit, is_answer=True)
+        if draw < BREAK_RATIO:
+            self.result.broken += 1
+            received_s = self.now_s + rng.uniform(0.001, 0.02)
+            late_s = rng.choice((0.0, rng.uniform(0.0, LATE_MAX_S), None))
+            if late_s is not None:
+                self._push(received_s + late_s, unanswered)
+            self._push(received_s + rng.uniform(0.001, 0.02), no_answer)
+        elif self.has_agents and draw < BREAK_RATIO + QUEUED_RATIO:
+            self.result.queued += 1
+            queued = dataclasses.replace(unanswered, is_queued=True)
+            self._push(self.now_s + rng.uniform(0.0, AGENT_HOLD_S), queued)
+            self._push(self.now_s + AGENT_TIMEOUT_S, no_answer)
+        else:
+            return False
+        if isinstance(transit.order, coordination.StartOrder):
+            self._unanswered_starts.add(transit.order.key.name)
+        return True
+
     def _send(self, transit: Transit) -> None:
         """Send an order, which may be lost or delayed."""
         transit = dataclasses.replace(
             transit, limits_number=self._limits_number
         )
+        if (
+            self.breaks_connections
+            and not self.is_fault_free
+            and self._break_sending(transit)
+        ):
+            return
         if (
             self.has_agents
             and not self.is_fault_free
@@ -712,6 +769,7 @@
         # before it is carried out.
         is_lost = (
             transit.is_answer_lost
+            and not transit.is_queued
             and worker.born_ms != transit.order.life.born_ms
         )
         if is_disconnected or is_lost or not worker.is_up:
@@ -774,6 +832,12 @@
             )
         else:
             answer = transit.answer or coordination.OrderAnswer(no_answer)
+            if (
+                answer.outcome is coordination.OrderOutcome.UNHEALTHY
+                and isinstance(transit.order, coordination.StartOrder)
+                and transit.order.key.name in self._unanswered_starts
+            ):
+                self.result.refused_repeats += 1
             transit.core.jobs.handle_order_answer(
                 transit.order, transit.grant, answer, now_s
             )
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -93,6 +93,17 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_sending_seed(seed: int) -> job_search.JobResult | SeedFailure:
+    """Run one schedule with broken connections and refused repetitions."""
+    try:
+        return job_search.JobSearch(
+            seed, has_agents=seed % 2 == 1, breaks_connections=True
+        ).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 def run_reply_seed(seed: int) -> reply_search.ReplyResult | SeedFailure:
     """Run one schedule over entries' job calls and their answers."""
     try:
@@ -110,6 +121,7 @@
     'agent': run_agent_seed,
     'limit': run_limit_seed,
     'crash': run_crash_seed,
+    'sending': run_sending_seed,
     'reply': run_reply_seed,
 }
 TOTALS: dict[str, Any] = {
@@ -120,6 +132,7 @@
     'agent': job_search.JobResult,
     'limit': job_search.JobResult,
     'crash': job_search.JobResult,
+    'sending': job_search.JobResult,
     'reply': reply_search.ReplyResult,
 }
 
@@ -148,7 +161,8 @@
     """Run a search and print its counts and failures.
 
     Args:
-        name: replica, syncing, control, job, agent, limit, crash or reply.
+        name: replica, syncing, control, job, agent, limit, crash, sending or
+            reply.
         first_seed: first seed.
         count: number of schedules.
     """
