Damage a replica's segment only once it holds the tickets

Cause, in the test's preparation: two replicas accept tickets without the third. The step damaged the first replica that isn't the leader, which might still be starting. Without a segment or with an empty one, the step ends in an IndexError. With one frame, the damage looks like a write that was never synced: the replica starts, and the wait for its end expires after 60 s with an error that isn't an assertion.

Change: each ticket is held by every replica before the next is sent, so each adds a frame of its own, and the damage lies before intact ones. The checks are the same.

--- a/features/control_faults.feature
+++ b/features/control_faults.feature
@@ -78,7 +78,7 @@
 
   Scenario: A replica with a damaged segment ends with an error that names the offset
     Given 3 control replicas and 1 entries
-    And accepted tickets 1 to 5
+    And accepted tickets 1 to 5, each held by every replica before the next
     When a follower is stopped and a byte in the middle of its segment is damaged
     Then it ends with an error that names the segment, the offset and the remedy
     And ticket 6 is accepted by the other two
--- a/features/steps/control_fault_steps.py
+++ b/features/steps/control_fault_steps.py
@@ -69,6 +69,18 @@
         accept(context, plain_ticket(number))
 
 
+@given(
+    'accepted tickets 1 to {last:d}, each held by every replica before the '
+    'next'
+)
+def accept_everywhere(context: Any, last: int) -> None:
+    # Two replicas accept tickets without a third that starts late. Once it
+    # holds one ticket, the next adds a frame of its own to its segment.
+    for number in range(1, last + 1):
+        accept(context, plain_ticket(number))
+        context.system.wait_in_step()
+
+
 @when('tickets 1 to {last:d} are submitted and the leader is killed amid them')
 def kill_during(context: Any, last: int) -> None:
     system = context.system
--- a/features/support/system.py
+++ b/features/support/system.py
@@ -234,6 +234,17 @@
         self.wait_until(is_in_force, f'ticket {number} is in force')
         return pages[-1]
 
+    def wait_in_step(self) -> None:
+        """Wait until every control replica holds what the leader committed."""
+        wanted = self.dump(self.leader())['commit_index']
+        self.wait_until(
+            lambda: all(
+                self.dump(name).get('commit_index', 0) >= wanted
+                for name in self.members
+            ),
+            f'every control replica holds entry {wanted}',
+        )
+
     def wait_ready(self, name: str) -> None:
         """Wait until a process passes its readiness check."""
         self.wait_until(
