Take no settled duty up again before its outcome is committed

The platform got orders for machines a second time: after a refusal, and in each step after a list that shows a move, until the record of the outcome was committed, the leader took the duty up again as if a former leader had left it. A second order was then under way for a duty that the state no longer had, so a next leader would not have known of it.

Change: a machine whose duty was settled less than 1 s ago gets another one only once the record of the outcome is applied.

--- a/features/machine_answers.feature
+++ b/features/machine_answers.feature
@@ -49,3 +49,9 @@
     And lasting tasks fill the other one, which makes it the first to be emptied
     And the leader is replaced
     Then the wave takes both down within 30 s, one at a time
+
+  # Guards against an order that is taken for a former leader's and sent again while the record of its outcome isn't committed yet.
+  Scenario: A move that the platform refuses is settled before the machine gets another order
+    Given the platform refuses moves for 3 s
+    When service-a lacks machines for 6 s
+    Then no order of this leader is taken for a former leader's
--- a/features/search/platform_fakes.py
+++ b/features/search/platform_fakes.py
@@ -66,6 +66,7 @@
         waves: accepted waves by number.
         confirmed_again: number of orders confirmed without effect.
         busy_until_s: time until which it accepts no orders.
+        refuses_until_s: time until which it refuses moves for good.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.waves: dict[int, state.UpkeepWave] = {}
         self.confirmed_again = 0
         self.busy_until_s = float('-inf')
+        self.refuses_until_s = float('-inf')
         self._start_worker = start_worker
         self._end_worker = end_worker
 
@@ -108,6 +110,8 @@
             return _outcomes.FENCED
         machine.fence = order.fence
         is_move = duty.kind is state.DutyKind.MOVE
+        if is_move and now_s < self.refuses_until_s:
+            return _outcomes.REFUSED
         if is_move and machine.pool == duty.pool:
             self.confirmed_again += 1
             return _outcomes.DONE
--- a/features/steps/machine_answer_steps.py
+++ b/features/steps/machine_answer_steps.py
@@ -271,3 +271,27 @@
     ]
     assert not starts, starts
     assert len(machine.upkept) == context.upkeep_count
+
+
+@given('the platform refuses moves for {seconds:g} s')
+def refuse_moves(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.platform.refuses_until_s = world.now_s + seconds
+
+
+@when('service-a lacks machines for {seconds:g} s')
+def lack_machines(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.submit_lasting(JOB, 8, HALF_WORKER)
+    world.advance(seconds)
+
+
+@then("no order of this leader is taken for a former leader's")
+def check_not_inherited(context: Any) -> None:
+    trace = world_of(context).trace
+    begun = [line for line in trace if 'duty_begun' in line]
+    refused = [line for line in trace if 'outcome=refused' in line]
+    assert begun and refused
+    # Only a former leader's duty begins with the sending of its order.
+    inherited = [line for line in begun if 'phase=sending' in line]
+    assert not inherited, inherited
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -31,6 +31,10 @@
 DUTY_RETRY_S = 0.5
 """Pause before a duty that was unanswered or refused for now is sent again."""
 
+SETTLE_TIMEOUT_S = 1.0
+"""Time after which a duty whose outcome isn't committed yet is taken up again,
+as the record of it may not have been proposed; a commit takes some 10 ms."""
+
 TAKEOVER_PAUSE_S = 3.2
 """Time after a former leader's order for a machine during which this leader
 gives none, so that orders of two leaders never alternate there within the
@@ -108,6 +112,7 @@
         self._holder = holder
         self._now_ms = 0
         self._ordered_in_term: set[str] = set()
+        self._settled_at_s: dict[str, float] = {}
         self._fence = 0
         self._list_requested_at_s = float('-inf')
         self._pending_list: machines.ListMachines | None = None
@@ -151,6 +156,8 @@
 
     def handle_applied(self, record: state.JobRecord, now_s: float) -> None:
         """Start sending a duty whose order was just committed."""
+        if isinstance(record, state.DutySettled):
+            self._settled_at_s.pop(record.duty.machine, None)
         if not isinstance(record, state.DutyOrdered):
             return
         opened = self.open_duties.get(record.duty.machine)
@@ -236,6 +243,7 @@
         if outcome is kinds.REFUSED:
             del self.open_duties[order.duty.machine]
             self._scheduler.release_worker(opened.worker_id)
+            self._settled_at_s[order.duty.machine] = now_s
             return [state.DutySettled(order.duty, is_done=False)]
         opened.retry_at_s = now_s + DUTY_RETRY_S
         return []
@@ -244,6 +252,7 @@
         """Settle a duty that is known to be carried out."""
         opened.phase = DutyPhase.RETURNING
         opened.phase_at_s = now_s
+        self._settled_at_s[opened.duty.machine] = now_s
         view = self._scheduler.workers.get(opened.ends_life)
         if view is not None:
             self._scheduler.declare_over(view, str(opened.duty.kind))
@@ -263,6 +272,7 @@
     def _reset(self, now_s: float) -> None:
         self._fence = self._scheduler.fence
         self._ordered_in_term.clear()
+        self._settled_at_s.clear()
         self._pending_list = None
         self._has_listed = False
         self._list_times_s.clear()
@@ -355,7 +365,7 @@
         candidates = [
             m
             for m in remaining
-            if m not in self.open_duties
+            if self._may_open(m, now_s)
             and self.machines[m].status is machines.MachineState.UP
         ]
         for name in self._sort_for_emptying(candidates, number)[:free_places]:
@@ -619,8 +629,8 @@
         as down.
         """
         for duty in self.jobs.duties.values():
-            if duty.machine not in self.open_duties and (
-                duty.machine in self.machines
+            if duty.machine in self.machines and self._may_open(
+                duty.machine, now_s
             ):
                 self._open_duty(duty, now_s)
 
@@ -631,7 +641,19 @@
             [opened.duty for opened in self.open_duties.values()],
             now_s,
         ):
-            self._open_duty(duty, now_s)
+            if self._may_open(duty.machine, now_s):
+                self._open_duty(duty, now_s)
+
+    def _may_open(self, name: str, now_s: float) -> bool:
+        """Tell whether a machine has neither an open duty nor one to settle.
+
+        Until the outcome of its last duty is committed, the state still has
+        that duty, which would be taken for a former leader's.
+        """
+        settled_at_s = self._settled_at_s.get(name, float('-inf'))
+        return name not in self.open_duties and (
+            now_s >= settled_at_s + SETTLE_TIMEOUT_S
+        )
 
     def _find_worker(self, worker_id: str) -> WorkerView | None:
         return self._scheduler.newest_incarnation(worker_id)
