Send no start to a worker that has said that it leaves

Callers could have seen one task run twice at the same time. The leader went on repeating unanswered starts to a worker after its notice to leave. Orders name the worker, so its next incarnation under the same name carried them out; 1 s after the notice the runs were given up with the incarnation that had left, and started elsewhere.

Evidence: the scenario 'A worker that has left gets no start that its next incarnation would carry out' failed before: 'job0.0.0.1 starts on worker-0 and runs on worker-3'.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -140,6 +140,13 @@
     When worker-3 ends after a second notice
     Then worker-3 is declared over within 2.6 s
 
+  # Guards against two runs of a task: a start for a worker that had left was carried out by its next incarnation, and given up with the one that had left.
+  Scenario: A worker that has left gets no start that its next incarnation would carry out
+    Given runs take 100 s
+    When a job with 12 tasks of 2000 millicores is submitted while worker-3 doesn't answer
+    And worker-3 answers again, says that it leaves, and is back before its starts are repeated
+    Then no task runs twice at once, and all 12 tasks run within 15 s
+
   # Guards against a task that runs twice: an unanswered start order takes effect after a second one was refused.
   Scenario: A refused start order doesn't void a run whose earlier order has no answer
     Given runs take 100 s
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -14,6 +14,7 @@
 from features.support import job_world
 from greengagering import coordination
 from greengagering.coordination import errors
+from greengagering.coordination import workers
 from greengagering import state
 
 SMALL = state.Room(1000, 100)
@@ -553,6 +554,44 @@
     notice_while_draining(context, 0.0, name)
 
 
+@when(
+    'a job with {count:d} tasks of {millicores:d} millicores is submitted '
+    "while {name} doesn't answer"
+)
+def unanswered_job(
+    context: Any, count: int, millicores: int, name: str
+) -> None:
+    world = world_of(context)
+    world.disconnected_until_s[name] = world.now_s + 0.6
+    sized_job(context, count, millicores)
+
+
+@when(
+    '{name} answers again, says that it leaves, and is back before its starts '
+    'are repeated'
+)
+def leave_before_retry(context: Any, name: str) -> None:
+    world = world_of(context)
+    view = world.leader().jobs.newest_incarnation(name)
+    assert view is not None
+
+    def may_repeat() -> bool:
+        phases = {run.phase for run in view.runs.values()}
+        is_open = workers.RunPhase.UNCERTAIN in phases
+        return is_open and view.suspect_since_s is None
+
+    world.advance_until(may_repeat, 4.0)
+    notice_while_draining(context, 0.0, name)
+    worker = world.workers[name]
+    worker.crash()
+    worker.is_draining = False
+    # The next poll is sent at once, and fails.
+    world.advance(0.1)
+    worker.start_process(world.now_s)
+    worker.run_s = 100.0
+    world._reports_s[name] = world.now_s + job_search.REPORT_INTERVAL_S
+
+
 @when('{name} ends after a second notice')
 def end_after_notice(context: Any, name: str) -> None:
     world = world_of(context)
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -196,7 +196,7 @@
         clock_ms = view.clock_ms(now_s)
         if view.successor:
             return
-        if clock_ms is None:
+        if clock_ms is None or view.is_leaving:
             self._schedule_retry(view, run, now_s)
             return
         task = job.tasks[run.key.task]
@@ -298,7 +298,11 @@
         for _, run, view in due:
             if view.runs.get(run.key.name) is not run:
                 continue
-            if view.suspect_since_s is not None or view.is_room_stale:
+            if (
+                view.suspect_since_s is not None
+                or view.is_room_stale
+                or view.is_leaving
+            ):
                 self._schedule_retry(view, run, now_s)
                 continue
             self._retry_order(view, run, now_s)
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -254,6 +254,15 @@
             and not self.is_room_stale
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it announced that it ends now.
+
+        Orders name the worker, so a later incarnation under its name would
+        carry out a start that is sent after that.
+        """
+        return self.left_at_s < float('inf')
+
     @property
     def is_isolated(self) -> bool:
         """Whether it is kept for a run that may crash it."""
