Search for two runs of a task among workers that leave

No fault search had workers that drain, give notice, go on without an acknowledgement, or come back under their name.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -48,6 +48,12 @@
     Then no schedule violates an invariant
     And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, leaders, waves and confirmed_again
 
+  # Guards against two runs of a task whose worker has said that it leaves, and goes on or is back under its name.
+  Scenario: No task runs twice while workers drain, leave with or without an acknowledgement, and come back
+    When 60 schedules of the leave search run from seed 0
+    Then no schedule violates an invariant
+    And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, late_orders, leaders and notices
+
   # Guards against answers that are matched to other calls after restarts, delays and duplicates.
   Scenario: No caller gets an answer that belongs to another job or to an earlier call
     When 300 schedules of the reply search run from seed 0
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -86,6 +86,7 @@
         confirmed_again: orders for machines that an earlier one had carried
             out already.
         waves: upkeep waves that began.
+        notices: notices to leave that a leader has got.
     """
 
     accepted: int = 0
@@ -110,6 +111,7 @@
     room_changes: int = 0
     confirmed_again: int = 0
     waves: int = 0
+    notices: int = 0
 
     def add(self, other: 'JobResult') -> None:
         """Add another schedule's counts."""
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -10,6 +10,7 @@
 
 from features.search import control_search
 from features.search import job_search
+from features.search import leave_search
 from features.search import machine_search
 from features.search import replica_search
 from features.search import reply_search
@@ -103,6 +104,15 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_leave_seed(seed: int) -> job_search.JobResult | SeedFailure:
+    """Run one schedule over workers that drain, leave and come back."""
+    try:
+        return leave_search.LeaveSearch(seed).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 def run_reply_seed(seed: int) -> reply_search.ReplyResult | SeedFailure:
     """Run one schedule over entries' job calls and their answers."""
     try:
@@ -121,6 +131,7 @@
     'limit': run_limit_seed,
     'crash': run_crash_seed,
     'machine': run_machine_seed,
+    'leave': run_leave_seed,
     'reply': run_reply_seed,
 }
 TOTALS: dict[str, Any] = {
@@ -132,6 +143,7 @@
     'limit': job_search.JobResult,
     'crash': job_search.JobResult,
     'machine': job_search.JobResult,
+    'leave': job_search.JobResult,
     'reply': reply_search.ReplyResult,
 }
 
@@ -160,8 +172,8 @@
     """Run a search and print its counts and failures.
 
     Args:
-        name: replica, syncing, control, job, agent, limit, crash, machine or
-            reply.
+        name: replica, syncing, control, job, agent, limit, crash, machine,
+            leave or reply.
         first_seed: first seed.
         count: number of schedules.
     """
