--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -54,6 +54,12 @@
     Then no schedule violates an invariant
     And the schedules exercised accepted, cancelled, starts, succeeded, crashes, worker_restarts, late_orders, held, unsent, refusals, leaders, broken, queued and refused_repeats
 
+  # Guards against two runs of a task whose worker has said that it leaves, and goes on or is back under its name.
+  Scenario: No task runs twice while workers drain, leave with or without an acknowledgement, and come back
+    When 60 schedules of the leave search run from seed 0
+    Then no schedule violates an invariant
+    And the schedules exercised accepted, starts, succeeded, crashes, worker_restarts, late_orders, leaders and notices
+
   # Guards against answers that are matched to other calls after restarts, delays and duplicates.
   Scenario: No caller gets an answer that belongs to another job or to an earlier call
     When 300 schedules of the reply search run from seed 0
--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -97,6 +97,7 @@
         queued: orders that an agent sends after the leader has timed out.
         refused_repeats: starts that a worker refused after a broken or queued
             one of the same run.
+        notices: notices to leave that a leader has got.
     """
 
     accepted: int = 0
@@ -124,6 +125,7 @@
     broken: int = 0
     queued: int = 0
     refused_repeats: int = 0
+    notices: int = 0
 
     def add(self, other: 'JobResult') -> None:
         """Add another schedule's counts."""
