Remember the ends of a thousand lapsed workers at most

The state kept the number of noted ends for every worker whose lease had expired and that was never heard again, so it would have grown for as long as the fleet has new workers.

Evidence: the new scenario of job_rules failed before (1005 of them).

Change: the oldest is dropped beyond 1,000, the same one on every replica.

--- a/features/job_rules.feature
+++ b/features/job_rules.feature
@@ -160,3 +160,8 @@
     When a job with 1 tasks of 2000 millicores is submitted
     And its first run fails, and the worker of it is cut off 2 times for 8 s
     Then the job is still active after 1 failed run
+
+  # Guards against state that grows with every worker that has ever been cut off.
+  Scenario: The ends of a thousand lapsed workers are remembered, those of the latest
+    When 1005 workers list an end each, and their leases expire
+    Then the state remembers 1000 of them, the last one among them
--- a/features/steps/job_rule_steps.py
+++ b/features/steps/job_rule_steps.py
@@ -18,6 +18,7 @@
 from greengagering import state
 
 SMALL = state.Room(1000, 100)
+_STOPPED = state.RunEnding.STOPPED
 
 
 def world_of(context: Any) -> job_world.JobWorld:
@@ -699,3 +700,26 @@
     job = world.job(context.job_id)
     assert job.status is state.JobStatus.ACTIVE, job
     assert job.tasks['0.0.0'].failed_runs == count, job.tasks
+
+
+@when('{count:d} workers list an end each, and their leases expire')
+def expire_leases(context: Any, count: int) -> None:
+    context.state = state.JobsState()
+    end = state.RunEnd(1, state.RunKey('job', '0.0.0', 1), _STOPPED, '')
+    for number in range(count):
+        facts = state.WorkerFacts(
+            f'w-{number}', 1, 'service-a', 'a:80', 'dc-1', '', (), state.Room()
+        )
+        for record in (
+            state.LifeSeen(facts),
+            state.EndsNoted(facts.key, (end,)),
+            state.LifeOver(facts.key, state.LEASE_LAPSED),
+        ):
+            state.apply_to_jobs(context.state, record)
+    context.last_worker = f'w-{count - 1}'
+
+
+@then('the state remembers {count:d} of them, the last one among them')
+def check_remembered(context: Any, count: int) -> None:
+    assert len(context.state.lapsed) == count
+    assert context.last_worker in context.state.lapsed
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -8,6 +8,10 @@
 from greengagering.state import _crash_counts
 from greengagering.state import _jobs_model as model
 
+MAX_LAPSED = 1000
+"""Most lapsed incarnations that are kept. A worker that was only cut off is
+heard again within minutes, and few are cut off at the same time."""
+
 
 def apply_to_jobs(state: model.JobsState, record: model.JobRecord) -> None:
     """Apply one committed record.
@@ -122,9 +126,13 @@
         return
     if record.cause == model.LEASE_LAPSED and incarnation.noted_end:
         facts = incarnation.facts
+        state.lapsed.pop(facts.worker_id, None)
         state.lapsed[facts.worker_id] = model.LapsedLife(
             facts.born_ms, incarnation.noted_end
         )
+        if len(state.lapsed) > MAX_LAPSED:
+            # The first key is the oldest, on every replica.
+            del state.lapsed[next(iter(state.lapsed))]
     for key in incarnation.runs.values():
         task = state.find_task(key)
         if task is not None:
