--- a/greengagering/coordination/entries/_claim_table.py
+++ b/greengagering/coordination/entries/_claim_table.py
@@ -63,8 +63,7 @@
 
     The work of a granted claim is run by this process, or is given up for
     good so that another entry may take the claim over. It isn't given up
-    while callers wait for it here: they would be told that its outcome is
-    unknown although it hasn't run.
+    while callers wait for it here, as they could no longer run it.
     """
 
     def __init__(self, boot_id: str) -> None:
