Keep a move open until its order is answered, though the list shows it

What could be seen: two orders for one machine under way at the same time. The list shows a move before its order is answered; the duty was closed then, and the machine's next order could be sent. The former one, carried out late, would have moved the machine back, with the tasks of its next worker.

Change: the worker that has joined is used at once, and the duty stays open until its order is answered.

--- a/features/search/machine_search.py
+++ b/features/search/machine_search.py
@@ -63,6 +63,7 @@
         self._calls: list[tuple[float, int, Any]] = []
         self._call_count = 0
         self._wave_count = 0
+        self._open_calls: dict[tuple[int, str], int] = {}
         self._stops: dict[tuple[object, ...], int] = {}
 
     def run(self) -> job_search.JobResult:
@@ -200,6 +201,13 @@
             fence=order.fence,
         )
         there_s, back_s = self._draw_duty_delays_s()
+        call = (order.fence, order.duty.machine)
+        if call in self._open_calls:
+            raise InvariantError(
+                f'{order.duty.machine} is ordered while call '
+                f'{self._open_calls[call]} for it is under way'
+            )
+        self._open_calls[call] = order.number
 
         def arrive() -> None:
             outcome = self.platform.carry_out(order, self.now_s)
@@ -210,6 +218,7 @@
                 self._call_later(back_s, lambda: deliver(outcome))
 
         def deliver(outcome: coordination.DutyOutcome) -> None:
+            self._open_calls.pop(call, None)
             if node.core is not core:
                 return
             now_s = node.clock.read(self.now_s)
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -237,6 +237,9 @@
             sent=opened.sent_count,
             sent_s_ago=round(now_s - opened.sent_at_s, 3),
         )
+        if opened.phase is DutyPhase.RETURNING:
+            # The list has shown that it was carried out.
+            return []
         kinds = machines.DutyOutcome
         if outcome is kinds.DONE:
             return self._settle(opened, now_s)
@@ -261,6 +264,9 @@
     def _close_duty(self, opened: OpenDuty) -> None:
         """Remove a duty whose machine is back, or isn't awaited any more."""
         del self.open_duties[opened.duty.machine]
+        self._end_reservation(opened)
+
+    def _end_reservation(self, opened: OpenDuty) -> None:
         machine = self.machines.get(opened.duty.machine)
         if machine is not None and machine.worker_id == opened.worker_id:
             # An earlier order had carried the duty out, and this worker has
@@ -315,7 +321,8 @@
         self._calls.append(self._pending_list)
 
     def _is_back(self, opened: OpenDuty, machine: machines.Machine) -> bool:
-        if machine.status is not machines.MachineState.UP:
+        is_up = machine.status is machines.MachineState.UP
+        if opened.call_number or not is_up:
             return False
         if opened.duty.kind is state.DutyKind.MOVE:
             return machine.pool == opened.duty.pool
@@ -512,7 +519,11 @@
     def _settle_listed_move(
         self, opened: OpenDuty, machine: machines.Machine, now_s: float
     ) -> list[state.JobRecord]:
-        """Settle a move without waiting for the answer to the order."""
+        """Settle a move before the order is answered, and use its worker.
+
+        The duty stays open until then, so that no order for the machine's
+        next move is under way together with this one.
+        """
         self._scheduler.log_decision(
             'move_listed',
             machine=machine.name,
@@ -520,8 +531,8 @@
             worker=machine.worker_id,
             sent=opened.sent_count,
         )
-        opened.call_number = 0
         records = self._settle(opened, now_s)
+        self._end_reservation(opened)
         if self._is_back(opened, machine):
             self._close_duty(opened)
         return records
