--- a/features/search/machine_search.py
+++ b/features/search/machine_search.py
@@ -134,9 +134,13 @@
     def _start_wave(self) -> None:
         names = sorted(self.platform.machines)
         chosen = tuple(self.rng.sample(names, self.rng.randint(1, 3)))
+        self._accept_wave(chosen, self.rng.randint(1, 2))
+
+    def _accept_wave(self, names: tuple[str, ...], max_down: int) -> None:
+        """Accept a wave over machines of which some may be down at once."""
         self._wave_count += 1
         wave = state.UpkeepWave(
-            self._wave_count, chosen, WAVE_DEADLINE_S, self.rng.randint(1, 2)
+            self._wave_count, names, WAVE_DEADLINE_S, max_down
         )
         self.platform.waves[wave.number] = wave
         self._propose_to_leaders(
--- a/features/support/machine_world.py
+++ b/features/support/machine_world.py
@@ -105,14 +105,7 @@
 
     def start_wave(self, names: tuple[str, ...]) -> None:
         """Accept a wave over machines, one at a time."""
-        self._wave_count += 1
-        wave = state.UpkeepWave(
-            self._wave_count, names, machine_search.WAVE_DEADLINE_S, 1
-        )
-        self.platform.waves[wave.number] = wave
-        self._propose_to_leaders(
-            state.WaveAccepted(wave, int(self.now_s * 1000))
-        )
+        self._accept_wave(names, 1)
 
     def running_on(self, worker_id: str) -> list[str]:
         """Return the tasks that run on a worker."""
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -1,20 +1,17 @@
 """Upkeep and moves of machines, which the leader empties first."""
 
-import dataclasses
-import enum
 import math
 
+from greengagering.coordination.capacity._emptying import MachineEmptier
 from greengagering.coordination.capacity._lost_workers import LostWorkerFinder
 from greengagering.coordination.capacity import _machines as machines
+from greengagering.coordination.capacity._open_duties import DutyPhase
+from greengagering.coordination.capacity._open_duties import OpenDuty
 from greengagering.coordination.capacity._pool_plan import PoolPlanner
-from greengagering.coordination.scheduling import has_place
 from greengagering.coordination.scheduling import JobScheduler
-from greengagering.coordination.workers import RunPhase
-from greengagering.coordination.workers import RunView
 from greengagering.coordination.workers import WorkerView
 from greengagering import state
 
-FULL_PERCENT = 100
 LIST_INTERVAL_S = 0.5
 """Time between two requests for the list of machines while a duty is open, a
 worker is silent or new, or a wave is unfinished."""
@@ -56,50 +53,6 @@
 """Share of a wave's remaining time that the plan uses; the rest is a reserve
 for delays."""
 
-TASK_END_TIMEOUT_S = 2.5
-"""Time for finite tasks to end by themselves on a machine that is emptied for
-upkeep; then they are stopped."""
-
-
-class DutyPhase(enum.Enum):
-    """Phase of a duty: empty the machine, commit, send, await its return."""
-
-    EMPTYING = enum.auto()
-    COMMITTING = enum.auto()
-    SENDING = enum.auto()
-    RETURNING = enum.auto()
-
-
-@dataclasses.dataclass(slots=True)
-class OpenDuty:
-    """A duty that the leader is carrying out.
-
-    Attributes:
-        duty: the duty.
-        worker_id: the machine's worker by the newest list, or ''; it is
-            reserved.
-        phase: the current phase.
-        phase_at_s: when the phase began.
-        is_inherited: whether a former leader may have sent the order.
-        ends_life: key of the incarnation that the duty ends, or '' if that
-            isn't certain; see _send.
-        retry_at_s: time before which the order isn't sent again.
-        call_number: number of the unanswered call to the platform, or 0.
-        sent_count: number of calls to the platform in this term.
-        sent_at_s: when the newest of them was made.
-    """
-
-    duty: state.Duty
-    worker_id: str
-    phase: DutyPhase
-    phase_at_s: float
-    is_inherited: bool = False
-    ends_life: str = ''
-    retry_at_s: float = float('-inf')
-    call_number: int = 0
-    sent_count: int = 0
-    sent_at_s: float = float('-inf')
-
 
 class MachineManager:
     """Carries out upkeep waves and moves, one duty per machine at a time."""
@@ -123,6 +76,7 @@
         self._calls: list[machines.MachineCall] = []
         self._wave_started_s: dict[int, float] = {}
         self._lost_workers = LostWorkerFinder()
+        self._emptier = MachineEmptier(scheduler)
 
     @property
     def jobs(self) -> state.JobsState:
@@ -370,13 +324,21 @@
         if free_places <= 0:
             return []
         candidates = [
-            m
+            self.machines[m]
             for m in remaining
             if self._may_open(m, now_s)
             and self.machines[m].status is machines.MachineState.UP
         ]
-        for name in self._sort_for_emptying(candidates, number)[:free_places]:
-            duty = state.Duty(name, state.DutyKind.UPKEEP, '', number)
+        emptied_pools = {
+            self.machines[name].pool
+            for name, opened in self.open_duties.items()
+            if name in self.machines
+            and opened.duty.wave_number == number
+            and opened.phase is DutyPhase.EMPTYING
+        }
+        order = self._emptier.sort(candidates, emptied_pools)
+        for machine in order[:free_places]:
+            duty = state.Duty(machine.name, state.DutyKind.UPKEEP, '', number)
             self._open_duty(duty, now_s)
         return []
 
@@ -387,32 +349,6 @@
             if view is not None:
                 view.is_upkeep_due = True
 
-    def _sort_for_emptying(
-        self, candidates: list[str], number: int
-    ) -> list[str]:
-        """Return the machines in the order in which a wave empties them.
-
-        Only a few lasting tasks may move at a time, so emptying their
-        machines takes longest: one machine of each pool that hosts lasting
-        tasks comes first. The others follow by the cost of emptying them.
-        """
-        candidates = sorted(candidates, key=self._cost_of_emptying)
-        emptied_pools = {
-            self.machines[name].pool
-            for name, opened in self.open_duties.items()
-            if name in self.machines
-            and opened.duty.wave_number == number
-            and opened.phase is DutyPhase.EMPTYING
-        }
-        first = []
-        for name in candidates:
-            pool = self.machines[name].pool
-            lasting, _ = self._cost_of_emptying(name)
-            if lasting and pool not in emptied_pools:
-                emptied_pools.add(pool)
-                first.append(name)
-        return first + [name for name in candidates if name not in first]
-
     def _is_presence_known(self, name: str, started_s: float) -> bool:
         """Tell whether a machine is certainly there, or certainly missing.
 
@@ -434,13 +370,6 @@
             and machine.status is machines.MachineState.UPKEEP
         )
 
-    def _cost_of_emptying(self, name: str) -> tuple[int, int]:
-        view = self._find_worker(self.machines[name].worker_id)
-        if view is None:
-            return (0, 0)
-        lasting = sum(1 for run in view.runs.values() if run.step.is_lasting)
-        return (lasting, len(view.runs))
-
     def _open_duty(self, duty: state.Duty, now_s: float) -> None:
         machine = self.machines[duty.machine]
         opened = OpenDuty(duty, machine.worker_id, DutyPhase.EMPTYING, now_s)
@@ -478,7 +407,7 @@
         if machine is not None and self._is_moved(opened, machine):
             return self._settle_listed_move(opened, machine, now_s)
         if opened.phase is DutyPhase.EMPTYING:
-            if self._empty_machine(opened, now_s) and self._may_order(opened):
+            if self._emptier.empty(opened, now_s) and self._may_order(opened):
                 opened.phase = DutyPhase.COMMITTING
                 opened.phase_at_s = now_s
                 self._ordered_in_term.add(opened.duty.machine)
@@ -548,7 +477,7 @@
         if opened.call_number or now_s < opened.retry_at_s:
             return
         if not (
-            self._empty_machine(opened, now_s) and self._may_order(opened)
+            self._emptier.empty(opened, now_s) and self._may_order(opened)
         ):
             return
         if not (opened.sent_count or opened.is_inherited):
@@ -573,66 +502,6 @@
         age_s = abs(self._now_ms - ordered_at_ms) / 1000
         return age_s >= TAKEOVER_PAUSE_S
 
-    def _empty_machine(self, opened: OpenDuty, now_s: float) -> bool:
-        """Stop the runs that may be stopped; tell whether none is left."""
-        view = self._find_worker(opened.worker_id)
-        if view is None:
-            return True
-        for run in list(view.runs.values()):
-            if run.phase is not RunPhase.RUNNING:
-                continue
-            if run.step.is_lasting:
-                if self._may_stop(run):
-                    self._scheduler.empty_run(view, run, now_s)
-            elif opened.duty.kind is state.DutyKind.UPKEEP and (
-                run.step.saves_progress
-                or now_s >= opened.phase_at_s + TASK_END_TIMEOUT_S
-            ):
-                # Finite tasks aren't stopped for a move, as a move gains less
-                # than the lost work.
-                self._scheduler.empty_run(view, run, now_s)
-        return not view.runs
-
-    def _may_stop(self, run: RunView) -> bool:
-        """Tell whether a lasting task may be stopped and fits elsewhere."""
-        job = self.jobs.jobs.get(run.key.job_id)
-        if job is None or job.status is not state.JobStatus.ACTIVE:
-            return True
-        out_count = 0
-        for index in range(run.step.task_count):
-            task_key = f'{run.key.step_key}.{index}'
-            if task_key != run.key.task and not self._is_fully_running(
-                job, task_key
-            ):
-                out_count += 1
-        if run.step.may_miss is not None and out_count >= run.step.may_miss:
-            return False
-        if run.step.may_miss is None and out_count:
-            return False
-        work = self._scheduler.index.find(run.key)
-        if work is None:
-            return True
-        if self._scheduler.limits.is_exceeded(run.customer):
-            # A customer above its limit starts nothing.
-            return False
-        workers = self._scheduler.usable_workers(job)
-        return has_place(work, workers)
-
-    def _is_fully_running(self, job: state.Job, task_key: str) -> bool:
-        task = job.tasks.get(task_key)
-        if task is None:
-            return False
-        for run_number, life_key in task.live_runs.items():
-            view = self._scheduler.workers.get(life_key)
-            name = state.RunKey(job.spec.job_id, task_key, run_number).name
-            run = view.runs.get(name) if view is not None else None
-            if view is None or run is None:
-                continue
-            is_running = run.phase is RunPhase.RUNNING
-            if is_running and view.suspect_since_s is None:
-                return run.is_listed and run.percent >= FULL_PERCENT
-        return False
-
     def _reopen_duties(self, now_s: float) -> None:
         """Continue the duties that a former leader left open.
 
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -21,13 +21,13 @@
 from greengagering.coordination.scheduling._submissions import Submissions
 from greengagering.coordination.scheduling._task_assigner import TaskAssigner
 from greengagering.coordination.scheduling._worker_poller import WorkerPoller
+from greengagering.coordination.scheduling._worker_reports import WorkerReports
 from greengagering.coordination.workers import LookAnswer
 from greengagering.coordination.workers import LookOrder
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
-from greengagering.coordination.workers import SILENCE_S
 from greengagering.coordination.workers import StartOrder
 from greengagering.coordination.workers import WorkerReport
 from greengagering.coordination.workers import WorkerView
@@ -40,14 +40,6 @@
 FINISHED_RETENTION_S = 240.0
 """How long a finished job can be queried; callers may rely on half of it."""
 
-MAX_BORN_AHEAD_MS = 600_000
-"""How far the start of an incarnation may lie ahead of the leader's time of
-day before it is implausible; the clocks of machines differ by less."""
-
-MAX_LATE_REPORTS = 1000
-"""Most reports by which a late one is behind the newest; they come about once
-a second."""
-
 MAX_STEP_WORK_S = 1e13
 """Most work of a step that counts as demand. A former version stored estimates
 of any size, and no number of machines is found for an infinite sum."""
@@ -78,6 +70,7 @@
         self._relocator = RunRelocator(self._core)
         self.assigner = TaskAssigner(self._core)
         self.submissions = Submissions(self._core)
+        self._reports = WorkerReports(self._core)
         self._planned_at_s = float('-inf')
         self._stalls_checked_at_s = float('-inf')
         self._finished_at_s: dict[str, float] = {}
@@ -387,104 +380,18 @@
                 self._apply_run_record(record, now_s)
 
     def find_report_fault(self, report: WorkerReport, now_s: float) -> str:
-        """Return why a report must not be used, or ''.
-
-        The later of two incarnations replaces the earlier one, so a start far
-        in the future would replace a worker that goes on. It counts only once
-        that worker is silent: time of day may be wrong here, and then a
-        worker that has restarted reports such a start too.
-        """
-        ahead_ms = report.facts.born_ms - self._core.now_ms
-        if ahead_ms <= MAX_BORN_AHEAD_MS or report.facts.key in self.workers:
-            return ''
-        for view in self._core.incarnations.related(report.facts):
-            is_heard = now_s < view.heard_at_s + SILENCE_S
-            if is_heard and view.suspect_since_s is None and not view.is_over:
-                return (
-                    f'field born: is {ahead_ms} ms ahead, while {view.key} '
-                    f'goes on (value: {report.facts.born_ms})'
-                )
-        return ''
+        """Return why a report must not be used, or ''; see WorkerReports."""
+        return self._reports.find_fault(report, now_s)
 
     def handle_report(
         self, report: WorkerReport, now_s: float
     ) -> state.JobRecord | None:
-        """Handle a worker's report.
-
-        Returns:
-            A record to commit before the report is acknowledged, or None.
-        """
-        key = report.facts.key
-        view = self.workers.get(key)
-        if view is None:
-            if self._core.incarnations.is_outdated(report.facts):
-                return None
-            return state.LifeSeen(report.facts)
-        life = self.jobs.lives[key]
-        is_newest = self._is_newest(view, report)
-        if is_newest:
-            view.mark_reported(report.sequence, now_s)
-            view.update_clock(report.clock_ms, now_s)
-            if view.suspect_since_s is not None:
-                self._core.poll_candidates.add(key)
-            if report.facts.room != view.room:
-                self._follow_room(view, report.facts.room)
-        if report.is_draining and not life.is_draining:
-            # That is final, so it also holds in a late report.
-            view.is_draining = True
-            return state.LifeDraining(key)
-        stored = life.facts.room
-        is_changed = not report.facts.room == stored == view.proposed_room
-        if is_newest and is_changed:
-            view.proposed_room = report.facts.room
-            return state.LifeSeen(report.facts)
-        return None
-
-    def _is_newest(self, view: WorkerView, report: WorkerReport) -> bool:
-        """Tell whether a report is newer than the others of its worker.
-
-        A number that is far below the newest isn't a late report's. The
-        newest one was implausible then, and would hide all that follow.
-        """
-        behind = view.sequence - report.sequence
-        if behind > MAX_LATE_REPORTS:
-            self._core.log_decision(
-                'report_number_reset',
-                life=view.key,
-                former=view.sequence,
-                number=report.sequence,
-            )
-            return True
-        return behind < 0
-
-    def _follow_room(self, view: WorkerView, room: state.Room) -> None:
-        """Use the room that a worker reports from now on."""
-        former = view.room
-        view.change_room(room)
-        self._core.is_plan_due = True
-        self._core.log_decision(
-            'worker_room_changed',
-            life=view.key,
-            former=_customer_limits.format_room(former),
-            room=_customer_limits.format_room(room),
-            free_millicores=view.free_cpu,
-            runs=len(view.runs),
-        )
+        """Handle a worker's report; see WorkerReports."""
+        return self._reports.handle_report(report, now_s)
 
     def handle_leave(self, worker_id: str, now_s: float) -> None:
-        """Handle a worker's notice that it ends now, with all of its runs.
-
-        The notice doesn't say which incarnation sent it, and a delayed one
-        may arrive after a restart. So it counts only for an incarnation that
-        has reported that it drains.
-        """
-        view = self._core.newest_incarnation(worker_id)
-        if view is None or not view.is_draining:
-            return
-        view.left_at_s = now_s
-        self._core.log_decision(
-            'worker_left', life=view.key, runs=len(view.runs)
-        )
+        """Handle a worker's notice to leave; see WorkerReports."""
+        self._reports.handle_leave(worker_id, now_s)
 
     def is_wave_done(self, wave: state.WaveState) -> bool:
         """Tell whether the upkeep of all of a wave's machines has begun."""
