--- a/features/support/job_world.py
+++ b/features/support/job_world.py
@@ -1,12 +1,12 @@
 """Simulation of jobs, workers and machines that scenarios control."""
 
-from collections.abc import Callable
 import dataclasses
 from typing import Any
 
 from features.search import fakes
 from features.search import job_search
 from features.search import worker_fakes
+from features.support import controlled_search
 from greengagering import coordination
 from greengagering import state
 
@@ -18,7 +18,7 @@
     """No replica is the leader at the moment."""
 
 
-class JobWorld(job_search.JobSearch):
+class JobWorld(controlled_search.ControlledSearch):
     """The simulation of the fault search, without random faults.
 
     Scenarios inject faults instead.
@@ -68,29 +68,6 @@
             self.workers[name] = worker
             self._reports_s[name] = self.now_s
 
-    def advance(self, seconds: float) -> None:
-        """Advance the virtual clock."""
-        ends_s = self.now_s + seconds
-        while self.now_s < ends_s:
-            self._advance()
-            self._update_machines()
-
-    def advance_until(
-        self, condition: Callable[[], bool], within_s: float
-    ) -> None:
-        """Advance the virtual clock until a condition is met.
-
-        Raises:
-            AssertionError: it was not met in time.
-        """
-        ends_s = self.now_s + within_s
-        while not condition():
-            assert self.now_s < ends_s, (
-                f'not within {within_s:g} s: {self.trace[-12:]}'
-            )
-            self._advance()
-            self._update_machines()
-
     def leader(self) -> coordination.ControlCore:
         """Return the leader's core."""
         for node in self._running():
@@ -98,15 +75,6 @@
                 return node.core
         raise NobodyLeadsError
 
-    def has_leader(self) -> bool:
-        """Tell whether a replica leads and may send orders."""
-        return any(
-            node.core is not None
-            and node.core.jobs.is_leading
-            and node.core.replica.has_lease(node.clock.read(self.now_s))
-            for node in self._running()
-        )
-
     def stop_control(self, node: job_search.ControlNode) -> None:
         """End a control process at once, as a loss of power does."""
         self._stop_control(node)
@@ -236,6 +204,10 @@
         ):
             core.propose_job_record(record, now_s)
 
+    def _advance(self) -> None:
+        super()._advance()
+        self._update_machines()
+
     def _update_machines(self) -> None:
         if self.keeps_machines:
             return
--- a/features/support/machine_world.py
+++ b/features/support/machine_world.py
@@ -1,11 +1,11 @@
 """Simulation of moving machines that scenarios control."""
 
-from collections.abc import Callable
 from typing import Any
 
 from features.search import fakes
 from features.search import job_search
 from features.search import machine_search
+from features.support import controlled_search
 from greengagering import coordination
 from greengagering import state
 
@@ -13,7 +13,9 @@
 """Time for an election, and for every worker to be read."""
 
 
-class MachineWorld(machine_search.MachineSearch):
+class MachineWorld(
+    machine_search.MachineSearch, controlled_search.ControlledSearch
+):
     """The machine search without random faults.
 
     Attributes:
@@ -39,27 +41,6 @@
         for worker in self.workers.values():
             worker.fail_ratio = 0.0
 
-    def advance(self, seconds: float) -> None:
-        """Advance the virtual clock."""
-        ends_s = self.now_s + seconds
-        while self.now_s < ends_s:
-            self._advance()
-
-    def advance_until(
-        self, condition: Callable[[], bool], within_s: float
-    ) -> None:
-        """Advance the virtual clock until a condition is met.
-
-        Raises:
-            AssertionError: it was not met in time.
-        """
-        ends_s = self.now_s + within_s
-        while not condition():
-            assert self.now_s < ends_s, (
-                f'not within {within_s:g} s: {self.trace[-12:]}'
-            )
-            self._advance()
-
     def leader_node(self) -> job_search.ControlNode:
         """Return the leader's node."""
         return next(
@@ -68,15 +49,6 @@
             if node.core is not None and node.core.jobs.is_leading
         )
 
-    def has_leader(self) -> bool:
-        """Tell whether a replica leads and may send orders."""
-        return any(
-            node.core is not None
-            and node.core.jobs.is_leading
-            and node.core.replica.has_lease(node.clock.read(self.now_s))
-            for node in self._running()
-        )
-
     def replace_leader(self) -> None:
         """End the leader's process, and start it again under a new leader."""
         former = self.leader_node()
