List a replica that refuses its folder after a power loss, as red

A replica that had lost power ended at each start, as its newest segment was 'damaged, and intact records follow'; when the final fault took two more of the five, nobody could lead.

Cause: a leader that syncs in the background has several writes in its segment that aren't synced. A power loss may keep a later one and lose an earlier one. The reader takes that for damage in synced data, which it refuses.

--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -137,6 +137,27 @@
         _flip(segment, offset)
 
 
+@when(
+    'two entries are written without a sync, and a power loss keeps only the '
+    'second'
+)
+def lose_first_write(context: Any) -> None:
+    copy_folder(context)
+    segment = newest_segment(context.copy)
+    folder = open_copy(context)
+    folder.load()
+    first_at = segment.stat().st_size
+    folder.write([entry(41, term=2)])
+    second_at = segment.stat().st_size
+    folder.write([entry(42, term=2)])
+    folder.close()
+    with open(segment, 'r+b') as file:
+        file.seek(first_at)
+        file.write(bytes(second_at - first_at))
+    assert _refusal(context) is None, 'the folder is refused as damaged'
+    context.stored = open_copy(context).load()
+
+
 @when('a byte of the snapshot is damaged')
 def damage_snapshot(context: Any) -> None:
     copy_folder(context)
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -15,6 +15,11 @@
     When each byte before the last frame of the newest segment is damaged in turn
     Then each opening is refused with the file, an offset and the remedy
 
+  # Guards against a replica that can't start again: a power loss that kept a later unsynced write and lost an earlier one was taken for damage in synced data.
+  Scenario: A power loss that loses the first of two unsynced writes leaves what was synced before
+    When two entries are written without a sync, and a power loss keeps only the second
+    Then it holds the vote, the snapshot and the entries
+
   Scenario: A damaged snapshot is refused
     When a byte of the snapshot is damaged
     Then the opening is refused with the file, an offset and the remedy
