--- a/features/steps/machine_answer_steps.py
+++ b/features/steps/machine_answer_steps.py
@@ -134,19 +134,25 @@
     assert all(len(times) == 1 for times in starts.values()), starts
 
 
-@when(
-    'a machine of service-a comes back from its upkeep, and the next wave '
-    'names it {seconds:g} s later'
-)
-def upkeep_twice(context: Any, seconds: float) -> None:
+def take_through_upkeep(context: Any) -> None:
+    """Take a machine of service-a down for upkeep, until its next worker."""
     world = world_of(context)
     context.machine = first_machine(world, 'service-a')
     machine = world.platform.machines[context.machine]
     former = machine.worker_id
     world.start_wave((context.machine,))
     world.advance_until(lambda: machine.worker_id not in ('', former), 10.0)
-    world.advance(seconds)
     context.worker = machine.worker_id
+
+
+@when(
+    'a machine of service-a comes back from its upkeep, and the next wave '
+    'names it {seconds:g} s later'
+)
+def upkeep_twice(context: Any, seconds: float) -> None:
+    take_through_upkeep(context)
+    world = world_of(context)
+    world.advance(seconds)
     context.since_s = world.now_s
     context.upkeep_count = 2
     world.start_wave((context.machine,))
@@ -157,13 +163,8 @@
     'before the list shows it'
 )
 def upkeep_unanswered(context: Any) -> None:
+    take_through_upkeep(context)
     world = world_of(context)
-    context.machine = first_machine(world, 'service-a')
-    machine = world.platform.machines[context.machine]
-    former = machine.worker_id
-    world.start_wave((context.machine,))
-    world.advance_until(lambda: machine.worker_id not in ('', former), 10.0)
-    context.worker = machine.worker_id
     world.list_lag_s = 0.4
     world.submit_lasting(JOB, 6, HALF_WORKER)
     world.advance_until(lambda: world.running_on(context.worker) != [], 2.0)
--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -177,21 +177,40 @@
     context.worker = SocketWorker(lambda number: DONE, closes_idle=True)
 
 
+def begin_start(
+    context: Any, facts: state.WorkerFacts
+) -> tuple[coordination.StartOrder, int]:
+    """Return the order to start the run that is assigned, and its grant."""
+    context.scheduler = create_scheduler(facts)
+    commit(context.scheduler, 0.1)
+    (order,) = context.scheduler.take_orders()
+    assert isinstance(order, coordination.StartOrder)
+    context.sent_at_s = 0.1
+    grant = context.scheduler.open_start_grant(order, context.sent_at_s)
+    return order, grant
+
+
+def settle_start(
+    context: Any,
+    order: coordination.StartOrder,
+    grant: int,
+    answer: coordination.OrderAnswer,
+) -> None:
+    """Let the leader handle the answer to a start."""
+    scheduler = context.scheduler
+    scheduler.handle_order_answer(order, grant, answer, 0.2)
+    context.view = scheduler.workers[order.life.key]
+    context.records = commit(scheduler, 0.2)
+
+
 @when('the leader orders a start')
 def order_start(context: Any) -> None:
     async def use(facts: state.WorkerFacts) -> None:
-        context.scheduler = scheduler = create_scheduler(facts)
-        commit(scheduler, 0.1)
-        (order,) = scheduler.take_orders()
-        assert isinstance(order, coordination.StartOrder)
-        context.sent_at_s = 0.1
-        grant = scheduler.open_start_grant(order, context.sent_at_s)
+        order, grant = begin_start(context, facts)
         client = _worker_calls.WorkerCalls()
         answer = await client.start(order)
         await client.close()
-        scheduler.handle_order_answer(order, grant, answer, 0.2)
-        context.view = scheduler.workers[facts.key]
-        context.records = commit(scheduler, 0.2)
+        settle_start(context, order, grant, answer)
 
     context.worker.run(use)
 
@@ -207,12 +226,7 @@
     offer = coordination.AgentOffer('boot-1', 'dc-1', NOW_S)
 
     async def use(facts: state.WorkerFacts) -> None:
-        context.scheduler = scheduler = create_scheduler(facts)
-        commit(scheduler, 0.1)
-        (order,) = scheduler.take_orders()
-        assert isinstance(order, coordination.StartOrder)
-        context.sent_at_s = 0.1
-        grant = scheduler.open_start_grant(order, context.sent_at_s)
+        order, grant = begin_start(context, facts)
         runner = AgentRunner(
             'entry-1',
             'boot-1',
@@ -231,9 +245,7 @@
         answer = await client.start(order)
         await runner.close()
         await client.close()
-        scheduler.handle_order_answer(order, grant, answer, 0.2)
-        context.view = scheduler.workers[facts.key]
-        context.records = commit(scheduler, 0.2)
+        settle_start(context, order, grant, answer)
 
     context.worker.run(use)
 
