--- a/review/standins.py
+++ b/review/standins.py
@@ -154,10 +154,8 @@
         self.end_count = 0
         self.refused_to = {}
         self.is_mute = False
-        self.beat_url = ''
-        self.is_beating = True
+        self.is_cut_off = False
         self.ended_event = asyncio.Event()
-        self.acked_states = []
         self._runner = None
         self._tasks = []
 
@@ -203,12 +201,15 @@
 
     @web.middleware
     async def _guard(self, request, handler):
-        if self.is_mute:
+        if self.is_mute or self.is_cut_off:
             await asyncio.sleep(3600)
         expected = request.headers.get('Expect-Instance', self.name)
         if expected != self.name:
             return self._answer(421)
-        return await handler(request)
+        response = await handler(request)
+        if self.is_cut_off:
+            await asyncio.sleep(3600)
+        return response
 
     def _answer(self, status, reason='', **fields):
         body = {'wallClockMs': self.clock_ms(), **fields}
@@ -338,15 +339,30 @@
 
     async def _beat(self):
         while True:
-            if self.is_beating:
-                body = self.report()
-                status, answer, _ = await self.world.call_control(
-                    'POST', f'/instances/{self.name}/heartbeat', body
+            if not self.is_cut_off:
+                await self.world.call_control(
+                    'POST', f'/instances/{self.name}/heartbeat', self.report()
                 )
-                if 200 <= status < 300:
-                    self.acked_states.append(body['state'])
             await asyncio.sleep(BEAT_S)
 
+    async def crash_and_restart(self, down_s):
+        """Crash, and start again under the same id, knowing nothing."""
+        self.world.record.write(
+            f'{self.name} crashes, and runs {len(self.running)} tasks then'
+        )
+        for task in list(self.running):
+            self._end(task, 'ended with the worker')
+        await self.close()
+        await asyncio.sleep(down_s)
+        self.born = int(time.time() * 1000)
+        self.zero_s = time.monotonic()
+        self.seq = self.fence = self.until_ms = self.end_count = 0
+        self.ended.clear()
+        self.refused_to.clear()
+        self.is_cut_off = False
+        await self.start()
+        self.world.record.write(f'{self.name} has started again')
+
 
 class MachineService:
     """The platform's list of machines; carries out orders, and records them.
@@ -390,7 +406,8 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def _entry(self, name, worker):
+    def create_entry(self, name, worker):
+        """Return a machine's entry in the list."""
         return {
             'machine': name,
             'pool': worker.service,
@@ -402,7 +419,7 @@
         }
 
     async def _list(self, request):
-        rows = [self._entry(*item) for item in self.machines.items()]
+        rows = [self.create_entry(*item) for item in self.machines.items()]
         return web.json_response({'machines': rows + self.foreign})
 
     async def _read_order(self, request):
