--- a/review/standins.py
+++ b/review/standins.py
@@ -615,7 +615,8 @@
         # The deploy file's port is the same on all machines, and taken here
         # only on the machine's own address.
         text = render(template, fields)
-        text = text.replace('9464', str(self.metrics_port))
+        port = f'"metrics_port": {self.metrics_port}'
+        text = text.replace('"metrics_port": 9464', port)
         path = self.folder / f'{name}.json'
         path.write_text(text)
         with open(self.folder / f'{name}.log', 'ab') as log:
