Refuse reports of unknown services; keep a worker until its address answers

Cause: a report was checked for its state but not for its service, and the first report of another worker at an address ended the worker there at once, though that one had just been heard.

Evidence: life_over cause="address reused" for a worker that answers every order.

Change: a report must name a service of the plan, or for a known incarnation its own. A worker at a reused address is over once the newer one has answered a poll there; orders name their worker, so that answer is a proof.

--- a/features/odd_reports.feature
+++ b/features/odd_reports.feature
@@ -12,6 +12,37 @@
     Then that report is refused, naming born
     And nothing of it starts again within 25 s
 
+  # Guards against tasks that run twice, or lapse, as another writer's report
+  # displaces their worker.
+  Scenario Outline: A report of a service that isn't in the plan displaces no worker
+    Given runs take 100 s
+    When a job with 12 lasting tasks is submitted
+    And it runs for 2 s and another writer reports <who> at the address of worker-3 as of service-x
+    Then that report is refused, naming service
+    And nothing of it starts again within 25 s
+
+    Examples:
+      | who                         |
+      | worker-9 with a new start   |
+      | worker-3 with a new start   |
+      | worker-3 with its own start   |
+
+  # Guards against tasks that run twice as their worker's address is reported
+  # by a worker that isn't there.
+  Scenario: A worker keeps its address until another one has answered there
+    Given runs take 100 s
+    When a job with 12 lasting tasks is submitted
+    And it runs for 2 s and another writer reports worker-9 with a new start at the address of worker-3 as of service-a
+    Then that report is accepted
+    And nothing of it starts again within 25 s
+
+  # Guards against tasks that wait for a lease although their worker is gone.
+  Scenario: A worker is over once another one has answered at its address
+    Given runs take 100 s
+    When a job with 12 lasting tasks is submitted
+    And it runs for 2 s, and worker-3 crashes and worker-9 takes its address
+    Then the tasks of worker-3 run again within 2 s
+
   # Guards against a worker that is never taken back where the time of day is wrong.
   Scenario: A worker that restarts with a start far ahead is used once its former one is silent
     When worker-3 crashes and restarts with a start 10 years ahead
--- a/features/steps/odd_report_steps.py
+++ b/features/steps/odd_report_steps.py
@@ -9,6 +9,7 @@
 
 from features.search import input_fuzz
 from features.search import job_search
+from features.search import worker_fakes
 from features.steps import job_rule_steps
 from features.steps import odd_entry_steps
 from features.support import job_world
@@ -80,6 +81,78 @@
     )
 
 
+@when(
+    'it runs for {seconds:g} s and another writer reports {name} with {start} '
+    'start at the address of {owner} as of {service}'
+)
+def report_address(
+    context: Any,
+    seconds: float,
+    name: str,
+    start: str,
+    owner: str,
+    service: str,
+) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    context.start_count = world.ledger.start_count
+    facts: dict[str, Any] = {'worker_id': name, 'service': service}
+    if start == 'a new':
+        facts['born_ms'] = int(world.now_s * 1000)
+    if name not in world.workers:
+        _add_worker_at(context, name, owner).end()
+    report = change_report(context, owner, **facts)
+    context.fault = report_to_leader(context, report)
+
+
+@when(
+    'it runs for {seconds:g} s, and {owner} crashes and {name} takes its '
+    'address'
+)
+def take_address(context: Any, seconds: float, owner: str, name: str) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    context.lost = [
+        run.key.task_name for run in world.workers[owner].runs.values()
+    ]
+    assert context.lost, f'nothing runs on {owner}'
+    world.workers[owner].crash()
+    _add_worker_at(context, name, owner)
+    world._reports_s[name] = world.now_s
+
+
+def _add_worker_at(
+    context: Any, name: str, owner: str
+) -> worker_fakes.FakeWorker:
+    """Add a worker at the address of another one."""
+    world = world_of(context)
+    worker = worker_fakes.FakeWorker(name, world.rng, world.ledger)
+    worker.start_process(world.now_s)
+    address = world.workers[owner].facts().address
+    own_facts = worker.facts
+
+    def facts_at_address() -> state.WorkerFacts:
+        return dataclasses.replace(own_facts(), address=address)
+
+    worker.facts = facts_at_address  # type: ignore[method-assign]
+    world.workers[name] = worker
+    return worker
+
+
+@then('that report is accepted')
+def check_no_fault(context: Any) -> None:
+    assert not context.fault, context.fault
+
+
+@then('the tasks of {owner} run again within {seconds:g} s')
+def check_tasks_back(context: Any, owner: str, seconds: float) -> None:
+    world = world_of(context)
+    world.advance_until(
+        lambda: all(task in world.ledger.running for task in context.lost),
+        seconds,
+    )
+
+
 @then('that report is refused, naming {field}')
 def check_fault(context: Any, field: str) -> None:
     assert field in context.fault, context.fault
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -30,20 +30,38 @@
     ) -> None:
         """Mark the earlier of two incarnations as replaced by the later.
 
+        A report alone doesn't prove that another worker has taken an address,
+        so the earlier one is polled then, and goes on until end_displaced.
+
         Args:
             view: an incarnation.
             other: another one with the same name or address.
             now_s: the leader's clock.
         """
         older, newer = sorted((other, view), key=lambda v: v.facts.born_ms)
-        older.successor = newer.key
         if older.facts.worker_id != newer.facts.worker_id:
-            # Orders name their worker, so the newer one refuses those that
-            # were meant for the older one.
-            self._core.declare_over(older, 'address reused', is_crash=True)
-        elif not newer.is_read:
+            older.is_list_due = True
+            self._core.poll_candidates.add(older.key)
+            return
+        older.successor = newer.key
+        if not newer.is_read:
             newer.paused_until_s = now_s + RESTART_PAUSE_S
 
+    def end_displaced(self, view: WorkerView) -> None:
+        """Declare over the earlier workers at the address of `view`.
+
+        `view` has answered a poll there. Orders name their worker, so it
+        refuses those that were meant for the earlier ones.
+        """
+        facts = view.facts
+        for other in self._core.incarnations.related(facts):
+            if (
+                other.facts.worker_id != facts.worker_id
+                and other.facts.address == facts.address
+                and other.facts.born_ms < facts.born_ms
+            ):
+                self._core.declare_over(other, 'address reused', is_crash=True)
+
     def handle_other_incarnation(self, view: WorkerView, now_s: float) -> None:
         """Handle an answer that is, or may be, another incarnation's.
 
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -239,6 +239,7 @@
                 running=len(answer.running),
                 ended=len(answer.ended),
             )
+            self._tracker.end_displaced(view)
         self._delay_next_poll(view, answer, now_s)
         self._record_ends(view, answer, now_s)
         view.poll_lost_at_s = None
--- a/greengagering/coordination/scheduling/_worker_reports.py
+++ b/greengagering/coordination/scheduling/_worker_reports.py
@@ -11,6 +11,9 @@
 """How far the start of an incarnation may lie ahead of the leader's time of
 day before it is implausible; the clocks of machines differ by less."""
 
+MAX_SHOWN_CHARACTERS = 40
+"""Most characters of a refused value that the refusal repeats."""
+
 MAX_LATE_REPORTS = 1000
 """Most reports by which a late one is behind the newest; they come about once
 a second."""
@@ -23,7 +26,36 @@
         self._core = core
 
     def find_fault(self, report: WorkerReport, now_s: float) -> str:
-        """Return why a report must not be used, or ''.
+        """Return why a report must not be used, or ''."""
+        return self._find_service_fault(
+            report.facts
+        ) or self._find_start_fault(report, now_s)
+
+    def _find_service_fault(self, facts: state.WorkerFacts) -> str:
+        """Return what is wrong with the service that a report names, or ''.
+
+        An incarnation serves one service for as long as it runs. It may go on
+        while the plan doesn't have that service, so only a new one is
+        compared with the plan.
+        """
+        shown = facts.service[:MAX_SHOWN_CHARACTERS]
+        view = self._core.workers.get(facts.key)
+        if view is not None:
+            if facts.service == view.facts.service:
+                return ''
+            return (
+                f'field service: {facts.key} serves {view.facts.service} '
+                f'(value: {shown})'
+            )
+        plan = self._core.jobs.plan
+        if plan is None or any(
+            service.name == facts.service for service in plan.services
+        ):
+            return ''
+        return f'field service: is not in the plan (value: {shown})'
+
+    def _find_start_fault(self, report: WorkerReport, now_s: float) -> str:
+        """Return what is wrong with the start that a report names, or ''.
 
         The later of two incarnations replaces the earlier one, so a start far
         in the future would replace a worker that goes on. It counts only once
