Serve steps that wait for advice by turns, and don't ask in vain

Cause: there was one next request to the adviser, and a step took it whenever none of its permitted workers had room, even while a valid permit only waited for room. The two most urgent waiting steps took it by turns for good.

Change: steps that need advice wait in order; requests go to the most urgent one and to the one that has waited longest by turns. A full worker that the adviser has answered about isn't asked about until it has room.

--- a/features/steps/advice_rule_steps.py
+++ b/features/steps/advice_rule_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from features.search import worker_fakes
 from features.steps.job_rule_steps import SMALL
 from features.steps.job_rule_steps import world_of
 from greengagering import coordination
@@ -13,6 +14,8 @@
 
 TICK_S = 0.1
 WAIT_S = 3.0
+LARGE_JOB = 'large'
+SMALL_JOB = 'small'
 
 
 @given('a queue whose adviser is asked for permits of {seconds:g} s')
@@ -78,7 +81,7 @@
     ends_s = context.now_s + WAIT_S
     while context.now_s < ends_s:
         step(context)
-        request = context.scheduler.permits.take_advice_request()
+        request = context.scheduler.permits.take_advice_request(context.now_s)
         if request is not None:
             return request
     raise AssertionError('nothing was asked')
@@ -103,7 +106,12 @@
 @when('a job with {count:d} tasks is submitted to the queue with advice')
 @when('a job with {count:d} task is submitted to the queue with advice')
 def submit_job(context: Any, count: int, job_id: str = 'job') -> None:
-    spec = state.JobSpec(job_id, 'text', (state.StepSpec(count, SMALL, 0.6),))
+    submit_step(context, state.StepSpec(count, SMALL, 0.6), job_id)
+
+
+def submit_step(context: Any, step: state.StepSpec, job_id: str) -> None:
+    """Submit a job of one step to the queue with advice."""
+    spec = state.JobSpec(job_id, 'text', (step,))
     record = state.JobAccepted(spec, context.queue, 0)
     state.apply_to_jobs(context.scheduler.jobs, record)
     context.scheduler.handle_applied(record, context.now_s, 0)
@@ -165,4 +173,99 @@
     take_advice_request(context)
     for _ in range(20):
         step(context)
-        assert context.scheduler.permits.take_advice_request() is None
+        permits = context.scheduler.permits
+        assert permits.take_advice_request(context.now_s) is None
+
+
+@given(
+    'the adviser permits worker-1 for large jobs, and the others for small '
+    'ones'
+)
+def permit_by_size(context: Any) -> None:
+    context.large_validity_s = context.validity_s
+
+
+@given("the adviser's permits for large jobs expire at once")
+def expire_at_once(context: Any) -> None:
+    context.large_validity_s = 0.0
+
+
+def advise(context: Any, request: coordination.AdviceRequest) -> None:
+    """Answer a request as an adviser that permits workers by a job's size."""
+    is_large = request.step_name.startswith(LARGE_JOB)
+    permits = {
+        name: f'permit of {name}'
+        for name in request.life_keys
+        if (name == 'worker-1') == is_large
+    }
+    validity_s = context.large_validity_s if is_large else context.validity_s
+    context.scheduler.handle_advice(
+        request, coordination.Advice(permits, validity_s), context.now_s
+    )
+
+
+def advance_with_adviser(context: Any, seconds: float) -> None:
+    """Advance the time, with an adviser that answers after one tick."""
+    ends_s = context.now_s + seconds
+    while context.now_s < ends_s:
+        step(context)
+        if context.request is not None:
+            advise(context, context.request)
+        context.request = context.scheduler.permits.take_advice_request(
+            context.now_s
+        )
+        if context.request is not None:
+            context.asked.append(context.request.step_name)
+
+
+def started_jobs(context: Any) -> set[str]:
+    """Return the jobs of which a start was ordered."""
+    return {order.key.job_id for order in context.orders}
+
+
+@when(
+    '{large:d} large jobs and then {small:d} small jobs are submitted to the '
+    'queue with advice'
+)
+def submit_by_size(context: Any, large: int, small: int) -> None:
+    context.asked = []
+    context.request = None
+    context.small_jobs = {f'{SMALL_JOB}{number}' for number in range(small)}
+    # Lasting tasks never become late, so they stay the most urgent ones.
+    lasting = state.StepSpec(1, worker_fakes.ROOM, 0.6, is_lasting=True)
+    for number in range(large):
+        submit_step(context, lasting, f'{LARGE_JOB}{number}')
+    advance_with_adviser(context, 2.0)
+    for job_id in sorted(context.small_jobs):
+        submit_job(context, 1, job_id)
+
+
+@then('the small jobs run within {seconds:g} s')
+def check_small_run(context: Any, seconds: float) -> None:
+    advance_with_adviser(context, seconds)
+    assert context.small_jobs <= started_jobs(context), context.asked
+
+
+@then('the adviser is asked once about each large job')
+def check_asked_once(context: Any) -> None:
+    asked = [name for name in context.asked if name.startswith(LARGE_JOB)]
+    assert len(asked) == len(set(asked)) == 4, asked
+
+
+@when('{seconds:g} s pass and the first large job is cancelled')
+def cancel_first(context: Any, seconds: float) -> None:
+    advance_with_adviser(context, seconds)
+    (job_id,) = started_jobs(context)
+    record = state.JobCancelled(job_id)
+    scheduler = context.scheduler
+    state.apply_to_jobs(scheduler.jobs, record)
+    scheduler.handle_applied(record, context.now_s, 0)
+    for view in scheduler.workers.values():
+        for name in list(view.runs):
+            view.remove_run(name)
+
+
+@then('the second large job runs within {seconds:g} s')
+def check_second_runs(context: Any, seconds: float) -> None:
+    advance_with_adviser(context, seconds)
+    assert len(started_jobs(context)) == 2, context.asked
--- a/greengagering/coordination/scheduling/_advice.py
+++ b/greengagering/coordination/scheduling/_advice.py
@@ -49,26 +49,51 @@
     ends_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _WaitingStep:
+    """A step that needs advice.
+
+    Attributes:
+        work: the step.
+        workers: usable workers of its service.
+        since_s: since when it has needed advice without a request for it.
+    """
+
+    work: StepWork
+    workers: list[WorkerView]
+    since_s: float
+
+
 class PermitTable:
     """Stores the permits of each step, and chooses the next advice request.
 
     Only one request is open at a time, as the adviser answers the requests
-    from one machine one after the other.
+    from one machine one after the other. Requests go to the most urgent step
+    and to the one that has waited longest by turns: urgent steps alone could
+    keep all others waiting for as long as they need advice.
     """
 
     def __init__(self) -> None:
         self._permits: dict[str, dict[str, _Permit]] = {}
         self._not_permitted: dict[str, set[str]] = {}
         self._open_request: AdviceRequest | None = None
-        self._next_request: AdviceRequest | None = None
+        # Steps that need advice by the current plan, the most urgent first,
+        # and by the former one.
+        self._waiting: dict[str, _WaitingStep] = {}
+        self._waited: dict[str, _WaitingStep] = {}
+        self._is_longest_next = False
         self._retry_at_s = float('-inf')
 
+    def begin_plan(self) -> None:
+        """Forget which steps need advice; the new plan finds them again."""
+        self._waited, self._waiting = self._waiting, {}
+
     def permitted_workers(
         self, work: StepWork, workers: list[WorkerView], now_s: float
     ) -> list[WorkerView]:
         """Return the workers that a step may use.
 
-        If none of them has room for the step, an advice request is queued.
+        If none of them has room for the step, it waits for advice.
 
         Args:
             work: a step of a job whose queue needs advice.
@@ -76,15 +101,13 @@
             now_s: the leader's clock.
         """
         name = step_name(work)
-        permits = self._permits.get(name, {})
-        valid = [
-            worker
-            for worker in workers
-            if worker.key in permits
-            and now_s < permits[worker.key].ends_s - VALIDITY_MARGIN_S
-        ]
+        valid = [w for w in workers if self._is_permitted(name, w, now_s)]
         if not any(worker.fits(work.step) for worker in valid):
-            self._queue_request(name, work, workers, now_s)
+            waited = self._waited.get(name)
+            since_s = now_s if waited is None else waited.since_s
+            self._waiting.setdefault(
+                name, _WaitingStep(work, workers, since_s)
+            )
         return valid
 
     def permit(self, work: StepWork, life_key: str) -> str:
@@ -92,12 +115,39 @@
         permit = self._permits.get(step_name(work), {}).get(life_key)
         return permit.text if permit is not None else ''
 
-    def take_advice_request(self) -> AdviceRequest | None:
-        """Return the next request if none is open, and count it as open."""
-        if self._open_request is not None or self._next_request is None:
+    def take_advice_request(self, now_s: float) -> AdviceRequest | None:
+        """Return the next request if none is open, and count it as open.
+
+        Steps that can start on an answer go before those whose workers are
+        all full.
+        """
+        if self._open_request is not None or now_s < self._retry_at_s:
             return None
-        self._open_request, self._next_request = self._next_request, None
-        return self._open_request
+        found: AdviceRequest | None = None
+        for name, waiting in self._in_turn():
+            asked = self._find_candidates(name, waiting, now_s)
+            if not asked:
+                del self._waiting[name]
+                continue
+            may_start = asked[0].fits(waiting.work.step)
+            if found is None or may_start:
+                found = AdviceRequest(
+                    name, {w.facts.worker_id: w.key for w in asked}
+                )
+            if may_start:
+                break
+        if found is not None:
+            del self._waiting[found.step_name]
+            self._is_longest_next = not self._is_longest_next
+        self._open_request = found
+        return found
+
+    def _in_turn(self) -> list[tuple[str, _WaitingStep]]:
+        """Return the waiting steps in the order of the next request."""
+        steps = list(self._waiting.items())
+        if self._is_longest_next:
+            steps.sort(key=lambda item: item[1].since_s)
+        return steps
 
     def handle_advice(
         self, request: AdviceRequest, advice: Advice | None, now_s: float
@@ -131,40 +181,42 @@
         self._permits.get(step_name(work), {}).pop(life_key, None)
 
     def forget_job(self, job_id: str) -> None:
-        """Remove what the adviser has answered about a job's steps."""
-        for known in (self._permits, self._not_permitted):
+        """Remove a job's steps, and what the adviser has answered on them."""
+        for known in (self._permits, self._not_permitted, self._waiting):
             for name in [n for n in known if n.startswith(f'{job_id}.')]:
                 del known[name]
 
-    def _queue_request(
-        self,
-        name: str,
-        work: StepWork,
-        workers: list[WorkerView],
-        now_s: float,
-    ) -> None:
-        if self._next_request is not None or now_s < self._retry_at_s:
-            return
-        if (
-            self._open_request is not None
-            and self._open_request.step_name == name
-        ):
-            return
+    def _is_permitted(
+        self, name: str, worker: WorkerView, now_s: float
+    ) -> bool:
+        permit = self._permits.get(name, {}).get(worker.key)
+        return permit is not None and now_s < permit.ends_s - VALIDITY_MARGIN_S
+
+    def _find_candidates(
+        self, name: str, waiting: _WaitingStep, now_s: float
+    ) -> list[WorkerView]:
+        """Return the workers to ask about, those with room first.
+
+        A full worker that the adviser has answered about is left out: which
+        workers it allows doesn't change, and a permit that is renewed before
+        there is room may expire unused.
+        """
         not_permitted = self._not_permitted.get(name, set())
         known = self._permits.get(name, {})
-        candidates = [w for w in workers if w.key not in not_permitted]
+        step = waiting.work.step
+        if not waiting.work.waiting:
+            return []
+        candidates = [
+            worker
+            for worker in waiting.workers
+            if worker.key not in not_permitted
+            and (worker.key not in known or worker.fits(step))
+            and not self._is_permitted(name, worker, now_s)
+        ]
         candidates.sort(
-            key=lambda w: (
-                not w.fits(work.step),
-                w.key not in known,
-                -w.free_cpu,
-            )
+            key=lambda w: (not w.fits(step), w.key not in known, -w.free_cpu)
         )
-        asked = candidates[:MAX_REQUEST_WORKERS]
-        if asked:
-            self._next_request = AdviceRequest(
-                name, {w.facts.worker_id: w.key for w in asked}
-            )
+        return candidates[:MAX_REQUEST_WORKERS]
 
 
 def step_name(work: StepWork) -> str:
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -42,6 +42,7 @@
 
     def assign(self, now_s: float) -> None:
         """Assign waiting tasks to usable workers, and propose the runs."""
+        self._core.permits.begin_plan()
         usable = self._find_usable(now_s)
         if not usable:
             return
--- a/greengagering/transport/_adviser_client.py
+++ b/greengagering/transport/_adviser_client.py
@@ -40,7 +40,7 @@
         """Send the next request unless one is open."""
         if self._task is not None and not self._task.done():
             return
-        request = self._scheduler.permits.take_advice_request()
+        request = self._scheduler.permits.take_advice_request(clock.steady_s())
         if request is not None:
             self._task = asyncio.ensure_future(self._request_advice(request))
 
