Propose the decisions of all parts of a step although one fails

Cause: an error in a part of the leader's step dropped the records that the parts before it had handed over, and none of them is decided again. The plan of pools divided by the number of services, and named fields of the log like them.

Evidence: step_failed names PoolPlanner._set_needs, called between JobScheduler.step and the proposals.

Change: each part runs by itself and logs its error (step_part_failed); what was decided is proposed in any case. A committed record that isn't followed ends the term, at most once in 60 s. Pool sizes are one field, `pools`. The searches fail at an error in a part that they haven't injected.

--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -245,6 +245,8 @@
         self.lost_ratio = self.rng.choice((0, 0.02, 0.1))
         self.unsent_ratio = self.rng.choice((0, 0.05))
         self.is_fault_free = False
+        # Whether errors in the leader's step are part of the schedule.
+        self.injects_errors = False
         self.disconnected_until_s: dict[str, float] = {}
         self.workers = {
             name: worker_fakes.FakeWorker(name, self.rng, self.ledger)
@@ -634,6 +636,8 @@
     def _follow_decision(
         self, core: coordination.ControlCore, decision: coordination.Decision
     ) -> None:
+        is_error = decision.event in ('step_part_failed', 'record_unproposed')
+        assert self.injects_errors or not is_error, decision
         self.result.limits_met += decision.event == 'customer_limit_met'
         self.result.withdrawn += decision.event == 'start_withdrawn'
         self.add_trace(
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -139,9 +139,10 @@
         for _, d in world.decisions[first:]
         if d.event == 'pools_planned'
     ]
+    sizes = [pool.split('=') for pool in plans[0]['pools'].split(',')]
     arriving = sum(
         int(size.partition('+')[2].partition('/')[0])
-        for name, size in plans[0].items()
+        for name, size in sizes
         if name != 'standby'
     )
     assert moving >= 3, moving
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -412,6 +412,11 @@
         """Record that a worker's incarnation was declared over."""
         self.over_workers.append(view.facts.worker_id)
 
+    def run_part(self, part: Callable[..., None], *arguments: Any) -> bool:
+        """Run a part of the manager's step, with its errors."""
+        part(*arguments)
+        return True
+
 
 def _request_machines(context: Any, now_s: float) -> coordination.ListMachines:
     """Let the manager step and return its request for a list."""
--- a/features/support/demand_world.py
+++ b/features/support/demand_world.py
@@ -789,9 +789,10 @@
         self._transit.send_orders(now_s)
         self._transit.send_polls(now_s)
         self._handle_machine_calls()
-        self.decisions += [
-            (now_s, decision) for decision in self.scheduler.take_decisions()
-        ]
+        decisions = self.scheduler.take_decisions()
+        errors = [d for d in decisions if d.event == 'step_part_failed']
+        assert not errors, errors
+        self.decisions += [(now_s, decision) for decision in decisions]
         if WARM_UP_S <= now_s < WARM_UP_S + self.pattern.day_s:
             self.result.pool_s += TICK_S * sum(
                 machine.pool != 'standby' for machine in self.machines.values()
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -93,13 +93,21 @@
         self._list_machines(now_s)
         if not self._has_listed:
             return []
-        self._reopen_duties(now_s)
         records: list[state.JobRecord] = []
+
+        def advance_wave(wave: state.WaveState) -> None:
+            records.extend(self._advance_wave(wave, now_s))
+
+        def advance_duty(opened: OpenDuty) -> None:
+            records.extend(self._advance_duty(opened, now_s))
+
+        run_part = self._scheduler.run_part
+        run_part(self._reopen_duties, now_s)
         for wave in self.jobs.waves.values():
-            records += self._advance_wave(wave, now_s)
-        self._plan_moves(now_s)
+            run_part(advance_wave, wave)
+        run_part(self._plan_moves, now_s)
         for opened in list(self.open_duties.values()):
-            records += self._advance_duty(opened, now_s)
+            run_part(advance_duty, opened)
         return records
 
     def take_calls(self) -> list[machines.MachineCall]:
--- a/greengagering/coordination/capacity/_pool_plan.py
+++ b/greengagering/coordination/capacity/_pool_plan.py
@@ -89,7 +89,7 @@
     def __init__(self) -> None:
         self._planned_at_s = float('-inf')
         self._term_started_at_s = float('-inf')
-        self._logged: dict[str, str] = {}
+        self._logged = ''
         self._idle_since_s: dict[str, float] = {}
 
     def start_term(self, now_s: float) -> None:
@@ -130,14 +130,15 @@
         return moves
 
     def _log(self, pools: dict[str, _Pool], scheduler: JobScheduler) -> None:
-        # Logged as 'up+arriving/needed'.
-        sizes = {
-            name: f'{len(pool.up)}+{pool.arriving}/{pool.needed}'
+        # Each as 'name=up+arriving/needed'. Operators choose the names, so
+        # these are no names of fields.
+        sizes = ','.join(
+            f'{name}={len(pool.up)}+{pool.arriving}/{pool.needed}'
             for name, pool in pools.items()
-        }
+        )
         if sizes != self._logged:
             self._logged = sizes
-            scheduler.log_decision('pools_planned', **sizes)
+            scheduler.log_decision('pools_planned', pools=sizes)
 
     def _note_arriving(
         self, pools: dict[str, _Pool], scheduler: JobScheduler
@@ -196,7 +197,9 @@
     ) -> None:
         needs = scheduler.find_needs(now_s)
         machine_count = sum(len(p.up) + p.arriving for p in pools.values())
-        reserve = math.ceil(RESERVE_SHARE * machine_count / len(pools))
+        # A plan may have no service.
+        even_share = machine_count / max(len(pools), 1)
+        reserve = math.ceil(RESERVE_SHARE * even_share)
         for name, pool in pools.items():
             if name in standby:
                 continue
--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -27,6 +27,9 @@
 DECISION_INTERVAL_S = 1.0
 """Longest time between two wave decisions; timeouts expire without any event
 that would trigger one."""
+REBUILD_INTERVAL_S = 60.0
+"""Least time between two terms that a leader ends after an error, which each
+term may meet again: jobs run meanwhile, except for what the error concerns."""
 
 _NOT_IN_FEED = (
     state.InForceMarked,
@@ -114,6 +117,8 @@
         self._claim_addresses: dict[str, str] = {}
         self._is_decision_due = True
         self._decided_at_s = now_s
+        self._is_rebuild_due = False
+        self._resigned_at_s = float('-inf')
         if replica.log.snapshot is not None:
             self._load_snapshot(replica.log.snapshot)
         self._apply_committed()
@@ -249,25 +254,53 @@
         """Propose the decisions on jobs and machines while the lease holds."""
         if not self.jobs.is_leading or not self.replica.has_lease(self._now_s):
             return
+        if self._is_rebuild_due and (
+            self._now_s >= self._resigned_at_s + REBUILD_INTERVAL_S
+        ):
+            self._resign('a record was not followed')
+            return
         records = self.jobs.step(self._now_s, self._now_ms)
-        records += self.machine_manager.step(self._now_s, self._now_ms)
+
+        def step_machines() -> None:
+            now_s, now_ms = self._now_s, self._now_ms
+            records.extend(self.machine_manager.step(now_s, now_ms))
+
+        self.jobs.run_part(step_machines)
         records += self.jobs.take_proposals()
         for record in records:
-            proposed = self.replica.propose(state.encode_record(record))
+            try:
+                payload = state.encode_record(record)
+            except Exception as error:
+                # Each later term would meet the same record.
+                self._log_unproposed(record, error)
+                continue
+            proposed = self.replica.propose(payload)
             if isinstance(proposed, Err):
                 # The decision is lost, so the scheduling state must be rebuilt
                 # from the committed state. Workers may still carry out orders
                 # of this term, which a rebuild in the same term would take for
                 # a former leader's. Resigning makes a new term begin.
-                self.jobs.log_decision(
-                    'lead_resigned',
-                    term=self.replica.term,
-                    cause=str(proposed.err_value),
-                )
-                self.replica.resign(self._now_s)
-                self._follow_term(self._now_s)
+                self._resign(str(proposed.err_value))
                 return
 
+    def _log_unproposed(
+        self, record: state.JobRecord, error: Exception
+    ) -> None:
+        self.jobs.log_decision(
+            'record_unproposed',
+            record=type(record).__name__,
+            cause=repr(error),
+        )
+
+    def _resign(self, cause: str) -> None:
+        """End this term, so that the next one rebuilds what only it knows."""
+        self.jobs.log_decision(
+            'lead_resigned', term=self.replica.term, cause=cause
+        )
+        self._resigned_at_s = self._now_s
+        self.replica.resign(self._now_s)
+        self._follow_term(self._now_s)
+
     def compact(self, now_s: float) -> None:
         """Write a snapshot of the applied state and drop the log before it."""
         self._snapshot_due_index = (
@@ -321,6 +354,7 @@
         if self._sessions_term == self.replica.term:
             return
         self._sessions_term = self.replica.term
+        self._is_rebuild_due = False
         self.sessions = EntrySessions(self.lease_options, now_s)
         self.jobs.start_leading(
             self.replica.term,
@@ -390,8 +424,23 @@
         if isinstance(record, state.ClaimsAsked):
             self._answer_claims(record, outcome)
         if isinstance(record, state.JOB_RECORD_TYPES):
-            self.jobs.handle_applied(record, self._now_s, self._now_ms)
-            self.machine_manager.handle_applied(record, self._now_s)
+            self._follow_job_record(record)
+
+    def _follow_job_record(self, record: state.JobRecord) -> None:
+        """Let the leader's parts follow an applied record.
+
+        After an error, what they know may lack a part of the record, so a new
+        term has to rebuild it; but not again soon, as it may meet the same
+        error.
+        """
+        is_followed = self.jobs.run_part(
+            self.jobs.handle_applied, record, self._now_s, self._now_ms
+        )
+        is_followed &= self.jobs.run_part(
+            self.machine_manager.handle_applied, record, self._now_s
+        )
+        if not is_followed:
+            self._is_rebuild_due = True
 
     def _answer_claims(
         self, record: state.ClaimsAsked, outcome: state.Outcome
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -1,8 +1,11 @@
 """State that the components of the job scheduler on the leader share."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 import math
+import traceback
+from typing import ParamSpec
 
 from greengagering.coordination.jobs import WorkIndex
 from greengagering.coordination.scheduling._admission import Admission
@@ -19,6 +22,7 @@
 from greengagering.coordination.workers import WorkerView
 from greengagering import state
 
+Arguments = ParamSpec('Arguments')
 
 ORDER_RETRY_S = 0.3
 """Delay before an order is sent again that was not sent, or that can't be
@@ -297,7 +301,6 @@
         """
         if view.is_over:
             return
-        view.is_over = True
         is_crash = is_crash and not view.is_draining
         crashed = list(view.runs.values()) if is_crash else []
         suspects = view.unsettled_runs() if is_crash else []
@@ -311,6 +314,7 @@
                 self.now_ms,
             )
         )
+        view.is_over = True
         self.log_decision(
             'life_over',
             life=view.key,
@@ -356,11 +360,37 @@
         address = (queue.host, queue.path_prefix)
         return now_s < self.suspect_queues.get(address, now_s)
 
-    def log_decision(self, event: str, **fields: object) -> None:
+    def run_part(
+        self,
+        part: Callable[Arguments, None],
+        *arguments: Arguments.args,
+        **options: Arguments.kwargs,
+    ) -> bool:
+        """Run a part of a step; log its error, and let the others go on.
+
+        What the others have decided must be proposed, as a decision is made
+        only once in a term.
+
+        Returns:
+            Whether the part ended without an error.
+        """
+        try:
+            part(*arguments, **options)
+        except Exception as error:
+            self.log_decision(
+                'step_part_failed',
+                part=part.__name__,
+                cause=repr(error),
+                where=traceback.format_exc(limit=-3).replace('\n', ' | '),
+            )
+            return False
+        return True
+
+    def log_decision(self, event: str, /, **fields: object) -> None:
         """Queue a decision for the log."""
         self.decisions.append(Decision(event, fields))
 
-    def log_once(self, event: str, **fields: object) -> None:
+    def log_once(self, event: str, /, **fields: object) -> None:
         """Queue a decision for the log, once in each term."""
         if event not in self.logged_once:
             self.logged_once.add(event)
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -374,7 +374,11 @@
                 self._waits.note_suspect(run, now_s)
                 self._schedule_retry(view, run, now_s)
                 continue
-            self._retry_order(view, run, now_s)
+            try:
+                self._retry_order(view, run, now_s)
+            except Exception:
+                self._schedule_retry(view, run, now_s)
+                raise
 
     def _retry_order(
         self, view: WorkerView, run: RunView, now_s: float
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -1,5 +1,7 @@
 """Job scheduler of the leader: runs, worker leases and orders."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 from greengagering.coordination.jobs import describe_change
@@ -11,6 +13,7 @@
 from greengagering.coordination.scheduling._demand import DemandTracker
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._isolation import isolation_s
+from greengagering.coordination.scheduling._leader_core import Arguments
 from greengagering.coordination.scheduling._leader_core import Decision
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import StopCause
@@ -227,10 +230,19 @@
         """Propose that an incarnation is over; see LeaderCore."""
         self._core.declare_over(view, cause, is_crash=is_crash)
 
-    def log_decision(self, event: str, **fields: object) -> None:
+    def log_decision(self, event: str, /, **fields: object) -> None:
         """Queue a decision for the log."""
         self._core.log_decision(event, **fields)
 
+    def run_part(
+        self,
+        part: Callable[Arguments, None],
+        *arguments: Arguments.args,
+        **options: Arguments.kwargs,
+    ) -> bool:
+        """Run a part of a step, and log its error; see LeaderCore."""
+        return self._core.run_part(part, *arguments, **options)
+
     def start_leading(
         self,
         term: int,
@@ -300,26 +312,42 @@
         self._core.now_ms = now_ms
         if not self._core.is_leading:
             return []
-        if self._core.index.add_due(self.jobs.jobs, now_s, now_ms):
-            self._core.is_plan_due = True
-        self.run_orders.retry_due(now_s)
-        self.poller.release_delayed_polls(now_s)
+        parts = [
+            self._add_due,
+            self.run_orders.retry_due,
+            self.poller.release_delayed_polls,
+        ]
         if now_s >= self._stalls_checked_at_s + STALL_CHECK_INTERVAL_S:
             self._stalls_checked_at_s = now_s
-            self._relocator.stop_stalled_runs(now_s)
+            parts.append(self._relocator.stop_stalled_runs)
+        self._run_parts(parts, now_s)
         if (
             self._core.is_plan_due
             or now_s >= self._planned_at_s + ASSIGN_INTERVAL_S
         ):
             self._core.is_plan_due = False
             self._planned_at_s = now_s
-            self._tracker.end_incarnations(now_s)
-            self._relocator.move_lasting_tasks(now_s)
-            self._forget_finished(now_s)
-            self.assigner.assign(now_s)
-            self.waits.observe(now_s)
+            parts = [
+                self._tracker.end_incarnations,
+                self._relocator.move_lasting_tasks,
+                self._forget_finished,
+                self.assigner.assign,
+                self.waits.observe,
+            ]
+            self._run_parts(parts, now_s)
         return self.take_proposals()
 
+    def _add_due(self, now_s: float) -> None:
+        now_ms = self._core.now_ms
+        if self._core.index.add_due(self.jobs.jobs, now_s, now_ms):
+            self._core.is_plan_due = True
+
+    def _run_parts(
+        self, parts: Sequence[Callable[[float], None]], now_s: float
+    ) -> None:
+        for part in parts:
+            self.run_part(part, now_s)
+
     def take_proposals(self) -> list[state.JobRecord]:
         """Return and clear the records to propose."""
         proposals = self._core.proposals
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -52,10 +52,25 @@
             for work in steps.values()
             if work.waiting
         ]
+        batch = _Batch(_placement.VacantWorkers(usable))
+        try:
+            self._place(works, usable, batch, now_s)
+        finally:
+            # The room of these runs is reserved, and their tasks don't wait
+            # any more.
+            self._propose(batch.runs, batch.life_keys)
+
+    def _place(
+        self,
+        works: list[tuple[StepWork, str]],
+        usable: dict[str, list[WorkerView]],
+        batch: '_Batch',
+        now_s: float,
+    ) -> None:
+        """Place waiting tasks, and add their runs to the batch."""
         limits = self._core.limits
         limits.follow_plan(self._core.jobs.plan)
         limits.begin_plan()
-        batch = _Batch(_placement.VacantWorkers(usable))
         isolations = self._isolate(works, now_s)
         # Finite tasks go first, as they free their workers sooner.
         isolated = sorted(
@@ -114,7 +129,6 @@
                 works, usable, self._core.job_rates, now_s
             )
         self._log_cleared_backlog(works, now_s)
-        self._propose(batch.runs, batch.life_keys)
 
     def _permitted(
         self, work: StepWork, workers: list[WorkerView], now_s: float
--- a/greengagering/logs.py
+++ b/greengagering/logs.py
@@ -121,22 +121,22 @@
         logging.getLogger(name).setLevel(logging.WARNING)
 
 
-def debug(event: str, **fields: Any) -> None:
+def debug(event: str, /, **fields: Any) -> None:
     """Log a detail for developers."""
     _log(absl_logging.DEBUG, event, fields)
 
 
-def info(event: str, **fields: Any) -> None:
+def info(event: str, /, **fields: Any) -> None:
     """Log an event of normal operation."""
     _log(absl_logging.INFO, event, fields)
 
 
-def warning(event: str, **fields: Any) -> None:
+def warning(event: str, /, **fields: Any) -> None:
     """Log an event that an operator may have to examine."""
     _log(absl_logging.WARNING, event, fields)
 
 
-def error(event: str, **fields: Any) -> None:
+def error(event: str, /, **fields: Any) -> None:
     """Log an event that an operator has to act on."""
     _log(absl_logging.ERROR, event, fields)
 
