Close a request for advice and a duty although the client fails oddly

What callers would see: after one error of the adviser's client that it doesn't expect, no step of any queue with advice begins until the next leader; after one of the platform's client, a machine stays empty and reserved.

Cause: the request was taken out, and only an answer let the next one be sent.

Evidence: both scenarios fail on the former code, as nothing reaches the scheduler or the manager.

Change: such an error is logged, and counts as no answer.

--- a/features/step_errors.feature
+++ b/features/step_errors.feature
@@ -74,3 +74,15 @@
     And the order of an assigned run fails each time
     And the leaders meet it for 50 s
     Then at most 5 terms were ended by an error
+
+  # Guards against requests that stay open for good, so that no other is sent.
+  Scenario: The adviser's client fails in a way that nobody expects
+    Given an adviser's client that fails with ValueError
+    When a request for advice is sent
+    Then the next request can be sent
+
+  # Guards against a machine that stays reserved for good.
+  Scenario: The platform's client fails in a way that nobody expects
+    Given a platform's client that fails with ValueError
+    When a duty is sent
+    Then it is counted as unanswered
--- a/greengagering/transport/_adviser_client.py
+++ b/greengagering/transport/_adviser_client.py
@@ -6,6 +6,7 @@
 
 from greengagering import clock
 from greengagering import coordination
+from greengagering import logs
 
 
 class AdviserClient(Protocol):
@@ -54,6 +55,14 @@
     async def _request_advice(
         self, request: coordination.AdviceRequest
     ) -> None:
-        advice = await self._client.request_advice(request)
+        try:
+            advice = await self._client.request_advice(request)
+        except Exception as error:
+            # Without any answer the request would stay open, and no other
+            # would be sent.
+            logs.error(
+                'advice_failed', step=request.step_name, cause=repr(error)
+            )
+            advice = None
         self._scheduler.handle_advice(request, advice, clock.steady_s())
         self._schedule_step()
--- a/greengagering/transport/_machine_runner.py
+++ b/greengagering/transport/_machine_runner.py
@@ -59,7 +59,7 @@
             # the platform doesn't accept now.
             outcome = coordination.DutyOutcome.NOT_NOW
             if self._has_lease():
-                outcome = await self._client.carry_out(call)
+                outcome = await self._carry_out(call)
             self._metrics.duties.inc(
                 {'kind': str(call.duty.kind), 'outcome': str(outcome)}
             )
@@ -69,6 +69,18 @@
                 )
             )
 
+    async def _carry_out(
+        self, call: coordination.DutyOrder
+    ) -> coordination.DutyOutcome:
+        try:
+            return await self._client.carry_out(call)
+        except Exception as error:
+            # The manager sends the duty again only after an answer.
+            logs.error(
+                'duty_failed', machine=call.duty.machine, cause=repr(error)
+            )
+            return coordination.DutyOutcome.NO_ANSWER
+
     async def _read_list(self) -> tuple[coordination.Machine, ...] | None:
         try:
             return await self._client.list_machines()
