Look a job up by its id, whichever route its path leads to

Cause: a job is stored by the id at the end of its path, and was looked up by what follows the prefix of the route that the path leads to now.

Change: entries pass the id on, and the leader looks jobs up by it. A call without one, of a former version, is looked up as before.

--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -122,6 +122,7 @@
         deadline_s: float,
         now_s: float,
         key_digest: str = '',
+        job_id: str = '',
     ) -> str:
         """Accept a call for the leader; take_answers returns its answer.
 
@@ -141,6 +142,7 @@
             path,
             spec,
             key_digest,
+            job_id,
         )
         if len(self.open_calls) >= MAX_OPEN_CALLS:
             self._answers.append(
--- a/greengagering/coordination/jobs/_job_messages.py
+++ b/greengagering/coordination/jobs/_job_messages.py
@@ -56,9 +56,11 @@
         kind: kind of the request.
         host: host name of the caller's request.
         path: full path of the caller's request.
-        spec: the job, for SUBMIT; its id is the last segment of the path.
+        spec: the job, for SUBMIT.
         key_digest: SHA-256 of the caller's key in hexadecimal, '' if the
             caller sent none, None if the entry doesn't pass keys on.
+        job_id: id of the job that the path names, or '' if it names none, or
+            if a former version sent the call.
     """
 
     call_id: str
@@ -69,6 +71,7 @@
     path: str
     spec: state.JobSpec | None = None
     key_digest: str | None = None
+    job_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -127,14 +127,20 @@
             host: host name that the caller used.
             path: path that the caller used.
             deadline_s: time left for the answer.
-            job_id: id of the job, only for the log, or ''; control takes it
-                from the path.
+            job_id: id of the job that the path names, or ''.
             spec: the job, if one is submitted.
             key_digest: digest of the caller's key, or ''.
         """
         now_s = clock.steady_s()
         call_id = self.core.submit(
-            kind, host, path, spec, now_s + deadline_s, now_s, key_digest
+            kind,
+            host,
+            path,
+            spec,
+            now_s + deadline_s,
+            now_s,
+            key_digest,
+            job_id,
         )
         waiter: asyncio.Future[coordination.JobAnswer] = (
             asyncio.get_running_loop().create_future()
--- a/greengagering/transport/_job_call_handler.py
+++ b/greengagering/transport/_job_call_handler.py
@@ -230,10 +230,11 @@
             return job
         if job.status is not state.JobStatus.ACTIVE:
             return _done(call)
-        result = await self._commit(state.JobCancelled(routed.rest))
+        job_id = job.spec.job_id
+        result = await self._commit(state.JobCancelled(job_id))
         if isinstance(result, Err):
             return _unavailable(call)
-        logs.info('job_cancelled', job=routed.rest)
+        logs.info('job_cancelled', job=job_id)
         return _done(call)
 
     def _show(
@@ -261,7 +262,7 @@
         customer: str,
     ) -> state.Job | coordination.JobAnswer:
         """Return the job that a call names, or the answer that refuses it."""
-        job = self._core.state.jobs.jobs.get(routed.rest)
+        job = self._core.state.jobs.jobs.get(_find_job_id(call, routed))
         if job is None:
             return _no_job(call)
         refusal = self._check_owner(call, routed, job.customer, customer)
@@ -297,7 +298,7 @@
         )
         logs.info(
             'key_refused',
-            job=routed.rest,
+            job=_find_job_id(call, routed),
             kind=call.kind,
             queue=routed.queue.name,
             entry_id=call.entry_id,
@@ -327,6 +328,18 @@
         )
 
 
+def _find_job_id(
+    call: coordination.JobCall, routed: coordination.RoutedPath
+) -> str:
+    """Return the id of the job that a call's path names.
+
+    It is the one that the job was stored by, whichever queue the path leads
+    to now: routes may have gone since, and the rest of the path is longer
+    behind a shorter prefix.
+    """
+    return call.job_id or routed.rest
+
+
 def _done(call: coordination.JobCall) -> coordination.JobAnswer:
     return coordination.JobAnswer(call.call_id, coordination.JobOutcome.DONE)
 
