Log where orders stood in a second in which answers were late

Answers say how long the order waited for a slot and how long the call took; the leader logs sums once a second while an order isn't answered soon (orders_timed). job_accepted has the size of the job's text.

--- a/features/steps/unanswered_order_steps.py
+++ b/features/steps/unanswered_order_steps.py
@@ -427,3 +427,74 @@
     sent = [number for at_s, number in context.polls if at_s > until_s]
     assert len(sent) > 1, context.polls
     assert not any(sent), context.polls
+
+
+@when(
+    'the first start is answered at {now_s:g} s, after {queued_s:g} s in a '
+    'queue and a call of {called_s:g} s'
+)
+def answer_with_times(
+    context: Any, now_s: float, queued_s: float, called_s: float
+) -> None:
+    context.now_s = now_s
+    answer_start(
+        context,
+        0,
+        coordination.OrderAnswer(
+            _outcomes.DONE,
+            CLOCK_MS + int(now_s * 1000),
+            queued_s=queued_s,
+            called_s=called_s,
+        ),
+    )
+
+
+@when('the second start counts as unanswered, and the third as unsent')
+def answer_others(context: Any) -> None:
+    for number, outcome in (
+        (1, _outcomes.NO_ANSWER),
+        (2, _outcomes.NOT_SENT),
+    ):
+        answer_start(context, number, coordination.OrderAnswer(outcome))
+
+
+def answer_start(
+    context: Any, number: int, answer: coordination.OrderAnswer
+) -> None:
+    """Let the scheduler handle an answer to a start."""
+    worker = context.worker
+    worker.scheduler.handle_order_answer(
+        worker.starts[number],
+        0,
+        answer,
+        context.now_s,
+        worker.sent[number],
+    )
+
+
+def order_lines(context: Any) -> list[dict[str, object]]:
+    """Return the lines that tell where orders stood."""
+    return [
+        decision.fields
+        for decision in context.worker.scheduler.take_decisions()
+        if decision.event == 'orders_timed'
+    ]
+
+
+@then(
+    'one line says that of 3 orders 1 was answered after {took_ms:g} ms, '
+    '{queued_ms:g} ms in queues and {called_ms:g} ms in calls'
+)
+def check_line(
+    context: Any, took_ms: float, queued_ms: float, called_ms: float
+) -> None:
+    line = order_lines(context)[0]
+    counts = [line[name] for name in ('answered', 'unanswered', 'unsent')]
+    assert counts == [1, 1, 1], line
+    times = [line[f'{name}_ms'] for name in ('took', 'queued', 'called')]
+    assert times == [took_ms, queued_ms, called_ms], line
+
+
+@then('no line tells where orders stood')
+def check_no_line(context: Any) -> None:
+    assert not order_lines(context)
--- a/features/unanswered_orders.feature
+++ b/features/unanswered_orders.feature
@@ -127,3 +127,17 @@
     And its lists at 0.3 s show that the first run has ended
     And its polls until 2.4 s are answered
     Then a poll with the number of the noted end was sent, and none until 1.8 s
+
+  # Guards against late answers of which no log tells where the order stood.
+  Scenario: A second in which answers were late is logged with where the orders stood
+    Given a worker that was ordered 3 starts at 0.1 s
+    When the first start is answered at 0.5 s, after 0.05 s in a queue and a call of 0.15 s
+    And the second start counts as unanswered, and the third as unsent
+    And the leader works until 1.3 s
+    Then one line says that of 3 orders 1 was answered after 400 ms, 50 ms in queues and 150 ms in calls
+
+  Scenario: A second in which every order is answered soon isn't logged
+    Given a worker that was ordered 1 starts at 0.1 s
+    When it answers the first start at 0.15 s
+    And the leader works until 2.3 s
+    Then no line tells where orders stood
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -13,6 +13,7 @@
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import OrderOutcome
+from greengagering.coordination.workers import OrderTimes
 from greengagering.coordination.workers import PaceOrder
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
@@ -73,10 +74,22 @@
         # When the order of a run is sent again, by the run's name.
         self._retries: dict[str, tuple[float, RunView, WorkerView]] = {}
         self._start_waits_s: list[float] = []
+        self._times = OrderTimes()
 
     def clear(self) -> None:
         """Discard all retries."""
         self._retries.clear()
+        self._times = OrderTimes()
+
+    def report_times(self, now_s: float) -> None:
+        """Log where the orders of the last second spent their time.
+
+        An interval in which every order was answered soon isn't logged.
+        """
+        if self._times.is_over(now_s):
+            if self._times.is_notable:
+                self._core.log_decision('orders_timed', **self._times.fields())
+            self._times = OrderTimes(began_at_s=now_s)
 
     def take_start_waits(self) -> list[float]:
         """Return and clear the waiting times of started tasks."""
@@ -95,6 +108,7 @@
             is_lossy = self._core.expects_losses(view, now_s)
             doublings = 0 if is_lossy else run.sendings
             repeat_s = view.answer_times.repeat_after_s(doublings)
+            self._times.repeated += run.sendings > 0
             run.sendings += 1
             self._retries[run.key.name] = (now_s + repeat_s, run, view)
 
@@ -129,6 +143,8 @@
         view = self._core.workers.get(order.life.key)
         if view is None or order.fence != self._core.fence:
             return
+        if sent_at_s is not None:
+            self._times.add(answer, now_s - sent_at_s)
         if answer.outcome is OrderOutcome.NOT_SENT:
             view.withdraw_grant(grant)
             self.handle_unsent_order(order, now_s)
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -315,6 +315,7 @@
         parts = [
             self._add_due,
             self.run_orders.retry_due,
+            self.run_orders.report_times,
             self.poller.release_delayed_polls,
         ]
         if now_s >= self._stalls_checked_at_s + STALL_CHECK_INTERVAL_S:
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -9,6 +9,7 @@
 from greengagering.coordination.workers._agents import AgentRegistry
 from greengagering.coordination.workers import _incarnation_table
 from greengagering.coordination.workers._open_polls import LossMeter
+from greengagering.coordination.workers._order_times import OrderTimes
 from greengagering.coordination.workers._orders import bound_poll
 from greengagering.coordination.workers._orders import ListedRun
 from greengagering.coordination.workers._orders import LookAnswer
@@ -61,6 +62,7 @@
     'Order',
     'OrderAnswer',
     'OrderOutcome',
+    'OrderTimes',
     'POLL_WAIT_S',
     'PaceOrder',
     'QUARANTINE_STREAK',
--- a/greengagering/coordination/workers/_orders.py
+++ b/greengagering/coordination/workers/_orders.py
@@ -127,10 +127,17 @@
     Attributes:
         outcome: outcome of the order.
         clock_ms: the worker's clock, or None if not reported.
+        queued_s: how long the order waited for a slot where it was sent, or
+            0 if unknown.
+        called_s: how long the call to the worker took, or 0 if unknown. The
+            rest of the time until the answer was spent between the leader
+            and its agent, and in their loops.
     """
 
     outcome: OrderOutcome
     clock_ms: int | None = None
+    queued_s: float = 0.0
+    called_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/transport/_job_call_handler.py
+++ b/greengagering/transport/_job_call_handler.py
@@ -146,6 +146,7 @@
             lasting=sum(s.task_count for s in spec.steps if s.is_lasting),
             filling=sum(s.task_count for s in spec.steps if s.fills),
             occurrences=spec.occurrence_count,
+            text_bytes=len(spec.text),
             **fields,
         )
         return _done(call)
--- a/greengagering/transport/_limited_client.py
+++ b/greengagering/transport/_limited_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import dataclasses
 from typing import TypeVar
 
 from greengagering import clock
@@ -93,16 +94,22 @@
     ) -> coordination.OrderAnswer:
         received_at_s = clock.steady_s()
         async with self._slots(order.life.key):
-            if clock.steady_s() > received_at_s + MAX_WAIT_S:
-                return _NOT_SENT
+            called_at_s = clock.steady_s()
+            queued_s = called_at_s - received_at_s
+            if queued_s > MAX_WAIT_S:
+                return dataclasses.replace(_NOT_SENT, queued_s=queued_s)
             # The permission may have expired while the order waited.
             if not self._may_send(order.fence):
-                return _NOT_SENT
+                return dataclasses.replace(_NOT_SENT, queued_s=queued_s)
             try:
-                return await call(order)
+                answer = await call(order)
             except Exception as error:
                 _log_failure(order, error)
-                return _NO_ANSWER
+                answer = _NO_ANSWER
+            called_s = clock.steady_s() - called_at_s
+            return dataclasses.replace(
+                answer, queued_s=queued_s, called_s=called_s
+            )
 
     @contextlib.asynccontextmanager
     async def _slots(self, key: str) -> AsyncIterator[None]:
