Repeat orders by the fleet's answer time and within a budget

Cause: an order without an answer was sent again after 0.1 s, later only for a worker that had been slow before, and never later for one that had just joined. Under a burst all answers take longer; the repetitions took slots and the agents' links, and delayed the answers further.

Change: an order is sent again no sooner than nearly all of the fleet's orders are answered just now; early repetitions are a quarter of the first sendings at most; a repetition isn't queued behind its first sending. Lost answers are still found after 0.1 s while others come soon.

--- /dev/null
+++ b/features/order_storms.feature
@@ -0,0 +1,31 @@
+Feature: Repeated orders don't keep an overload going
+
+  # Guards against a burst in which answers come late, orders are repeated
+  # although they are only slow, and the repetitions delay all others.
+  Scenario: A burst of starts that takes a while is repeated little
+    Given a fleet of 60 workers that has just joined, and carries out 800 orders a second
+    When 600 starts are ordered at once, and the leader works for 3 s
+    Then at most 160 orders were sent while an earlier sending was under way
+    And every start is confirmed
+
+  # Guards against workers that have just joined, whose orders are repeated
+  # before any answer could be there.
+  Scenario: A worker without answers is repeated at the time that the fleet takes
+    Given a fleet of 60 workers that answers after 0.3 s, and has answered 60 starts
+    When a worker joins and gets 4 starts
+    Then none of them is sent again within 0.28 s
+
+  # Guards against lost answers that cost the timeout of an order each.
+  Scenario: Starts whose answers are lost are repeated soon
+    Given a fleet of 60 workers of which a tenth of the answers is lost
+    When 600 starts are ordered at once, and the leader works for 3 s
+    Then 98 of 100 starts are confirmed within 0.25 s
+    And every start is confirmed
+
+  # Guards against repetitions that wait behind their first sending and are
+  # sent right after it.
+  Scenario: An order that waits for a slot isn't queued again
+    Given a worker whose slots are held by 4 orders without an answer
+    When a start is sent to it twice
+    Then the second one counts as unsent at once
+    And the worker gets the start once
--- a/greengagering/coordination/entries/_retry_budget.py
+++ b/greengagering/coordination/entries/_retry_budget.py
@@ -8,13 +8,19 @@
 
 
 class RetryBudget:
-    """Token bucket: each call adds RETRY_SHARE tokens, each retry takes one.
+    """Token bucket: each call adds a share of a token, each retry takes one.
 
     Retries therefore can't multiply the load of upstreams that already fail.
     """
 
-    def __init__(self) -> None:
-        self._tokens = INITIAL_TOKENS
+    def __init__(
+        self,
+        share: float = RETRY_SHARE,
+        initial_tokens: float = INITIAL_TOKENS,
+    ) -> None:
+        self._share = share
+        self._tokens = initial_tokens
+        self._most_tokens = initial_tokens * 10
 
     @property
     def tokens(self) -> float:
@@ -23,7 +29,7 @@
 
     def earn(self) -> None:
         """Add the tokens of one call."""
-        self._tokens = min(self._tokens + RETRY_SHARE, INITIAL_TOKENS * 10)
+        self._tokens = min(self._tokens + self._share, self._most_tokens)
 
     def spend(self) -> bool:
         """Take the token of a retry; return False if there is none left."""
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -13,6 +13,7 @@
 from greengagering.coordination.scheduling import _customer_limits
 from greengagering.coordination.scheduling._isolation import QUEUE_MEMORY_S
 from greengagering.coordination.scheduling._shares import JobRates
+from greengagering.coordination.workers import FleetAnswerTimes
 from greengagering.coordination.workers import IncarnationTable
 from greengagering.coordination.workers import LossMeter
 from greengagering.coordination.workers import Order
@@ -88,6 +89,7 @@
         proposals: records to propose.
         decisions: decisions to log.
         poll_losses: share of polls whose answers were lost lately.
+        fleet_answer_times: how long workers took to answer orders lately.
         poll_candidates: keys of incarnations whose next poll may be due now.
         pending_voids: workers of runs whose RunsVoided record is proposed
             and not applied yet, by run name.
@@ -119,6 +121,7 @@
         self.proposals: list[state.JobRecord] = []
         self.decisions: list[Decision] = []
         self.poll_losses = LossMeter()
+        self.fleet_answer_times = FleetAnswerTimes()
         self.poll_candidates: set[str] = set()
         self.pending_voids: dict[str, WorkerView] = {}
         self.reserved_workers: set[str] = set()
@@ -142,6 +145,7 @@
         self.job_rates = JobRates()
         self.admission = Admission()
         self.poll_losses = LossMeter()
+        self.fleet_answer_times = FleetAnswerTimes()
         self.orders.clear()
         self.proposals.clear()
         self.pending_voids.clear()
@@ -250,6 +254,23 @@
             now_s
         )
 
+    def repeat_after_s(
+        self, view: WorkerView, doublings: int, now_s: float
+    ) -> float:
+        """Return the time until an order or poll of a worker is sent again.
+
+        Args:
+            view: the worker.
+            doublings: how often the time is doubled, unless answers are
+                expected to be lost. That is no sign of an overload.
+            now_s: the leader's clock.
+        """
+        if self.expects_losses(view, now_s):
+            doublings = 0
+        return view.answer_times.repeat_after_s(
+            doublings, self.fleet_answer_times.expected_s(now_s)
+        )
+
     def handle_no_answer(
         self, view: WorkerView, now_s: float, cause: str
     ) -> None:
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -1,5 +1,6 @@
 """Sends orders to start and stop runs, and handles workers' answers."""
 
+from greengagering.coordination.entries._retry_budget import RetryBudget
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
@@ -10,6 +11,7 @@
 from greengagering.coordination.workers import handle_pace_answer
 from greengagering.coordination.workers import LEASE_S
 from greengagering.coordination.workers import MAX_LEASE_S
+from greengagering.coordination.workers import MAX_REPEAT_S
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import OrderOutcome
@@ -31,6 +33,14 @@
 its end is known, which takes about as long, so with fewer a run is given up
 where the next sending would mostly be answered."""
 
+REPEAT_SHARE = 0.25
+"""Orders that may be sent again while their earlier sending may still be
+answered, as a share of first sendings: above the share of lost answers that is
+common, and far below what would keep an overload going."""
+
+HOLD_S = 0.1
+"""Time after which a repetition that was put off is tried again."""
+
 REFUSAL_PAUSE_S = 0.4
 """Time without new runs for a worker that has refused one for lack of room or
 as unhealthy; a third of a usual run time."""
@@ -75,11 +85,13 @@
         self._retries: dict[str, tuple[float, RunView, WorkerView]] = {}
         self._start_waits_s: list[float] = []
         self._times = OrderTimes()
+        self._repeat_budget = RetryBudget(REPEAT_SHARE)
 
     def clear(self) -> None:
         """Discard all retries."""
         self._retries.clear()
         self._times = OrderTimes()
+        self._repeat_budget = RetryBudget(REPEAT_SHARE)
 
     def report_times(self, now_s: float) -> None:
         """Log where the orders of the last second spent their time.
@@ -104,12 +116,13 @@
             run = view.runs.get(order.key.name) if view is not None else None
             if view is None or run is None or isinstance(order, PaceOrder):
                 continue
-            # A worker of which answers are lost is not overloaded by that.
-            is_lossy = self._core.expects_losses(view, now_s)
-            doublings = 0 if is_lossy else run.sendings
-            repeat_s = view.answer_times.repeat_after_s(doublings)
-            self._times.repeated += run.sendings > 0
+            if run.sendings:
+                self._times.repeated += 1
+            else:
+                self._repeat_budget.earn()
+            repeat_s = self._core.repeat_after_s(view, run.sendings, now_s)
             run.sendings += 1
+            run.sent_at_s = now_s
             self._retries[run.key.name] = (now_s + repeat_s, run, view)
 
     def open_start_grant(self, order: StartOrder, now_s: float) -> int:
@@ -154,6 +167,7 @@
             and answer.outcome is not OrderOutcome.NO_ANSWER
         ):
             view.answer_times.add(now_s - sent_at_s)
+            self._core.fleet_answer_times.add(now_s - sent_at_s, now_s)
         self._handle_answer(view, order, grant, answer, now_s)
 
     def _handle_answer(
@@ -390,12 +404,29 @@
                 self._waits.note_suspect(run, now_s)
                 self._schedule_retry(view, run, now_s)
                 continue
+            if not self._may_repeat(run, now_s):
+                due_s = min(now_s + HOLD_S, run.sent_at_s + MAX_REPEAT_S)
+                self._retries[key] = (due_s, run, view)
+                continue
             try:
                 self._retry_order(view, run, now_s)
             except Exception:
                 self._schedule_retry(view, run, now_s)
                 raise
 
+    def _may_repeat(self, run: RunView, now_s: float) -> bool:
+        """Tell whether a run's order may be sent again.
+
+        While an earlier sending may still be answered, that takes of the
+        budget. Under a load that delays answers, repetitions add to it.
+        """
+        if now_s >= run.sent_at_s + MAX_REPEAT_S:
+            return True
+        if self._repeat_budget.spend():
+            return True
+        self._times.held_back += 1
+        return False
+
     def _retry_order(
         self, view: WorkerView, run: RunView, now_s: float
     ) -> None:
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -151,12 +151,10 @@
         view = self._core.workers.get(order.life.key)
         if view is None:
             return 0
-        # The worker may be down unless lost answers are expected. The time
-        # doubles then, so that few calls are made in vain.
-        repetitions = view.polls.repetitions
-        if self._core.expects_losses(view, now_s):
-            repetitions = 0
-        overdue_s = view.answer_times.repeat_after_s(repetitions)
+        # The worker may be down, so that few calls are to be made in vain.
+        overdue_s = self._core.repeat_after_s(
+            view, view.polls.repetitions, now_s
+        )
         poll = view.polls.add(order, now_s, overdue_s)
         heapq.heappush(self._overdue, (poll.overdue_at_s, view.key))
         return view.open_grant(now_s) if order.until_ms else 0
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -7,6 +7,8 @@
 from greengagering.coordination.workers._agents import Agent
 from greengagering.coordination.workers._agents import AgentPermit
 from greengagering.coordination.workers._agents import AgentRegistry
+from greengagering.coordination.workers._answer_times import FleetAnswerTimes
+from greengagering.coordination.workers._answer_times import MAX_REPEAT_S
 from greengagering.coordination.workers import _incarnation_table
 from greengagering.coordination.workers._open_polls import LossMeter
 from greengagering.coordination.workers._order_times import OrderTimes
@@ -51,6 +53,7 @@
     'AgentOrders',
     'AgentPermit',
     'AgentRegistry',
+    'FleetAnswerTimes',
     'GRANT_INTERVAL_S',
     'IncarnationTable',
     'LEASE_S',
@@ -59,6 +62,7 @@
     'LookOrder',
     'LossMeter',
     'MAX_LEASE_S',
+    'MAX_REPEAT_S',
     'Order',
     'OrderAnswer',
     'OrderOutcome',
--- a/greengagering/coordination/workers/_run_view.py
+++ b/greengagering/coordination/workers/_run_view.py
@@ -51,6 +51,7 @@
             not answered yet.
         sendings: number of times that its newest order, a start or the stop,
             was sent.
+        sent_at_s: when it was last sent, or minus infinity.
         customer: customer that its job belongs to, or ''.
         isolated_s: run time until which nothing else starts on its worker.
         room_waits: what its task waited for before it had a worker, or None.
@@ -72,6 +73,7 @@
     unresolved_starts: int = 0
     starts_under_way: int = 0
     sendings: int = 0
+    sent_at_s: float = float('-inf')
     customer: str = ''
     isolated_s: float = 0.0
     room_waits: WaitTimes | None = None
--- a/greengagering/transport/_limited_client.py
+++ b/greengagering/transport/_limited_client.py
@@ -30,6 +30,9 @@
 sent, and its answer is NOT_SENT. The leader's MAX_SEND_DELAY_S, after which it
 assumes that an order is no longer sent, includes this wait."""
 
+_OrderName = tuple[type, str, str, int]
+"""Kind of an order, its worker's incarnation, its run and its fence."""
+
 OrderType = TypeVar('OrderType', bound=coordination.Order)
 
 _NOT_SENT = coordination.OrderAnswer(coordination.OrderOutcome.NOT_SENT)
@@ -51,6 +54,7 @@
         # Orders to each worker that hold a slot or wait for one; a limit that
         # no order uses is dropped.
         self._order_counts: dict[str, int] = {}
+        self._waiting: set[_OrderName] = set()
         self._total_limit = asyncio.Semaphore(MAX_ORDERS_IN_FLIGHT)
 
     async def start(
@@ -92,8 +96,14 @@
         order: OrderType,
         call: Callable[[OrderType], Awaitable[coordination.OrderAnswer]],
     ) -> coordination.OrderAnswer:
+        # A repetition of an order that waits for a slot would be sent right
+        # after it.
+        twin = (type(order), order.life.key, order.key.name, order.fence)
+        if twin in self._waiting:
+            return _NOT_SENT
+        self._waiting.add(twin)
         received_at_s = clock.steady_s()
-        async with self._slots(order.life.key):
+        async with self._slots(order.life.key, twin):
             called_at_s = clock.steady_s()
             queued_s = called_at_s - received_at_s
             if queued_s > MAX_WAIT_S:
@@ -112,8 +122,15 @@
             )
 
     @contextlib.asynccontextmanager
-    async def _slots(self, key: str) -> AsyncIterator[None]:
-        """Wait for a slot of the worker and one of this process."""
+    async def _slots(
+        self, key: str, waiting: _OrderName
+    ) -> AsyncIterator[None]:
+        """Wait for a slot of the worker and one of this process.
+
+        Args:
+            key: the worker's incarnation.
+            waiting: the order, which is removed from the waiting ones.
+        """
         worker_limit = self._worker_limits.setdefault(
             key, asyncio.Semaphore(MAX_ORDERS_PER_WORKER)
         )
@@ -123,12 +140,14 @@
             slots = _HeldSlots([worker_limit])
             try:
                 await self._total_limit.acquire()
+                self._waiting.discard(waiting)
                 slots.limits.append(self._total_limit)
                 slots.release_later()
                 yield
             finally:
                 slots.release()
         finally:
+            self._waiting.discard(waiting)
             self._order_counts[key] -= 1
             if not self._order_counts[key]:
                 del self._order_counts[key]
