Let a restarted worker refuse ended runs whose start may come late

Cause: a restarted worker was ordered to refuse only runs that the view of its earlier incarnation still had; one whose end was listed leaves that view though a start of it is unanswered. The order also waited for the worker's lists.

Evidence: three of the four new examples fail on the former code, as no order to refuse the run is given.

Change: such runs are remembered for the 13.5 s in which the start may come, and a restarted worker is ordered at once to refuse them.

--- a/features/steps/unanswered_order_steps.py
+++ b/features/steps/unanswered_order_steps.py
@@ -1,6 +1,7 @@
 """Steps about orders and polls of which some get no answer."""
 
 import asyncio
+import dataclasses
 from typing import Any
 from unittest import mock
 
@@ -498,3 +499,37 @@
 @then('no line tells where orders stood')
 def check_no_line(context: Any) -> None:
     assert not order_lines(context)
+
+
+@when('it restarts {times:d} times, and reports at {now_s:g} s')
+def restart_worker(context: Any, times: int, now_s: float) -> None:
+    worker = context.worker
+    worker.now_s = now_s
+    worker.stops.clear()
+    for number in range(times):
+        facts = dataclasses.replace(
+            worker.facts, born_ms=worker.facts.born_ms + number + 1
+        )
+        record = state.LifeSeen(facts)
+        state.apply_to_jobs(worker.scheduler.jobs, record)
+        worker.scheduler.handle_applied(record, now_s, 0)
+    worker.restarted = facts
+    for order in worker.scheduler.take_orders():
+        if isinstance(order, coordination.StopOrder):
+            worker.stops.append(order)
+
+
+def refused_runs(context: Any) -> list[state.RunKey]:
+    """Return the runs that the restarted worker is ordered to refuse."""
+    worker = context.worker
+    return [o.key for o in worker.stops if o.life == worker.restarted]
+
+
+@then('it is ordered to refuse the first run')
+def check_refused(context: Any) -> None:
+    assert context.worker.starts[0].key in refused_runs(context)
+
+
+@then('it gets no order about the first run')
+def check_not_refused(context: Any) -> None:
+    assert not refused_runs(context)
--- a/features/unanswered_orders.feature
+++ b/features/unanswered_orders.feature
@@ -141,3 +141,19 @@
     When it answers the first start at 0.15 s
     And the leader works until 2.3 s
     Then no line tells where orders stood
+
+  # Guards against a task that runs twice: a start comes late, after its run has ended and the worker has restarted under its name, while the next run is at work elsewhere.
+  Scenario Outline: A restarted worker is ordered at once to refuse ended runs whose start may come late
+    Given a worker that was ordered 2 starts at 0.1 s
+    When the leader works until 0.24 s
+    And it answers the first start at 0.26 s
+    And its lists at 0.3 s show that the first run has ended
+    And it restarts <times> times, and reports at <at> s
+    Then it <outcome> the first run
+
+    Examples:
+      | times | at | outcome                     |
+      | 1     | 1  | is ordered to refuse        |
+      | 2     | 1  | is ordered to refuse        |
+      | 1     | 13 | is ordered to refuse        |
+      | 1     | 15 | gets no order about         |
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -46,6 +46,29 @@
         older.successor = newer.key
         if not newer.is_read:
             newer.paused_until_s = now_s + RESTART_PAUSE_S
+        self._block_late_starts(older, newer, now_s)
+
+    def _block_late_starts(
+        self, view: WorkerView, successor: WorkerView, now_s: float
+    ) -> None:
+        """Order a restarted worker at once to refuse runs that have ended.
+
+        Their tasks may run elsewhere by now, so unlike the runs that the
+        earlier incarnation still had they don't wait for its lists.
+        """
+        late = view.late_starts(now_s)
+        # It may restart as well.
+        successor.inherit_late_starts(view)
+        for key in late:
+            successor.blocked_runs[key.name] = key
+        if late:
+            self._core.log_decision(
+                'late_starts_blocked',
+                life=successor.key,
+                former=view.key,
+                runs=len(late),
+            )
+            self._order_blocks(successor, now_s)
 
     def end_displaced(self, view: WorkerView) -> None:
         """Declare over the earlier workers at the address of `view`.
@@ -98,6 +121,7 @@
             view.successor = newest.key
             view.are_blocks_requested = False
             successor = newest
+            self._block_late_starts(view, successor, now_s)
         self._end_if_successor_has_no_runs(view, successor, now_s)
 
     def _end_if_successor_has_no_runs(
@@ -112,13 +136,16 @@
         are asked for after that must lack these runs.
         """
         if not successor.is_read:
+            if successor.blocked_runs:
+                self._order_blocks(successor, now_s)
             return
         if not view.are_blocks_requested:
             view.are_blocks_requested = True
             for run in view.runs.values():
                 if run.is_start_open:
                     successor.blocked_runs[run.key.name] = run.key
-        if successor.blocked_runs.keys() & view.runs.keys():
+        ended = {key.name for key in view.late_starts(now_s)}
+        if successor.blocked_runs.keys() & (view.runs.keys() | ended):
             self._order_blocks(successor, now_s)
         elif not (
             successor.may_stop_unlisted
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -201,6 +201,8 @@
         self._isolated: dict[str, RunView] = {}
         # When each held end may be dropped, by its number.
         self._held_ends: dict[int, float] = {}
+        # Until when a start of an ended run may still be carried out.
+        self._late_starts: dict[state.RunKey, float] = {}
 
     @property
     def key(self) -> str:
@@ -340,6 +342,27 @@
         """
         self._held_ends[number] = now_s + MAX_SEND_DELAY_S
 
+    def note_late_start(self, key: state.RunKey, now_s: float) -> None:
+        """Note that a start of an ended run may still be carried out.
+
+        This incarnation refuses it, and a later one under its name wouldn't.
+        """
+        until_s = now_s + MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
+        self._late_starts[key] = until_s
+
+    def inherit_late_starts(self, former: 'WorkerView') -> None:
+        """Note the late starts of an earlier incarnation of this worker."""
+        self._late_starts.update(former._late_starts)
+
+    def late_starts(self, now_s: float) -> list[state.RunKey]:
+        """Return ended runs of which a start may still be carried out."""
+        self._late_starts = {
+            key: until_s
+            for key, until_s in self._late_starts.items()
+            if now_s < until_s
+        }
+        return list(self._late_starts)
+
     def has_held_ends(self, now_s: float) -> bool:
         """Tell whether ends are held, and forget those that no longer are."""
         self._held_ends = {
