Take an unnamed state of a machine for an unreadable entry

Cause: every state but the named ones was read as down, which proves a silent worker over.

Evidence: the three new examples fail on the former code: m-2 is down.

Change: a row with another state can't be read, and the machine stays as it was.

--- a/features/odd_lists.feature
+++ b/features/odd_lists.feature
@@ -52,6 +52,18 @@
       | {"machine": 7, "pool": "p", "state": "up"}       |
       | {"machine": "m-2", "pool": "p", "state": "up", "capacity": {"cpu": 10^30}} |
 
+  # Guards against tasks that run twice, as their machine is taken for down.
+  Scenario Outline: An entry with a state that isn't named says nothing of its machine
+    Given a machine service that lists m-1, m-2 and m-3
+    When its entry for m-2 becomes <entry>
+    Then m-2 is still up
+
+    Examples:
+      | entry                                               |
+      | {"machine": "m-2", "pool": "p", "state": "checking"} |
+      | {"machine": "m-2", "pool": "p", "state": ""}         |
+      | {"machine": "m-1", "pool": "q", "state": "checking"} |
+
   Scenario: An odd row of the adviser permits nothing and hides no other row
     Given an adviser that permits worker-1 in a row beside an odd one
     When it is asked
--- a/features/steps/odd_list_steps.py
+++ b/features/steps/odd_list_steps.py
@@ -185,6 +185,14 @@
     assert pools == {'m-1': 'q', 'm-2': 'p', 'm-3': 'p'}, pools
 
 
+@then('{name} is still up')
+def check_up(context: Any, name: str) -> None:
+    assert context.listed is not None
+    states = {machine.name: machine.status for machine in context.listed}
+    up = coordination.MachineState.UP
+    assert states == dict.fromkeys(('m-1', 'm-2', 'm-3'), up), states
+
+
 @given('an adviser that permits worker-1 in a row beside an odd one')
 def advise_oddly(context: Any) -> None:
     context.body = odd_entry_steps.encode(
--- a/greengagering/platform/_machine_calls.py
+++ b/greengagering/platform/_machine_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from typing import Any
+from typing import Literal
 
 import aiohttp
 import msgspec
@@ -46,13 +47,15 @@
     """A machine.
 
     Attributes:
+        state: a state that isn't named makes the row invalid, as it says
+            nothing of the machine.
         labels: the machine's kind, then its rack.
         id: id of the worker on the machine, or None.
     """
 
     machine: str
     pool: str
-    state: str
+    state: Literal['up', 'moving', 'upkeep', 'down']
     labels: tuple[str, ...] = ()
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     id: str | None = None
@@ -175,7 +178,7 @@
     return coordination.Machine(
         name=item.machine,
         pool=item.pool,
-        status=_STATES.get(item.state, coordination.MachineState.DOWN),
+        status=_STATES[item.state],
         worker_id=item.id or '',
         rack=item.labels[-1] if len(item.labels) > 1 else '',
         room=state.Room(
