Let a cancel wait for the storing of its job

Cause: a cancel looked only at applied jobs, although the handler knows those that are being stored.

Change: it waits for the storing; if that fails, it is to be tried again, as another leader may still store the job.

--- a/features/moved_jobs.feature
+++ b/features/moved_jobs.feature
@@ -27,3 +27,17 @@
   Scenario: A job that nobody submitted is unknown
     Given a leader with the routes /a/
     Then a caller is told that there is no such job at /a/
+
+  # Guards against a job that runs on after its cancel was answered with "no
+  # such job", as it was being stored just then.
+  Scenario: A cancel that arrives while its job is being stored counts
+    Given a leader with the routes /a/
+    When a caller cancels a job while it is being stored
+    Then the cancel is acknowledged, and the job is shown as cancelled
+
+  # Guards against a cancel that is called done although another leader may
+  # still store the job.
+  Scenario: A cancel of a job that may not be stored is to be tried again
+    Given a leader with the routes /a/
+    When a caller cancels a job while its storing fails
+    Then the cancel is answered with 503
--- a/features/steps/moved_job_steps.py
+++ b/features/steps/moved_job_steps.py
@@ -13,9 +13,11 @@
 from behave import then
 from behave import when
 import msgspec
+from result import Err
 from result import Ok
 
 from greengagering import coordination
+from greengagering.coordination import errors
 from greengagering.platform import _caller_app
 from greengagering import state
 from greengagering.transport._job_call_handler import JobCallHandler
@@ -99,7 +101,13 @@
     context.jobs_state = state.JobsState()
     context.stored = []
 
+    context.commits_after_s = 0.0
+    context.commit_fails = False
+
     async def commit(record: state.JobRecord) -> Any:
+        await asyncio.sleep(context.commits_after_s)
+        if context.commit_fails:
+            return Err(errors.NotLeaderError('control-2'))
         context.stored.append(record)
         state.apply_to_jobs(context.jobs_state, record)
         return Ok(None)
@@ -122,25 +130,26 @@
     put_routes(context, routes)
 
 
-def request(context: Any, method: str) -> tuple[int, Any]:
-    """Send a caller's request; return the status and the body."""
-
-    async def handle() -> tuple[int, Any]:
-        loop = asyncio.get_running_loop()
-        payload = aiohttp.StreamReader(mock.Mock(), 2**16, loop=loop)
-        if method == 'POST':
-            payload.feed_data(BODY)
-        payload.feed_eof()
-        response = await context.app.handle(
-            test_utils.make_mocked_request(
-                method, context.path, {'Host': HOST}, payload=payload
-            )
+async def handle(context: Any, method: str) -> tuple[int, Any]:
+    """Handle a caller's request; return the status and the body."""
+    loop = asyncio.get_running_loop()
+    payload = aiohttp.StreamReader(mock.Mock(), 2**16, loop=loop)
+    if method == 'POST':
+        payload.feed_data(BODY)
+    payload.feed_eof()
+    response = await context.app.handle(
+        test_utils.make_mocked_request(
+            method, context.path, {'Host': HOST}, payload=payload
         )
-        assert isinstance(response, web.Response)
-        assert isinstance(response.body, bytes)
-        return response.status, msgspec.json.decode(response.body)
+    )
+    assert isinstance(response, web.Response)
+    assert isinstance(response.body, bytes)
+    return response.status, msgspec.json.decode(response.body)
 
-    return asyncio.run(handle())
+
+def request(context: Any, method: str) -> tuple[int, Any]:
+    """Send a caller's request; return the status and the body."""
+    return asyncio.run(handle(context, method))
 
 
 @when('a caller submits a job at {prefix}')
@@ -183,3 +192,38 @@
     context.path = f'{prefix}{JOB_ID}'
     assert request(context, 'GET')[0] == 410
     assert request(context, 'DELETE')[0] == 410
+
+
+def cancel_while_storing(context: Any) -> None:
+    """Submit a job, and cancel it before it is stored."""
+    context.commits_after_s = 0.05
+
+    async def send() -> None:
+        submit = asyncio.ensure_future(handle(context, 'POST'))
+        await asyncio.sleep(context.commits_after_s / 5)
+        context.cancelled = await handle(context, 'DELETE')
+        await submit
+
+    asyncio.run(send())
+
+
+@when('a caller cancels a job while it is being stored')
+def cancel_early(context: Any) -> None:
+    cancel_while_storing(context)
+
+
+@when('a caller cancels a job while its storing fails')
+def cancel_failed(context: Any) -> None:
+    context.commit_fails = True
+    cancel_while_storing(context)
+
+
+@then('the cancel is acknowledged, and the job is shown as cancelled')
+def check_early_cancel(context: Any) -> None:
+    assert context.cancelled[0] == 200, context.cancelled
+    check_shown(context, 'cancelled')
+
+
+@then('the cancel is answered with {status:d}')
+def check_cancel_status(context: Any, status: int) -> None:
+    assert context.cancelled[0] == status, context.cancelled
--- a/greengagering/transport/_job_call_handler.py
+++ b/greengagering/transport/_job_call_handler.py
@@ -226,14 +226,21 @@
         routed: coordination.RoutedPath,
         customer: str,
     ) -> coordination.JobAnswer:
+        submission = self._submitting.get(_find_job_id(call, routed))
+        if submission is not None:
+            # The job may be stored a moment after it was called unknown, and
+            # would run on.
+            result = await asyncio.shield(submission.task)
+            if isinstance(result, Err):
+                return _unavailable(call)
         job = self._find_job(call, routed, customer)
         if isinstance(job, coordination.JobAnswer):
             return job
         if job.status is not state.JobStatus.ACTIVE:
             return _done(call)
         job_id = job.spec.job_id
-        result = await self._commit(state.JobCancelled(job_id))
-        if isinstance(result, Err):
+        committed = await self._commit(state.JobCancelled(job_id))
+        if isinstance(committed, Err):
             return _unavailable(call)
         logs.info('job_cancelled', job=job_id)
         return _done(call)
