Spread a worker's orders over three agents while its own has much to send

Cause: all orders to a worker go through one agent, and a start carries the job's text over that agent's link twice, in and out. A machine that joins gets all of its starts at once.

Evidence: orders_timed: of 160 to 270 ms until an answer under 20 ms are spent in queues, and about half in the call. On the former code 12 starts of 4 KB go to one agent in the new scenario.

Change: a worker has three agents by rendezvous hashing; while its first has 8 KB of orders without an answer, the one with the fewest carries the next.

--- a/features/order_storms.feature
+++ b/features/order_storms.feature
@@ -29,3 +29,12 @@
     When a start is sent to it twice
     Then the second one counts as unsent at once
     And the worker gets the start once
+
+  # Guards against workers that wait for the slow link of one agent while
+  # others are idle.
+  Scenario: A worker's orders are spread when its agent has much to send
+    Given a worker with 6 agents in its data centre
+    When 12 starts of 4000 bytes are sent to it at once
+    Then its usual agent gets 3 of them, and two others the rest
+    When they are answered and another one is sent
+    Then its usual agent gets that one
--- a/greengagering/coordination/workers/_agents.py
+++ b/greengagering/coordination/workers/_agents.py
@@ -21,6 +21,15 @@
 """Longest time for which an agent may hold back an order that it received; the
 leader's conclusion that a run is over relies on this bound."""
 
+AGENTS_PER_WORKER = 3
+"""Agents among which the orders to a worker are spread. More would open more
+connections to it and balance little better."""
+
+MAX_PENDING_BYTES = 8192
+"""Orders without an answer from which a worker's usual agent gets no more
+while another one has fewer: a start carries up to 4 KB of its job's text twice
+over the agent's link, which may be slow."""
+
 
 @dataclasses.dataclass(slots=True)
 class Agent:
@@ -32,6 +41,8 @@
         offer: its newest offer.
         heard_at_s: when that offer arrived, on the leader's clock.
         paused_until_s: time until which it gets no orders.
+        pending_bytes: size of the orders that it was sent and has not
+            answered yet.
     """
 
     agent_id: str
@@ -39,6 +50,7 @@
     offer: messages.AgentOffer
     heard_at_s: float
     paused_until_s: float = float('-inf')
+    pending_bytes: int = 0
 
     def is_live(self, now_s: float) -> bool:
         """Tell whether the agent may get orders."""
@@ -66,12 +78,14 @@
 
     def __init__(self) -> None:
         self.agents: dict[str, Agent] = {}
-        self._agent_by_worker: dict[str, Agent] = {}
+        # The agents of each worker, the one that usually carries its orders
+        # first.
+        self._agents_by_worker: dict[str, list[Agent]] = {}
 
     def clear(self) -> None:
         """Forget every agent, as another leader may have sent them orders."""
         self.agents.clear()
-        self._agent_by_worker.clear()
+        self._agents_by_worker.clear()
 
     def update_offer(
         self,
@@ -91,15 +105,15 @@
             if known is None:
                 return ''
             del self.agents[agent_id]
-            self._agent_by_worker.clear()
+            self._agents_by_worker.clear()
             # Its process goes on and answers the orders it has received.
             return ''
         if known is None or known.offer.boot_id != offer.boot_id:
             self.agents[agent_id] = Agent(agent_id, address, offer, now_s)
-            self._agent_by_worker.clear()
+            self._agents_by_worker.clear()
             return known.offer.boot_id if known is not None else ''
         if not known.is_live(now_s):
-            self._agent_by_worker.clear()
+            self._agents_by_worker.clear()
         if offer.sent_at_s >= known.offer.sent_at_s:
             known.address = address
             known.offer = offer
@@ -121,20 +135,29 @@
         """
         if worker_count <= DIRECT_WORKERS:
             return None
-        assigned = self._agent_by_worker.get(life.worker_id)
-        if assigned is not None and assigned.is_live(now_s):
-            return assigned
+        assigned = self._agents_by_worker.get(life.worker_id, [])
+        if not assigned or not assigned[0].is_live(now_s):
+            assigned = self._assign(life, now_s)
+            self._agents_by_worker[life.worker_id] = assigned
+        if not assigned:
+            return None
+        if assigned[0].pending_bytes < MAX_PENDING_BYTES:
+            return assigned[0]
+        live = [agent for agent in assigned if agent.is_live(now_s)]
+        return min(live, key=lambda agent: agent.pending_bytes)
+
+    def _assign(self, life: state.WorkerFacts, now_s: float) -> list[Agent]:
+        """Return the agents of a worker, of those that are live now."""
         nearby_ids = [
             agent_id
             for agent_id, agent in self.agents.items()
             if agent.offer.data_centre == life.data_centre
             and agent.is_live(now_s)
         ]
-        if not nearby_ids:
-            return None
-        assigned = self.agents[_ownership.owner_of(life.worker_id, nearby_ids)]
-        self._agent_by_worker[life.worker_id] = assigned
-        return assigned
+        ranked = _ownership.rank_owners(
+            life.worker_id, nearby_ids, AGENTS_PER_WORKER
+        )
+        return [self.agents[agent_id] for agent_id in ranked]
 
     def pause_agent(self, agent_id: str, now_s: float) -> bool:
         """Pause an agent that left an order unanswered.
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -18,6 +18,9 @@
 
 BOOT_ID_BYTES = 8
 
+ORDER_BYTES = 400
+"""Size of an order without its job's text: mostly what names the worker."""
+
 TIMEOUT_CHECK_INTERVAL_S = 0.1
 """Time between two checks for orders that have timed out."""
 
@@ -28,8 +31,9 @@
 class _PendingOrder:
     """An order sent through an agent and not answered yet."""
 
-    agent_id: str
+    agent: coordination.Agent
     boot_id: str
+    size_bytes: int
     ends_s: float
     is_poll: bool
     answer: asyncio.Future[Any]
@@ -107,7 +111,7 @@
             self._timeout_task.cancel()
             await asyncio.gather(self._timeout_task, return_exceptions=True)
         for number in list(self._pending):
-            self._complete(number, _outcomes.NO_ANSWER)
+            self._fail(number, _outcomes.NO_ANSWER)
         await self._direct.close()
 
     def receive_offer(
@@ -139,9 +143,7 @@
             )
             return
         for number, answer in (*message.orders, *message.looks):
-            pending = self._pending.pop(number, None)
-            if pending is not None and not pending.answer.done():
-                pending.answer.set_result(answer)
+            self._complete(number, answer)
         if any(a.outcome is _outcomes.NOT_SENT for _, a in message.looks):
             # Polls wait for no slot at the agent, so they have come late.
             now_s = clock.steady_s()
@@ -170,13 +172,15 @@
         self._number += 1
         wait_s = getattr(order, 'wait_ms', 0) / 1000
         pending = _PendingOrder(
-            agent.agent_id,
+            agent,
             agent.offer.boot_id,
+            _find_size_bytes(order),
             clock.steady_s() + ANSWER_TIMEOUT_S + wait_s,
             isinstance(order, coordination.LookOrder),
             loop.create_future(),
         )
         self._pending[self._number] = pending
+        agent.pending_bytes += pending.size_bytes
         if not self._outgoing:
             loop.call_soon(self._flush)
         batch = self._outgoing.setdefault(agent.agent_id, [])
@@ -192,7 +196,7 @@
             agent = self._registry.agents.get(agent_id)
             if agent is None or now_s >= lease_end_s:
                 for number, _ in batch:
-                    self._complete(number, _outcomes.NOT_SENT)
+                    self._fail(number, _outcomes.NOT_SENT)
                 continue
             permit_s = agent.permit_s(lease_end_s, now_s)
             for fence in {order.fence for _, order in batch}:
@@ -235,19 +239,26 @@
         The process may have sent them, so they count as unanswered.
         """
         for number, pending in list(self._pending.items()):
-            if (pending.agent_id, pending.boot_id) == (agent_id, boot_id):
-                self._complete(number, _outcomes.NO_ANSWER)
+            of_agent = pending.agent.agent_id, pending.boot_id
+            if of_agent == (agent_id, boot_id):
+                self._fail(number, _outcomes.NO_ANSWER)
 
-    def _complete(
-        self, number: int, outcome: coordination.OrderOutcome
-    ) -> None:
-        pending = self._pending.pop(number, None)
-        if pending is None or pending.answer.done():
+    def _fail(self, number: int, outcome: coordination.OrderOutcome) -> None:
+        pending = self._pending.get(number)
+        if pending is None:
             return
         if pending.is_poll:
-            pending.answer.set_result(coordination.LookAnswer(outcome))
+            self._complete(number, coordination.LookAnswer(outcome))
         else:
-            pending.answer.set_result(coordination.OrderAnswer(outcome))
+            self._complete(number, coordination.OrderAnswer(outcome))
+
+    def _complete(self, number: int, answer: Any) -> None:
+        pending = self._pending.pop(number, None)
+        if pending is None:
+            return
+        pending.agent.pending_bytes -= pending.size_bytes
+        if not pending.answer.done():
+            pending.answer.set_result(answer)
 
     async def _expire_orders(self) -> None:
         """Fail orders that have timed out, and pause their agents."""
@@ -257,6 +268,13 @@
             for number, pending in list(self._pending.items()):
                 if now_s < pending.ends_s:
                     continue
-                if self._registry.pause_agent(pending.agent_id, now_s):
-                    logs.warning('agent_silent', agent=pending.agent_id)
-                self._complete(number, _outcomes.NO_ANSWER)
+                agent_id = pending.agent.agent_id
+                if self._registry.pause_agent(agent_id, now_s):
+                    logs.warning('agent_silent', agent=agent_id)
+                self._fail(number, _outcomes.NO_ANSWER)
+
+
+def _find_size_bytes(order: Any) -> int:
+    """Return the rough size of an order, as an agent gets it."""
+    text = order.text if isinstance(order, coordination.StartOrder) else ''
+    return ORDER_BYTES + len(text)
