Keep a machine in the list though its entry could never be read

Cause: an unreadable entry leaves the machine as the former list had it, and the first list has no former one; a machine that lists lack counts as gone.

Evidence: on the former reader m-2 is missing from both lists in the new scenario.

Change: if the name in such an entry can be read, the machine is listed in an unknown state. A wave over it isn't done until the entry can be read.

--- a/features/machine_rules.feature
+++ b/features/machine_rules.feature
@@ -94,3 +94,10 @@
     Given two workers that were listed, and lists that hold only the other one's machine
     When the first falls silent
     Then the first counts as lost after 2 more lists
+
+  # Guards against a wave that is called done without a machine whose state
+  # nobody knows.
+  Scenario: A wave isn't done while the state of one of its machines is unknown
+    Given the state of worker-1's machine is unknown
+    When a wave over all 4 machines, 2 at once within 30 s, is accepted
+    Then it isn't done within 20 s, and the other machines had their upkeep
--- a/features/odd_lists.feature
+++ b/features/odd_lists.feature
@@ -64,6 +64,13 @@
       | {"machine": "m-2", "pool": "p", "state": ""}         |
       | {"machine": "m-1", "pool": "q", "state": "checking"} |
 
+  # Guards against a wave that is called done without the upkeep of a machine
+  # whose entry could never be read.
+  Scenario: A machine whose entry could never be read is in the list
+    Given a machine service that lists m-1 and m-3, and m-2 in an odd entry
+    When it is listed twice
+    Then m-2 is in an unknown state, and the others are up
+
   Scenario: An odd row of the adviser permits nothing and hides no other row
     Given an adviser that permits worker-1 in a row beside an odd one
     When it is asked
--- a/features/steps/machine_rule_steps.py
+++ b/features/steps/machine_rule_steps.py
@@ -375,3 +375,37 @@
     machines = {order.duty.machine for _, order in world.duties()}
     assert len(machines) == 1, machines
     assert answered > 1
+
+
+@given("the state of {name}'s machine is unknown")
+def hide_state(context: Any, name: str) -> None:
+    world = world_of(context)
+    update = world._update_machines
+
+    def update_others() -> None:
+        update()
+        world.machines[name] = dataclasses.replace(
+            world.machines[name],
+            pool='',
+            worker_id='',
+            status=coordination.MachineState.UNKNOWN,
+        )
+
+    world._update_machines = update_others  # type: ignore[method-assign]
+    context.unknown = name
+    # The leader requests the list of machines every 5 s.
+    world.advance(6)
+
+
+@then(
+    "it isn't done within {seconds:g} s, and the other machines had their "
+    'upkeep'
+)
+def check_not_done(context: Any, seconds: float) -> None:
+    world = world_of(context)
+    world.advance(seconds)
+    core = world.leader()
+    (wave,) = core.state.jobs.waves.values()
+    assert not core.jobs.is_wave_done(wave), wave
+    others = set(world.machines) - {context.unknown}
+    assert set(wave.begun) == others, wave.begun
--- a/features/steps/odd_list_steps.py
+++ b/features/steps/odd_list_steps.py
@@ -193,6 +193,37 @@
     assert states == dict.fromkeys(('m-1', 'm-2', 'm-3'), up), states
 
 
+@given('a machine service that lists m-1 and m-3, and m-2 in an odd entry')
+def list_odd_entry(context: Any) -> None:
+    odd = {**_machine('m-2', 'p'), 'labels': 'a'}
+    context.machines = [_machine('m-1', 'p'), odd, _machine('m-3', 'p')]
+
+
+@when('it is listed twice')
+def list_twice(context: Any) -> None:
+    body = odd_entry_steps.encode({'machines': context.machines})
+    server = Answering(body, ports.free_address())
+
+    async def act() -> Any:
+        client = _machine_calls.MachineCalls(server.address)
+        try:
+            await client.list_machines()
+            return await client.list_machines()
+        finally:
+            await client.close()
+
+    context.listed = asyncio.run(server.run(act))
+
+
+@then('{name} is in an unknown state, and the others are up')
+def check_unknown(context: Any, name: str) -> None:
+    assert context.listed is not None
+    states = {machine.name: machine.status for machine in context.listed}
+    assert states.pop(name) is coordination.MachineState.UNKNOWN, states
+    up = coordination.MachineState.UP
+    assert states == {'m-1': up, 'm-3': up}, states
+
+
 @given('an adviser that permits worker-1 in a row beside an odd one')
 def advise_oddly(context: Any) -> None:
     context.body = odd_entry_steps.encode(
--- a/greengagering/coordination/capacity/_machines.py
+++ b/greengagering/coordination/capacity/_machines.py
@@ -7,12 +7,16 @@
 
 
 class MachineState(enum.StrEnum):
-    """State of a machine in the platform's list."""
+    """State of a machine in the platform's list.
+
+    UNKNOWN: the list has an entry of the machine that can't be read.
+    """
 
     UP = 'up'
     MOVING = 'moving'
     UPKEEP = 'upkeep'
     DOWN = 'down'
+    UNKNOWN = 'unknown'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/platform/_machine_calls.py
+++ b/greengagering/platform/_machine_calls.py
@@ -61,6 +61,12 @@
     id: str | None = None
 
 
+class _MachineName(_formats.WireModel):
+    """The part of a row that tells whose it is."""
+
+    machine: str
+
+
 class _Page(_formats.WireModel):
     machines: msgspec.Raw
     next_token: str | int | None = None
@@ -84,7 +90,7 @@
         """Return every machine, or None if the list can't be read."""
         try:
             async with asyncio.timeout(LIST_TIMEOUT_S):
-                listed, is_complete = await self._read_pages()
+                listed, unread = await self._read_pages()
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -99,10 +105,11 @@
             logs.info('machine_service_regained')
         self._is_unavailable = False
         machines = {item.machine: _to_machine(item) for item in listed}
-        if not is_complete:
+        if unread:
             # An entry that can't be read may be any of the machines that the
             # list lacks, and they must not be taken for gone.
-            machines = {**self._known, **machines}
+            unknown = {name: _unknown_machine(name) for name in unread if name}
+            machines = {**unknown, **self._known, **machines}
         self._known = machines
         return tuple(machines.values())
 
@@ -150,10 +157,13 @@
             )
         return self._session
 
-    async def _read_pages(self) -> tuple[list[_Machine], bool]:
-        """Return the entries that can be read, and whether these are all."""
+    async def _read_pages(self) -> tuple[list[_Machine], list[str]]:
+        """Return the entries that can be read, and the names of the others.
+
+        The name of an entry is '' if it can't be read either.
+        """
         listed: list[_Machine] = []
-        is_complete = True
+        names: list[str] = []
         token: str | int | None = None
         for _ in range(MAX_PAGES):
             params = {} if token is None else {'pageToken': str(token)}
@@ -167,13 +177,35 @@
                 page.machines, _Machine, LIST_SOURCE
             )
             listed += read
-            is_complete = is_complete and not unread
+            names += map(_read_name, unread)
             token = page.next_token
             if token in (None, ''):
-                return listed, is_complete
+                return listed, names
         raise aiohttp.ClientError(f'the list has over {MAX_PAGES} pages')
 
 
+def _read_name(row: msgspec.Raw) -> str:
+    """Return the machine that an invalid row names, or ''."""
+    try:
+        return _formats.read_body(
+            bytes(row), _MachineName, LIST_SOURCE
+        ).machine
+    except protocol_errors.InvalidInputError:
+        # The row has been logged as unreadable.
+        return ''
+
+
+def _unknown_machine(name: str) -> coordination.Machine:
+    return coordination.Machine(
+        name=name,
+        pool='',
+        status=coordination.MachineState.UNKNOWN,
+        worker_id='',
+        rack='',
+        room=state.Room(0, 0, 0),
+    )
+
+
 def _to_machine(item: _Machine) -> coordination.Machine:
     return coordination.Machine(
         name=item.machine,
