Name an order that waits for a slot only while it waits; count no polls

When an order ended, the name of its repetition, which waited, was removed as well, so that a third sending could be queued beside it; and two paces of different percentages counted as the same order. Open polls, which load no link, counted as an agent's pending bytes.

The name is removed when the wait ends, has the percentage, and polls count nothing. order_storms.feature and worker_orders.feature pass as before.

--- a/greengagering/coordination/fleet/_control.py
+++ b/greengagering/coordination/fleet/_control.py
@@ -27,6 +27,7 @@
 DECISION_INTERVAL_S = 1.0
 """Longest time between two wave decisions; timeouts expire without any event
 that would trigger one."""
+
 REBUILD_INTERVAL_S = 60.0
 """Least time between two terms that a leader ends after an error, which each
 term may meet again: jobs run meanwhile, except for what the error concerns."""
--- a/greengagering/coordination/workers/_agents.py
+++ b/greengagering/coordination/workers/_agents.py
@@ -42,7 +42,7 @@
         heard_at_s: when that offer arrived, on the leader's clock.
         paused_until_s: time until which it gets no orders.
         pending_bytes: size of the orders that it was sent and has not
-            answered yet.
+            answered yet, without polls.
     """
 
     agent_id: str
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -275,6 +275,11 @@
 
 
 def _find_size_bytes(order: Any) -> int:
-    """Return the rough size of an order, as an agent gets it."""
+    """Return the rough size of an order, as an agent gets it.
+
+    An open poll waits at its worker and loads no link.
+    """
+    if isinstance(order, coordination.LookOrder):
+        return 0
     text = order.text if isinstance(order, coordination.StartOrder) else ''
     return ORDER_BYTES + len(text)
--- a/greengagering/transport/_limited_client.py
+++ b/greengagering/transport/_limited_client.py
@@ -30,8 +30,9 @@
 sent, and its answer is NOT_SENT. The leader's MAX_SEND_DELAY_S, after which it
 assumes that an order is no longer sent, includes this wait."""
 
-_OrderName = tuple[type, str, str, int]
-"""Kind of an order, its worker's incarnation, its run and its fence."""
+_OrderName = tuple[type, str, str, int, int | None]
+"""Kind of an order, its worker's incarnation, its run, its fence, and for a
+pace its percentage."""
 
 OrderType = TypeVar('OrderType', bound=coordination.Order)
 
@@ -96,14 +97,19 @@
         order: OrderType,
         call: Callable[[OrderType], Awaitable[coordination.OrderAnswer]],
     ) -> coordination.OrderAnswer:
-        # A repetition of an order that waits for a slot would be sent right
-        # after it.
-        twin = (type(order), order.life.key, order.key.name, order.fence)
-        if twin in self._waiting:
+        name = (
+            type(order),
+            order.life.key,
+            order.key.name,
+            order.fence,
+            getattr(order, 'percent', None),
+        )
+        if name in self._waiting:
+            # An order that it repeats waits for a slot, and it would be sent
+            # right after that.
             return _NOT_SENT
-        self._waiting.add(twin)
         received_at_s = clock.steady_s()
-        async with self._slots(order.life.key, twin):
+        async with self._slots(name):
             called_at_s = clock.steady_s()
             queued_s = called_at_s - received_at_s
             if queued_s > MAX_WAIT_S:
@@ -122,32 +128,25 @@
             )
 
     @contextlib.asynccontextmanager
-    async def _slots(
-        self, key: str, waiting: _OrderName
-    ) -> AsyncIterator[None]:
-        """Wait for a slot of the worker and one of this process.
-
-        Args:
-            key: the worker's incarnation.
-            waiting: the order, which is removed from the waiting ones.
-        """
+    async def _slots(self, name: _OrderName) -> AsyncIterator[None]:
+        """Wait for a slot of an order's worker and one of this process."""
+        key = name[1]
         worker_limit = self._worker_limits.setdefault(
             key, asyncio.Semaphore(MAX_ORDERS_PER_WORKER)
         )
         self._order_counts[key] = self._order_counts.get(key, 0) + 1
+        slots = _HeldSlots()
         try:
-            await worker_limit.acquire()
-            slots = _HeldSlots([worker_limit])
+            self._waiting.add(name)
             try:
-                await self._total_limit.acquire()
-                self._waiting.discard(waiting)
-                slots.limits.append(self._total_limit)
-                slots.release_later()
-                yield
+                await slots.acquire(worker_limit)
+                await slots.acquire(self._total_limit)
             finally:
-                slots.release()
+                self._waiting.discard(name)
+            slots.release_later()
+            yield
         finally:
-            self._waiting.discard(waiting)
+            slots.release()
             self._order_counts[key] -= 1
             if not self._order_counts[key]:
                 del self._order_counts[key]
@@ -155,16 +154,17 @@
 
 
 class _HeldSlots:
-    """Slots that an order holds until its answer, or for SLOT_HOLD_S.
-
-    Attributes:
-        limits: the limits that the slots are of.
-    """
+    """Slots that an order holds until its answer, or for SLOT_HOLD_S."""
 
-    def __init__(self, limits: list[asyncio.Semaphore]) -> None:
-        self.limits = limits
+    def __init__(self) -> None:
+        self._limits: list[asyncio.Semaphore] = []
         self._timer: asyncio.TimerHandle | None = None
 
+    async def acquire(self, limit: asyncio.Semaphore) -> None:
+        """Wait for a slot of a limit."""
+        await limit.acquire()
+        self._limits.append(limit)
+
     def release_later(self) -> None:
         """Release the slots after SLOT_HOLD_S at the latest."""
         loop = asyncio.get_running_loop()
@@ -174,8 +174,8 @@
         """Release the slots that are still held."""
         if self._timer is not None:
             self._timer.cancel()
-        while self.limits:
-            self.limits.pop().release()
+        while self._limits:
+            self._limits.pop().release()
 
 
 def _log_failure(
