--- a/features/steps/moved_job_steps.py
+++ b/features/steps/moved_job_steps.py
@@ -16,6 +16,7 @@
 from result import Err
 from result import Ok
 
+from features.steps import gateway_steps
 from greengagering import coordination
 from greengagering.coordination import errors
 from greengagering.platform import _caller_app
@@ -46,16 +47,7 @@
         self._gateway = coordination.JobGateway(
             'entry-1', 'entry-1', ('control-1',), 'boot-1', 'dc-1'
         )
-        leading = coordination.ControlStatus(
-            replica_id='control-1',
-            address='control-1',
-            leader_id='control-1',
-            leader_address='control-1',
-            is_leader=True,
-            members=(),
-            max_body_bytes=1000,
-            number=0,
-        )
+        leading = gateway_steps.status('control-1', 'control-1')
         self._gateway.receive('control-1', leading, 0.0)
 
     async def call(
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -12,6 +12,7 @@
 from behave import when
 from result import Ok
 
+from features.steps import gateway_steps
 from greengagering import coordination
 from greengagering import state
 from greengagering.transport._agent_client import AgentClient
@@ -60,20 +61,8 @@
     gateway = coordination.JobGateway(
         'entry-1', 'entry-1', ('control-1',), boot_id, 'dc-1'
     )
-    gateway.receive(
-        'control-1',
-        coordination.ControlStatus(
-            replica_id='control-1',
-            address='control-1',
-            leader_id='control-1',
-            leader_address='control-1',
-            is_leader=True,
-            members=(),
-            max_body_bytes=1000,
-            number=0,
-        ),
-        NOW_S,
-    )
+    leading = gateway_steps.status('control-1', 'control-1')
+    gateway.receive('control-1', leading, NOW_S)
     spec = state.JobSpec(
         job_id, 'text', (state.StepSpec(1, state.Room(1, 1)),)
     )
