Log unconfirmed sendings of starts, and workers that report after their end

Which sending of the first start was carried out can't be told from the logs: agents logged only orders that they did not send, nothing told that a worker which was declared over goes on, and a voided run's line left out the sendings that were under way.

Change: start_unconfirmed at whoever made the sending (entry or leader), life_seen_again, and fields of run_voided and run_stray. No decision changes.

--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -17,6 +17,7 @@
 from greengagering.coordination.workers import IncarnationTable
 from greengagering.coordination.workers import LossMeter
 from greengagering.coordination.workers import Order
+from greengagering.coordination.workers import RecentItems
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
 from greengagering.coordination.workers import StopOrder
@@ -102,6 +103,9 @@
         lost_run_counts: runs lost with their worker, by the cause in
             LifeOver.
         stop_counts: runs ordered to stop, by cause.
+        ended_lives: cause and time of the end of the incarnations that this
+            leader declared over last.
+        removed_runs: how the runs that left a view last did so, by run name.
         is_plan_due: whether something has changed since tasks were last
             assigned, so that the next step assigns them again.
     """
@@ -130,6 +134,8 @@
         self.logged_once: set[str] = set()
         self.lost_run_counts: dict[str, int] = {}
         self.stop_counts: dict[str, int] = {}
+        self.ended_lives: RecentItems[tuple[str, float]] = RecentItems()
+        self.removed_runs: RecentItems[str] = RecentItems()
         self.is_plan_due = False
         self._routed_plan: state.RoutePlan | None = None
         self._services: dict[tuple[str, str], str] = {}
@@ -153,6 +159,8 @@
         self.suspect_queues.clear()
         self.short_services.clear()
         self.logged_once.clear()
+        self.ended_lives.clear()
+        self.removed_runs.clear()
 
     @property
     def workers(self) -> dict[str, WorkerView]:
@@ -240,7 +248,10 @@
             cause=str(cause),
             phase=run.phase.name.lower(),
             unresolved_starts=run.unresolved_starts,
+            starts_under_way=run.starts_under_way,
+            sendings=run.sendings,
         )
+        self.removed_runs.note(run.key.name, f'voided as {cause}')
         self.pending_voids[run.key.name] = view
         self.proposals.append(state.RunsVoided((run.key,)))
         run.phase = RunPhase.STOPPED
@@ -336,6 +347,7 @@
             )
         )
         view.is_over = True
+        self.ended_lives.note(view.key, (cause, self.now_s))
         self.log_decision(
             'life_over',
             life=view.key,
@@ -358,6 +370,7 @@
         start, point to that task.
         """
         self.lost_run_counts[cause] = self.lost_run_counts.get(cause, 0) + 1
+        self.removed_runs.note(run.key.name, f'lost by {cause}')
         ran_s = None
         if run.started_at_s:
             ran_s = round(view.heard_at_s - run.started_at_s, 3)
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -320,6 +320,7 @@
         for end in new_ends:
             # The worker lists an end only after its room has become free.
             run = view.remove_run(end.key.name)
+            self._core.removed_runs.note(end.key.name, f'ended {end.ending}')
             if run is not None and run.is_start_open:
                 view.hold_end(end.number, now_s)
                 view.note_late_start(run.key, now_s)
@@ -407,7 +408,12 @@
                 self._core.propose_void(view, run, VoidCause.ABSENT)
 
     def _stop_unassigned(self, view: WorkerView, item: ListedRun) -> None:
-        self._core.log_decision('run_stray', run=item.key.name, life=view.key)
+        self._core.log_decision(
+            'run_stray',
+            run=item.key.name,
+            life=view.key,
+            left=self._core.removed_runs.find(item.key.name),
+        )
         self._core.orders.append(
             StopOrder(view.facts, item.key, self._core.fence)
         )
--- a/greengagering/coordination/scheduling/_worker_reports.py
+++ b/greengagering/coordination/scheduling/_worker_reports.py
@@ -88,6 +88,7 @@
         key = report.facts.key
         view = self._core.workers.get(key)
         if view is None:
+            self._log_seen_again(key, now_s)
             if self._core.incarnations.is_outdated(report.facts):
                 return None
             return state.LifeSeen(report.facts)
@@ -111,6 +112,18 @@
             return state.LifeSeen(report.facts)
         return None
 
+    def _log_seen_again(self, key: str, now_s: float) -> None:
+        """Log that an incarnation reports that this leader declared over."""
+        ended = self._core.ended_lives.find(key)
+        if ended is not None:
+            cause, over_at_s = ended
+            self._core.log_decision(
+                'life_seen_again',
+                life=key,
+                cause=cause,
+                over_s_ago=round(now_s - over_at_s, 3),
+            )
+
     def _is_newest(self, view: WorkerView, report: WorkerReport) -> bool:
         """Tell whether a report is newer than the others of its worker.
 
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -23,6 +23,7 @@
 from greengagering.coordination.workers._orders import StartOrder
 from greengagering.coordination.workers._orders import StopOrder
 from greengagering.coordination.workers._orders import WorkerReport
+from greengagering.coordination.workers._recent_items import RecentItems
 from greengagering.coordination.workers._run_view import counted_cpu
 from greengagering.coordination.workers._run_view import RunObserver
 from greengagering.coordination.workers._run_view import RunPhase
@@ -70,6 +71,7 @@
     'POLL_WAIT_S',
     'PaceOrder',
     'QUARANTINE_STREAK',
+    'RecentItems',
     'RunObserver',
     'RunPhase',
     'RunView',
--- a/greengagering/transport/_limited_client.py
+++ b/greengagering/transport/_limited_client.py
@@ -123,9 +123,12 @@
                 _log_failure(order, error)
                 answer = _NO_ANSWER
             called_s = clock.steady_s() - called_at_s
-            return dataclasses.replace(
+            timed = dataclasses.replace(
                 answer, queued_s=queued_s, called_s=called_s
             )
+            if isinstance(order, coordination.StartOrder):
+                _log_unconfirmed(order, timed)
+            return timed
 
     @contextlib.asynccontextmanager
     async def _slots(self, name: _OrderName) -> AsyncIterator[None]:
@@ -178,6 +181,22 @@
             self._limits.pop().release()
 
 
+def _log_unconfirmed(
+    order: coordination.StartOrder, answer: coordination.OrderAnswer
+) -> None:
+    """Log a start that was sent, and that its worker has not confirmed."""
+    if answer.outcome is not coordination.OrderOutcome.DONE:
+        logs.info(
+            'start_unconfirmed',
+            run=order.key.name,
+            life=order.life.key,
+            fence=order.fence,
+            outcome=str(answer.outcome),
+            queued_s=round(answer.queued_s, 3),
+            called_s=round(answer.called_s, 3),
+        )
+
+
 def _log_failure(
     order: coordination.Order | coordination.LookOrder, error: Exception
 ) -> None:
