Have a process that is back refuse every start that may come late

Cause: a sending of a start without an answer may be carried out for 13.5 s, by whichever process has the worker's name. What was open was kept in the run's view and in the incarnation's, and only a listed end carried it over to the next incarnation. It was lost where a run was stopped and then voided as absent, and where an incarnation was declared over as left, address reused, reborn, for a move or an upkeep, or as its machine was lost.

Evidence: features/late_starts.feature. On the former code 14 examples of 'A worker that is back is ordered at once to refuse ...' fail with no order to refuse at all, and 'The order to refuse is repeated' fails.

Change: SentStarts keeps each sending by the worker's id from the moment at which it is taken, until an answer proves that it won't be carried out or 13.5 s are over; no view or incarnation owns it. LateStartGuard orders each process that is new to the leader to refuse them, until it confirms. This replaces note_late_start, inherit_late_starts and are_blocks_requested.

Result: the scenarios pass, and those of unanswered_orders.feature as before.

Changed test step: in worker_orders.feature 'the worker restarts under its name' now takes the orders that are given as it is seen, checks that each is to refuse the run, and leaves them unanswered; before, there was none until its lists were read.

--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -32,3 +32,50 @@
     When its run is voided after a refused repetition and a stop
     And it lists the voided run as running
     Then the line of the stray run says that it was voided as absent
+
+  # Guards against a task that runs twice: a sending of its first run's start is carried out by a worker that is back under its name, after the run has left the leader's view.
+  Scenario Outline: A worker that is back is ordered at once to refuse runs of which a start may come late
+    Given a worker that was ordered 1 starts at 0.1 s
+    When its run has left the leader's view: <way>
+    And it is back as <process> at <at> s
+    Then it is ordered to refuse the first run, and gets no run before it has confirmed that
+
+    Examples:
+      | way                              | process              | at |
+      | voided after a stop              | a new process        | 3  |
+      | voided after a stop              | a new process        | 13 |
+      | voided after a stop              | the second new one   | 4  |
+      | its worker left                  | a new process        | 3  |
+      | its worker left                  | the second new one   | 4  |
+      | its worker left                  | the same process     | 3  |
+      | its address is another worker's  | a new process        | 3  |
+      | its address is another worker's  | the same process     | 3  |
+      | over for move                    | a new process        | 3  |
+      | over for upkeep                  | a new process        | 3  |
+      | over for machine lost            | a new process        | 3  |
+      | over for move                    | the same process     | 3  |
+      | over for machine lost            | the same process     | 3  |
+      | lost by a restart                | a new process        | 4  |
+
+  # Guards against orders for workers of which no start can come late any more.
+  Scenario Outline: A worker that is back gets no order about runs of which no start can come late
+    Given a worker that was ordered 1 starts at 0.1 s
+    When its run has left the leader's view: <way>
+    And it is back as a new process at <at> s
+    Then it gets no order about the first run
+
+    Examples:
+      | way                              | at |
+      | voided after a stop              | 17 |
+      | its worker left                  | 17 |
+      | over for move                    | 17 |
+      | lease lapsed                     | 40 |
+      | voided after an answer to each   | 3  |
+      | not sent, then over for move     | 3  |
+
+  # Guards against orders to refuse that are lost, as nobody repeats them once the earlier process is over.
+  Scenario: The order to refuse is repeated until it is confirmed
+    Given a worker that was ordered 1 starts at 0.1 s
+    When its run has left the leader's view: its worker left
+    And it is back as a new process at 3 s
+    Then the order to refuse the first run is repeated until it is confirmed
--- a/features/steps/worker_order_steps.py
+++ b/features/steps/worker_order_steps.py
@@ -431,6 +431,11 @@
     assert isinstance(record, state.LifeSeen)
     state.apply_to_jobs(scheduler.jobs, record)
     scheduler.handle_applied(record, 1.31, 0)
+    # Orders to refuse what may come late are lost, and so repeated later.
+    for order in scheduler.take_orders():
+        assert isinstance(order, coordination.StopOrder), order
+        assert order.life == context.restarted
+        assert order.key == KEY
     poll_lists(scheduler, context.restarted, (), 700, 2.0)
     context.records = commit(scheduler, 2.0)
 
--- a/greengagering/coordination/scheduling/_incarnations.py
+++ b/greengagering/coordination/scheduling/_incarnations.py
@@ -1,9 +1,7 @@
 """Declares workers' incarnations over: replaced, left or lease expired."""
 
 from greengagering.coordination.scheduling._leader_core import LeaderCore
-from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
 from greengagering.coordination.workers import SILENCE_S
-from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
 from greengagering import state
 
@@ -46,29 +44,6 @@
         older.successor = newer.key
         if not newer.is_read:
             newer.paused_until_s = now_s + RESTART_PAUSE_S
-        self._block_late_starts(older, newer, now_s)
-
-    def _block_late_starts(
-        self, view: WorkerView, successor: WorkerView, now_s: float
-    ) -> None:
-        """Order a restarted worker at once to refuse runs that have ended.
-
-        Their tasks may run elsewhere by now, so unlike the runs that the
-        earlier incarnation still had they don't wait for its lists.
-        """
-        late = view.late_starts(now_s)
-        # It may restart as well.
-        successor.inherit_late_starts(view)
-        for key in late:
-            successor.blocked_runs[key.name] = key
-        if late:
-            self._core.log_decision(
-                'late_starts_blocked',
-                life=successor.key,
-                former=view.key,
-                runs=len(late),
-            )
-            self._order_blocks(successor, now_s)
 
     def end_displaced(self, view: WorkerView) -> None:
         """Declare over the earlier workers at the address of `view`.
@@ -93,7 +68,7 @@
         self._core.mark_suspect(view, now_s, 'other life')
         successor = self._core.workers.get(view.successor)
         if successor is not None:
-            self._end_if_successor_has_no_runs(view, successor, now_s)
+            self._end_if_successor_has_no_runs(view, successor)
 
     def _end_left(self, view: WorkerView, now_s: float) -> None:
         """Declare a worker over that has left, once its end is proved.
@@ -110,7 +85,7 @@
         elif now_s >= view.lease_ends_at_s():
             self._core.declare_over(view, state.LEASE_LAPSED)
 
-    def _end_replaced(self, view: WorkerView, now_s: float) -> None:
+    def _end_replaced(self, view: WorkerView) -> None:
         successor = self._core.workers.get(view.successor)
         if successor is None or successor.is_over:
             newest = self._core.incarnations.newest(view.facts.worker_id)
@@ -119,13 +94,11 @@
                 self._core.declare_over(view, 'reborn', is_crash=True)
                 return
             view.successor = newest.key
-            view.are_blocks_requested = False
             successor = newest
-            self._block_late_starts(view, successor, now_s)
-        self._end_if_successor_has_no_runs(view, successor, now_s)
+        self._end_if_successor_has_no_runs(view, successor)
 
     def _end_if_successor_has_no_runs(
-        self, view: WorkerView, successor: WorkerView, now_s: float
+        self, view: WorkerView, successor: WorkerView
     ) -> None:
         """Declare `view` over once `successor` has none of its runs.
 
@@ -133,43 +106,25 @@
         accept those that were meant for this one. Therefore the lists of the
         later one must have been read, and it must have confirmed that it
         refuses the runs of which a start order may still arrive. Lists that
-        are asked for after that must lack these runs.
+        are asked for after that must lack these runs. From the first poll on
+        it refuses what former leaders sent.
         """
-        if not successor.is_read:
-            if successor.blocked_runs:
-                self._order_blocks(successor, now_s)
-            return
-        if not view.are_blocks_requested:
-            view.are_blocks_requested = True
-            for run in view.runs.values():
-                if run.is_start_open:
-                    successor.blocked_runs[run.key.name] = run.key
-        ended = {key.name for key in view.late_starts(now_s)}
-        if successor.blocked_runs.keys() & (view.runs.keys() | ended):
-            self._order_blocks(successor, now_s)
-        elif not (
-            successor.may_stop_unlisted
+        may_have_runs = (
+            not successor.is_read
+            or successor.blocked_runs
+            or successor.may_stop_unlisted
             or successor.unassigned & view.runs.keys()
-        ):
+        )
+        if not may_have_runs:
             self._core.declare_over(view, 'reborn', is_crash=True)
 
-    def _order_blocks(self, successor: WorkerView, now_s: float) -> None:
-        """Order a worker to refuse its blocked runs, by stopping them."""
-        if now_s < successor.blocks_sent_at_s + ORDER_RETRY_S:
-            return
-        successor.blocks_sent_at_s = now_s
-        for key in successor.blocked_runs.values():
-            self._core.orders.append(
-                StopOrder(successor.facts, key, self._core.fence)
-            )
-
     def end_incarnations(self, now_s: float) -> None:
         """Declare over what was replaced, has left or has no lease left."""
         for view in list(self._core.workers.values()):
             if view.is_over:
                 continue
             if view.successor:
-                self._end_replaced(view, now_s)
+                self._end_replaced(view)
                 continue
             if now_s >= view.left_at_s + LEAVE_GRACE_S:
                 self._end_left(view, now_s)
--- /dev/null
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -0,0 +1,98 @@
+"""Keeps starts that are carried out late from running beside later runs."""
+
+from greengagering.coordination.scheduling._leader_core import LeaderCore
+from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
+from greengagering.coordination.workers import Order
+from greengagering.coordination.workers import OrderAnswer
+from greengagering.coordination.workers import OrderOutcome
+from greengagering.coordination.workers import StartOrder
+from greengagering.coordination.workers import StopOrder
+from greengagering.coordination.workers import WorkerView
+
+class LateStartGuard:
+    """Notes what is sent, and has processes that are new here refuse it.
+
+    A run may leave the leader's view, and its worker's incarnation may be
+    over, while a sending of its start has no answer. A process that is seen
+    under the worker's name after that, be it a later one or the same again,
+    would carry it out, as it has neither run nor refused the run.
+    """
+
+    def __init__(self, core: LeaderCore) -> None:
+        self._core = core
+
+    def take_sendable(self, orders: list[Order], now_s: float) -> list[Order]:
+        """Return the orders to send, and note their starts."""
+        sendable: list[Order] = []
+        for order in orders:
+            if isinstance(order, StartOrder):
+                self._core.sent_starts.note(order, now_s)
+            sendable.append(order)
+        return sendable
+
+    def close_answered(
+        self,
+        order: Order,
+        answer: OrderAnswer,
+        view: WorkerView | None,
+        now_s: float,
+    ) -> None:
+        """Forget a sending that is answered, unless by another incarnation.
+
+        Any answer but DONE proves that it is not carried out. DONE may be the
+        answer of an incarnation that isn't known yet, which then has the run.
+
+        Args:
+            order: the order.
+            answer: the outcome.
+            view: the incarnation that it was sent to, or None if it is over.
+            now_s: the leader's clock.
+        """
+        outcome = answer.outcome
+        if outcome is OrderOutcome.NO_ANSWER:
+            return
+        if outcome is OrderOutcome.DONE and (
+            view is None or view.is_clock_foreign(answer.clock_ms, now_s)
+        ):
+            return
+        self.close(order)
+
+    def close(self, order: Order) -> None:
+        """Forget a sending that is not carried out, or has been."""
+        if isinstance(order, StartOrder):
+            self._core.sent_starts.close(order)
+
+    def refuse_late_starts(self, view: WorkerView, now_s: float) -> None:
+        """Order a process that is new here to refuse what it may still get.
+
+        It gets no run before it has confirmed that. Runs that an earlier
+        incarnation still has are refused as well: they are lost with it.
+        """
+        late = self._core.sent_starts.find(view.facts.worker_id, now_s)
+        if not late:
+            return
+        for order in late:
+            view.blocked_runs[order.key.name] = order.key
+        self._core.log_decision(
+            'late_starts_blocked',
+            life=view.key,
+            former=late[-1].life.key,
+            runs=len(view.blocked_runs),
+        )
+        self._order_blocks(view, now_s)
+
+    def repeat_blocks(self, now_s: float) -> None:
+        """Repeat the orders to refuse runs that are not confirmed yet."""
+        for view in self._core.workers.values():
+            if view.blocked_runs and not (view.is_over or view.successor):
+                self._order_blocks(view, now_s)
+
+    def _order_blocks(self, view: WorkerView, now_s: float) -> None:
+        """Order a worker to refuse its blocked runs, by stopping them."""
+        if now_s < view.blocks_sent_at_s + ORDER_RETRY_S:
+            return
+        view.blocks_sent_at_s = now_s
+        self._core.orders += [
+            StopOrder(view.facts, key, self._core.fence)
+            for key in view.blocked_runs.values()
+        ]
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -20,6 +20,7 @@
 from greengagering.coordination.workers import RecentItems
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
+from greengagering.coordination.workers import SentStarts
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
 from greengagering import state
@@ -103,6 +104,7 @@
         lost_run_counts: runs lost with their worker, by the cause in
             LifeOver.
         stop_counts: runs ordered to stop, by cause.
+        sent_starts: starts that may still be carried out.
         ended_lives: cause and time of the end of the incarnations that this
             leader declared over last.
         removed_runs: how the runs that left a view last did so, by run name.
@@ -134,6 +136,7 @@
         self.logged_once: set[str] = set()
         self.lost_run_counts: dict[str, int] = {}
         self.stop_counts: dict[str, int] = {}
+        self.sent_starts = SentStarts()
         self.ended_lives: RecentItems[tuple[str, float]] = RecentItems()
         self.removed_runs: RecentItems[str] = RecentItems()
         self.is_plan_due = False
@@ -159,6 +162,8 @@
         self.suspect_queues.clear()
         self.short_services.clear()
         self.logged_once.clear()
+        # What this term sent is refused under a later one's fence.
+        self.sent_starts.clear()
         self.ended_lives.clear()
         self.removed_runs.clear()
 
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -2,6 +2,7 @@
 
 from greengagering.coordination.entries._retry_budget import RetryBudget
 from greengagering.coordination.scheduling import _incarnations
+from greengagering.coordination.scheduling._late_starts import LateStartGuard
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
 from greengagering.coordination.scheduling._leader_core import StopCause
@@ -76,10 +77,12 @@
         self,
         core: LeaderCore,
         tracker: _incarnations.IncarnationTracker,
+        late_starts: LateStartGuard,
         waits: WaitLedger,
     ) -> None:
         self._core = core
         self._tracker = tracker
+        self._late_starts = late_starts
         self._waits = waits
         # When the order of a run is sent again, by the run's name.
         self._retries: dict[str, tuple[float, RunView, WorkerView]] = {}
@@ -131,6 +134,7 @@
         Returns:
             The number of the grant, or 0 if the incarnation is over.
         """
+        self._core.sent_starts.note(order, now_s)
         view = self._core.workers.get(order.life.key)
         if view is None:
             return 0
@@ -154,6 +158,7 @@
             sent_at_s: when this sending began, or None if unknown.
         """
         view = self._core.workers.get(order.life.key)
+        self._late_starts.close_answered(order, answer, view, now_s)
         if view is None or order.fence != self._core.fence:
             return
         if sent_at_s is not None:
@@ -225,6 +230,7 @@
         This replica may regain its lease in the same term, and then no other
         replica takes care of the run.
         """
+        self._late_starts.close(order)
         view = self._core.workers.get(order.life.key)
         run = view.runs.get(order.key.name) if view is not None else None
         if view is None or run is None or order.fence != self._core.fence:
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -13,6 +13,7 @@
 from greengagering.coordination.scheduling._demand import DemandTracker
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._isolation import isolation_s
+from greengagering.coordination.scheduling._late_starts import LateStartGuard
 from greengagering.coordination.scheduling._leader_core import Arguments
 from greengagering.coordination.scheduling._leader_core import Decision
 from greengagering.coordination.scheduling._leader_core import LeaderCore
@@ -68,9 +69,12 @@
     def __init__(self, jobs: state.JobsState) -> None:
         self.demand = DemandTracker()
         self._core = LeaderCore(jobs)
+        self._late_starts = LateStartGuard(self._core)
         self._tracker = _incarnations.IncarnationTracker(self._core)
         self.waits = WaitLedger(self._core)
-        self.run_orders = RunOrders(self._core, self._tracker, self.waits)
+        self.run_orders = RunOrders(
+            self._core, self._tracker, self._late_starts, self.waits
+        )
         self.poller = WorkerPoller(self._core, self._tracker, self.waits)
         self._relocator = RunRelocator(self._core)
         self.assigner = TaskAssigner(self._core)
@@ -330,6 +334,7 @@
             self._planned_at_s = now_s
             parts = [
                 self._tracker.end_incarnations,
+                self._late_starts.repeat_blocks,
                 self._relocator.move_lasting_tasks,
                 self._forget_finished,
                 self.assigner.assign,
@@ -357,8 +362,9 @@
 
     def take_orders(self) -> list[Order]:
         """Return and clear the orders to send."""
-        taken = self._core.orders
+        queued = self._core.orders
         self._core.orders = []
+        taken = self._late_starts.take_sendable(queued, self._core.now_s)
         self.run_orders.schedule_repetitions(taken, self._core.now_s)
         return taken
 
@@ -496,6 +502,7 @@
         for other in self._core.incarnations.related(view.facts):
             if not (other.successor or other.is_over):
                 self._tracker.mark_replaced(view, other, now_s)
+        self._late_starts.refuse_late_starts(view, now_s)
 
     def _handle_finished(self, job_id: str, now_s: float) -> None:
         """Remove a finished job's work, and stop what still runs of it."""
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -323,7 +323,6 @@
             self._core.removed_runs.note(end.key.name, f'ended {end.ending}')
             if run is not None and run.is_start_open:
                 view.hold_end(end.number, now_s)
-                view.note_late_start(run.key, now_s)
             self._record_ending(view, run, end, now_s)
 
     def _record_ending(
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -28,6 +28,8 @@
 from greengagering.coordination.workers._run_view import RunObserver
 from greengagering.coordination.workers._run_view import RunPhase
 from greengagering.coordination.workers._run_view import RunView
+from greengagering.coordination.workers._sent_starts import LATE_START_S
+from greengagering.coordination.workers._sent_starts import SentStarts
 from greengagering.coordination.workers._sharing import find_paces
 from greengagering.coordination.workers._sharing import handle_pace_answer
 from greengagering.coordination.workers._sharing import is_shared
@@ -57,6 +59,7 @@
     'FleetAnswerTimes',
     'GRANT_INTERVAL_S',
     'IncarnationTable',
+    'LATE_START_S',
     'LEASE_S',
     'ListedRun',
     'LookAnswer',
@@ -79,6 +82,7 @@
     'SETTLED_S',
     'SILENCE_S',
     'SLOW_RATIO',
+    'SentStarts',
     'StartOrder',
     'StopOrder',
     'WaitCause',
--- /dev/null
+++ b/greengagering/coordination/workers/_sent_starts.py
@@ -0,0 +1,68 @@
+"""Starts that were sent and may still be carried out."""
+
+import collections
+
+from greengagering.coordination.workers._orders import StartOrder
+from greengagering.coordination.workers._worker_view import MAX_ORDER_DELAY_S
+from greengagering.coordination.workers._worker_view import MAX_SEND_DELAY_S
+
+LATE_START_S = MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
+"""Longest time from the decision to send a start until it is carried out."""
+
+
+class SentStarts:
+    """Sendings of starts without a final answer, by worker.
+
+    Orders name the worker, so whichever process has its name carries them
+    out. A sending therefore belongs to no incarnation and to no run of the
+    leader's views: it counts until it is answered, or LATE_START_S are over.
+    Noting and closing one takes the same time however many there are.
+    """
+
+    def __init__(self) -> None:
+        # Each sending is an object of its own; the soonest to expire is first.
+        self._open: collections.OrderedDict[int, tuple[float, StartOrder]] = (
+            collections.OrderedDict()
+        )
+        self._by_worker: dict[str, dict[int, StartOrder]] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def clear(self) -> None:
+        """Forget every sending."""
+        self._open.clear()
+        self._by_worker.clear()
+
+    def note(self, order: StartOrder, now_s: float) -> None:
+        """Note a sending, or that it is sent later than noted before."""
+        number = id(order)
+        self._open[number] = (now_s + LATE_START_S, order)
+        self._open.move_to_end(number)
+        sent = self._by_worker.setdefault(order.life.worker_id, {})
+        sent[number] = order
+        self._forget_expired(now_s)
+
+    def close(self, order: StartOrder) -> None:
+        """Remove a sending that can't be carried out any more."""
+        if self._open.pop(id(order), None) is not None:
+            self._remove(order)
+
+    def find(self, worker_id: str, now_s: float) -> list[StartOrder]:
+        """Return the sendings that a worker may still carry out."""
+        self._forget_expired(now_s)
+        return list(self._by_worker.get(worker_id, {}).values())
+
+    def _forget_expired(self, now_s: float) -> None:
+        while self._open:
+            until_s, order = next(iter(self._open.values()))
+            if now_s < until_s:
+                break
+            self.close(order)
+
+    def _remove(self, order: StartOrder) -> None:
+        worker_id = order.life.worker_id
+        sent = self._by_worker[worker_id]
+        del sent[id(order)]
+        if not sent:
+            del self._by_worker[worker_id]
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -131,11 +131,8 @@
         failure_streak: failures since the last success.
         quarantined_until_s: time before which a failing worker gets no probe.
         slowness: smoothed ratio of run time to estimate.
-        blocked_runs: runs of its predecessor that it must refuse and has not
-            confirmed yet, by run name.
-        are_blocks_requested: this incarnation's open runs have been added to
-            its successor's blocked_runs, which the successor may not have
-            confirmed yet.
+        blocked_runs: runs of which a start may come late that it must refuse
+            and has not confirmed yet, by run name.
         blocks_sent_at_s: when the orders for blocked_runs were last sent.
         blocked_at_s: when it last confirmed one of blocked_runs, or None.
         listed_clock_ms: its clock in its newest lists, or None.
@@ -178,7 +175,6 @@
         self.refused_at_s = float('-inf')
         self.unassigned: frozenset[str] = frozenset()
         self.blocked_runs: dict[str, state.RunKey] = {}
-        self.are_blocks_requested = False
         self.blocks_sent_at_s = float('-inf')
         self.blocked_at_s: float | None = None
         self.listed_clock_ms: int | None = None
@@ -201,8 +197,6 @@
         self._isolated: dict[str, RunView] = {}
         # When each held end may be dropped, by its number.
         self._held_ends: dict[int, float] = {}
-        # Until when a start of an ended run may still be carried out.
-        self._late_starts: dict[state.RunKey, float] = {}
 
     @property
     def key(self) -> str:
@@ -342,27 +336,6 @@
         """
         self._held_ends[number] = now_s + MAX_SEND_DELAY_S
 
-    def note_late_start(self, key: state.RunKey, now_s: float) -> None:
-        """Note that a start of an ended run may still be carried out.
-
-        This incarnation refuses it, and a later one under its name wouldn't.
-        """
-        until_s = now_s + MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
-        self._late_starts[key] = until_s
-
-    def inherit_late_starts(self, former: 'WorkerView') -> None:
-        """Note the late starts of an earlier incarnation of this worker."""
-        self._late_starts.update(former._late_starts)
-
-    def late_starts(self, now_s: float) -> list[state.RunKey]:
-        """Return ended runs of which a start may still be carried out."""
-        self._late_starts = {
-            key: until_s
-            for key, until_s in self._late_starts.items()
-            if now_s < until_s
-        }
-        return list(self._late_starts)
-
     def has_held_ends(self, now_s: float) -> bool:
         """Tell whether ends are held, and forget those that no longer are."""
         self._held_ends = {
