Don't send starts that waited for the lease and whose run is gone

Cause: orders stay queued while the leader has no lease, and were sent when it had one again, whatever had become of their run meanwhile. Where its worker had been declared over or had restarted, the later process under the name started it; where the run was being stopped, start and stop were sent at once.

Evidence: three examples of late_starts.feature fail without the check.

Change: such a start is dropped when orders are taken (start_dropped).

--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -79,3 +79,16 @@
     When its run has left the leader's view: its worker left
     And it is back as a new process at 3 s
     Then the order to refuse the first run is repeated until it is confirmed
+
+  # Guards against a start that is sent to a later process: it waited while the leader had no lease, and its run was lost meanwhile.
+  Scenario Outline: A start that waits while the leader has no lease isn't sent after its worker has <event>
+    Given a worker with 1 starts that wait at 0.1 s as the leader has no lease
+    When its worker has <event> at 0.3 s
+    And the leader has its lease again
+    Then no start is sent
+
+    Examples:
+      | event               |
+      | been declared over  |
+      | restarted           |
+      | got its run stopped |
--- a/greengagering/coordination/scheduling/_late_starts.py
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -5,10 +5,14 @@
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import OrderOutcome
+from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import StartOrder
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
 
+_STOPPED = (RunPhase.STOPPING, RunPhase.STOPPED)
+
+
 class LateStartGuard:
     """Notes what is sent, and has processes that are new here refuse it.
 
@@ -22,14 +26,34 @@
         self._core = core
 
     def take_sendable(self, orders: list[Order], now_s: float) -> list[Order]:
-        """Return the orders to send, and note their starts."""
+        """Return the orders that may be sent, and note their starts.
+
+        Orders wait while the leader has no lease. Meanwhile a run may have
+        left the view, or its worker may have been replaced; its start would
+        be carried out by the replacement.
+        """
         sendable: list[Order] = []
         for order in orders:
             if isinstance(order, StartOrder):
+                if self._is_outdated(order):
+                    continue
                 self._core.sent_starts.note(order, now_s)
             sendable.append(order)
         return sendable
 
+    def _is_outdated(self, order: StartOrder) -> bool:
+        view = self._core.workers.get(order.life.key)
+        run = view.runs.get(order.key.name) if view is not None else None
+        if view is not None and run is not None:
+            is_ending = view.is_over or bool(view.successor)
+            if not (is_ending or run.phase in _STOPPED):
+                return False
+            run.starts_under_way -= 1
+        self._core.log_decision(
+            'start_dropped', run=order.key.name, life=order.life.key
+        )
+        return True
+
     def close_answered(
         self,
         order: Order,
