Poll a restarted worker at once while former leaders' starts may come

Cause: a new leader doesn't know which starts former leaders left unanswered. A worker refuses them from the first order of the new term on, but one that had restarted was first polled after its pause of 0.6 s.

Evidence: 'A restarted worker gets a new leader's term at once' fails before.

Change: in the first 13.5 s of a term a restarted worker gets a poll at once, for its fence only; its lists count after the pause, as before.

--- a/features/late_starts.feature
+++ b/features/late_starts.feature
@@ -92,3 +92,19 @@
       | been declared over  |
       | restarted           |
       | got its run stopped |
+
+  # Guards against a restarted worker that carries out a former leader's start, as nobody gave it the new term before its pause was over.
+  Scenario: A restarted worker gets a new leader's term at once
+    Given a worker that was ordered 1 starts at 0.1 s
+    When a new leader takes over at 1 s
+    And the worker restarts, and reports at 1.4 s
+    Then a poll with the new term is due at once, and doesn't count as read
+    And a poll that is due after the pause counts as read
+
+  # Guards against polls that a restarted worker doesn't need, as no former leader's start can come any more.
+  Scenario: Long after a change of leader a restarted worker is polled after its pause
+    Given a worker that was ordered 1 starts at 0.1 s
+    When a new leader takes over at 1 s
+    And the worker restarts, and reports at 15 s
+    Then no poll is due at once
+    And a poll that is due after the pause counts as read
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -79,6 +79,7 @@
     Attributes:
         jobs: the committed state.
         fence: the leader's term, or 0 while this replica does not lead.
+        leading_since_s: when this term began.
         now_s: time of the current step.
         now_ms: wall-clock time of the current step.
         index: steps of jobs that are ready to run.
@@ -115,6 +116,7 @@
     def __init__(self, jobs: state.JobsState) -> None:
         self.jobs = jobs
         self.fence = 0
+        self.leading_since_s = 0.0
         self.now_s = 0.0
         self.now_ms = 0
         self.index = WorkIndex()
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -268,6 +268,7 @@
         """
         self.stop_leading()
         self._core.fence = term
+        self._core.leading_since_s = now_s
         self._core.now_ms = now_ms
         self._core.limits.follow_plan(self.jobs.plan)
         self._logged_plan = self.jobs.plan
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -14,6 +14,7 @@
 from greengagering.coordination.workers import find_paces
 from greengagering.coordination.workers import GRANT_INTERVAL_S
 from greengagering.coordination.workers import is_shared
+from greengagering.coordination.workers import LATE_START_S
 from greengagering.coordination.workers import LEASE_S
 from greengagering.coordination.workers import ListedRun
 from greengagering.coordination.workers import LookAnswer
@@ -92,7 +93,7 @@
         if view.successor or view.is_over:
             return None
         if not view.is_read and now_s < view.paused_until_s:
-            return None
+            return self._next_fence_poll(view, now_s)
         if view.proposed_end > life.noted_end:
             return None
         if now_s < self._delayed_polls.get(life_key, now_s):
@@ -104,6 +105,22 @@
         is_long = order.wait_ms > 0
         return order if view.polls.may_send(now_s, is_long=is_long) else None
 
+    def _next_fence_poll(
+        self, view: WorkerView, now_s: float
+    ) -> LookOrder | None:
+        """Return a poll that gives a restarted worker the fence, if due.
+
+        Nobody knows which starts former leaders have sent; without the fence
+        it carries them out. It is too early for its lists to count.
+        """
+        if view.has_fence:
+            return None
+        if now_s >= self._core.leading_since_s + LATE_START_S:
+            return None
+        if not view.polls.may_send(now_s, is_long=False):
+            return None
+        return LookOrder(view.facts, self._core.fence, 0, 0, 0)
+
     def _create_poll(
         self, view: WorkerView, life: state.WorkerLife, now_s: float
     ) -> LookOrder:
@@ -183,6 +200,10 @@
         if answer.outcome is OrderOutcome.NOT_SENT:
             view.withdraw_grant(grant)
             return
+        if not view.is_read and sent_at_s < view.paused_until_s:
+            view.has_fence |= answer.outcome is OrderOutcome.DONE
+            self._delayed_polls[view.key] = view.paused_until_s
+            return
         is_read = answer.outcome is OrderOutcome.DONE
         if grant and answer.outcome is not OrderOutcome.NO_ANSWER:
             view.close_grant(grant, now_s, is_taken=is_read)
