--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -23,10 +23,13 @@
 from greengagering.coordination.workers._orders import StartOrder
 from greengagering.coordination.workers._orders import StopOrder
 from greengagering.coordination.workers._orders import WorkerReport
+from greengagering.coordination.workers._recent_items import RecentItems
 from greengagering.coordination.workers._run_view import counted_cpu
 from greengagering.coordination.workers._run_view import RunObserver
 from greengagering.coordination.workers._run_view import RunPhase
 from greengagering.coordination.workers._run_view import RunView
+from greengagering.coordination.workers._sent_starts import LATE_START_S
+from greengagering.coordination.workers._sent_starts import SentStarts
 from greengagering.coordination.workers._sharing import find_paces
 from greengagering.coordination.workers._sharing import handle_pace_answer
 from greengagering.coordination.workers._sharing import is_shared
@@ -56,6 +59,7 @@
     'FleetAnswerTimes',
     'GRANT_INTERVAL_S',
     'IncarnationTable',
+    'LATE_START_S',
     'LEASE_S',
     'ListedRun',
     'LookAnswer',
@@ -70,6 +74,7 @@
     'POLL_WAIT_S',
     'PaceOrder',
     'QUARANTINE_STREAK',
+    'RecentItems',
     'RunObserver',
     'RunPhase',
     'RunView',
@@ -77,6 +82,7 @@
     'SETTLED_S',
     'SILENCE_S',
     'SLOW_RATIO',
+    'SentStarts',
     'StartOrder',
     'StopOrder',
     'WaitCause',
