Add a fault search over late starts that go through several agents

The orders to a worker go through three agents with queues of their own, which hold them back, drop them and restart; two sendings of a start overtake each other. Unanswered ones are carried out 2 to 12 s later by whichever process has the worker's name. Workers drain, leave and restart at once, leaders change.

The ledger allows a late start only where no leader can have had it refused: see LateStartLedger. No scenario yet, as the search fails on the present code.

--- a/features/search/run.py
+++ b/features/search/run.py
@@ -10,6 +10,7 @@
 
 from features.search import control_search
 from features.search import job_search
+from features.search import late_start_search
 from features.search import leave_search
 from features.search import machine_search
 from features.search import replica_search
@@ -134,6 +135,17 @@
         return SeedFailure(seed, ''.join(lines))
 
 
+def run_late_start_seed(
+    seed: int,
+) -> late_start_search.LateStartResult | SeedFailure:
+    """Run one schedule over starts that are late, through several agents."""
+    try:
+        return late_start_search.LateStartSearch(seed).run()
+    except Exception as error:
+        lines = traceback.format_exception(error)[-3:]
+        return SeedFailure(seed, ''.join(lines))
+
+
 def run_reply_seed(seed: int) -> reply_search.ReplyResult | SeedFailure:
     """Run one schedule over entries' job calls and their answers."""
     try:
@@ -155,6 +167,7 @@
     'sending': run_sending_seed,
     'leave': run_leave_seed,
     'restart': run_restart_seed,
+    'late_start': run_late_start_seed,
     'reply': run_reply_seed,
 }
 TOTALS: dict[str, Any] = {
@@ -169,6 +182,7 @@
     'sending': job_search.JobResult,
     'leave': job_search.JobResult,
     'restart': job_search.JobResult,
+    'late_start': late_start_search.LateStartResult,
     'reply': reply_search.ReplyResult,
 }
 
@@ -198,7 +212,7 @@
 
     Args:
         name: replica, syncing, control, job, agent, limit, crash, machine,
-            sending, leave, restart or reply.
+            sending, leave, restart, late_start or reply.
         first_seed: first seed.
         count: number of schedules.
     """
