Don't void a run that has begun as another sending of its start is refused

Cause: two sendings of a start went through two agents. The later one was carried out and confirmed; the run was ordered to stop, and the worker confirmed that. Then the earlier sending reached the worker, which refused it as unhealthy. All sendings were answered, so the run was voided as refused while it was still stopping, and the next run began elsewhere. Only a run in the phase RUNNING was excepted. The same holds if a start is confirmed only after the run was ordered to stop.

Four of the five new examples in unanswered_orders.feature failed before; the fifth (refused each time, so voided) passed.

Change: the view of a run remembers that a start of it was confirmed. A refusal voids no run that has begun or was listed; its lists tell when it has ended.

--- a/features/unanswered_orders.feature
+++ b/features/unanswered_orders.feature
@@ -157,3 +157,18 @@
       | 2     | 1  | is ordered to refuse        |
       | 1     | 13 | is ordered to refuse        |
       | 1     | 15 | gets no order about         |
+
+  # Guards against two runs of a task: an older sending of a start is overtaken and refused, and a run that is still stopping is voided for it, so the next one begins beside it.
+  Scenario Outline: A run that has begun isn't voided as another sending of its start is refused
+    Given a worker that was ordered 1 starts at 0.1 s
+    When the leader works until 0.7 s
+    And its sendings are answered in this order: <answers>
+    Then its run <outcome>
+
+    Examples:
+      | answers                                                       | outcome              |
+      | second done, third refused, emptied, stop done, first refused | isn't voided         |
+      | second done, third refused, emptied, first refused, stop done | isn't voided         |
+      | second refused, first done, third refused                     | isn't voided         |
+      | second refused, stop done, first done, third refused          | isn't voided         |
+      | first refused, second refused, third refused                  | is voided as refused |
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -317,6 +317,7 @@
         kinds = OrderOutcome
         outcome, clock_ms = answer.outcome, answer.clock_ms
         if outcome is kinds.DONE:
+            run.has_begun = True
             if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
                 run.phase = RunPhase.RUNNING
                 run.phase_at_s = now_s
@@ -361,8 +362,9 @@
 
         A refusal proves only that this order was not carried out. Another
         sending without an answer may have started the run, or may still do so
-        until the run is stopped at the worker. If the worker has listed the
-        run meanwhile, it goes on.
+        until the run is stopped at the worker. If the worker has confirmed or
+        listed the run meanwhile, it goes on, or stops: its lists tell when it
+        has ended.
         """
         if outcome is OrderOutcome.NO_PERMIT:
             work = self._core.index.find(run.key)
@@ -371,7 +373,7 @@
         else:
             view.record_failure(now_s)
             view.paused_until_s = now_s + REFUSAL_PAUSE_S
-        if run.phase is RunPhase.RUNNING:
+        if run.has_begun or run.is_listed:
             return
         if run.unresolved_starts or run.starts_under_way:
             self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
--- a/greengagering/coordination/workers/_run_view.py
+++ b/greengagering/coordination/workers/_run_view.py
@@ -37,6 +37,7 @@
         phase_at_s: when the phase began.
         started_at_s: when the worker confirmed the start, or 0.
         started_clock_ms: the worker's clock in that answer, or None.
+        has_begun: whether the worker has confirmed a start of it.
         is_listed: whether the worker has listed it as running.
         percent: share of full speed at which it works, as listed.
         ordered_percent: share that was ordered last, or None.
@@ -64,6 +65,7 @@
     phase_at_s: float
     started_at_s: float = 0.0
     started_clock_ms: int | None = None
+    has_begun: bool = False
     is_listed: bool = False
     percent: int = 100
     ordered_percent: int | None = None
