Don't start a run whose task is done by the end of an earlier run

Cause: a late start of a run that counted as lost was carried out and ended done. Its end was listed in the step in which the task's next run was proposed. Before a committed run is ordered, only its job was looked at, which was active as it had other tasks.

The new scenario in unanswered_orders.feature failed before (both tasks were ordered).

Change: a start is ordered, and repeated, only while its task isn't done. Else the run is voided, or stopped if it was ordered.

--- a/features/unanswered_orders.feature
+++ b/features/unanswered_orders.feature
@@ -172,3 +172,9 @@
       | second refused, first done, third refused                     | isn't voided         |
       | second refused, stop done, first done, third refused          | isn't voided         |
       | first refused, second refused, third refused                  | is voided as refused |
+
+  # Guards against a run that is started after its task has ended done: a late start of a lost run ends, and is noted while the next run is being committed.
+  Scenario: A run whose task is done before its start is ordered isn't started
+    Given a task whose first run was lost
+    When its next run is proposed, and an end done of the first one is committed before it
+    Then the next run is voided, and not ordered
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -36,7 +36,7 @@
     EMPTYING: its machine is emptied for a move or an upkeep.
     DRAINING: its worker drains, and another has room.
     STALLED: it makes no progress, and another worker has room.
-    JOB_FINISHED: its job has finished or was cancelled.
+    JOB_FINISHED: its job or task has finished, or its job was cancelled.
     UNRESOLVED: its worker may run it or not, after unanswered start orders.
     WITHDRAWN: its worker's room or its customer's limit was lowered before
         its start was confirmed.
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -439,9 +439,7 @@
             self._core.order_stop(view, run)
         elif run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
             job = self._core.jobs.jobs.get(run.key.job_id)
-            is_active = (
-                job is not None and job.status is state.JobStatus.ACTIVE
-            )
+            is_wanted = job is not None and _is_wanted(job, run.key)
             is_over_limit = self._core.limits.is_exceeded(run.customer)
             is_too_large = view.is_overcommitted
             if run.starts_under_way and (is_over_limit or is_too_large):
@@ -454,7 +452,7 @@
                 )
             if is_too_large:
                 self._log_withdrawn(view, run)
-            if not is_active:
+            if not is_wanted:
                 self._core.stop_run(view, run, now_s, StopCause.JOB_FINISHED)
             elif is_over_limit or is_too_large:
                 self._core.stop_run(view, run, now_s, StopCause.WITHDRAWN)
@@ -475,7 +473,7 @@
             return
         if run.phase is not RunPhase.ORDERED:
             return
-        if job.status is not state.JobStatus.ACTIVE:
+        if not _is_wanted(job, key):
             self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
             return
         if self._core.limits.is_exceeded(run.customer):
@@ -502,6 +500,16 @@
         )
 
 
+def _is_wanted(job: state.Job, key: state.RunKey) -> bool:
+    """Tell whether a run's start may be ordered, or ordered again.
+
+    Its task may be done by the end of an earlier run, which counted as lost.
+    """
+    task = job.tasks.get(key.task)
+    is_done = task is not None and task.is_done
+    return job.status is state.JobStatus.ACTIVE and not is_done
+
+
 def _note_start_answered(order: Order, run: RunView | None) -> None:
     """Count a start order that is answered, unanswered for good or unsent."""
     if run is not None and isinstance(order, StartOrder):
