--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -323,6 +323,7 @@
         kinds = OrderOutcome
         outcome, clock_ms = answer.outcome, answer.clock_ms
         if outcome is kinds.DONE:
+            run.has_begun = True
             if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
                 run.phase = RunPhase.RUNNING
                 run.phase_at_s = now_s
@@ -367,8 +368,9 @@
 
         A refusal proves only that this order was not carried out. Another
         sending without an answer may have started the run, or may still do so
-        until the run is stopped at the worker. If the worker has listed the
-        run meanwhile, it goes on.
+        until the run is stopped at the worker. If the worker has confirmed or
+        listed the run meanwhile, it goes on, or stops: its lists tell when it
+        has ended.
         """
         if outcome is OrderOutcome.NO_PERMIT:
             work = self._core.index.find(run.key)
@@ -377,7 +379,7 @@
         else:
             view.record_failure(now_s)
             view.paused_until_s = now_s + REFUSAL_PAUSE_S
-        if run.phase is RunPhase.RUNNING:
+        if run.has_begun or run.is_listed:
             return
         if run.unresolved_starts or run.starts_under_way:
             self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
@@ -443,9 +445,7 @@
             self._core.order_stop(view, run)
         elif run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
             job = self._core.jobs.jobs.get(run.key.job_id)
-            is_active = (
-                job is not None and job.status is state.JobStatus.ACTIVE
-            )
+            is_wanted = job is not None and _is_wanted(job, run.key)
             is_over_limit = self._core.limits.is_exceeded(run.customer)
             is_too_large = view.is_overcommitted
             if run.starts_under_way and (is_over_limit or is_too_large):
@@ -458,7 +458,7 @@
                 )
             if is_too_large:
                 self._log_withdrawn(view, run)
-            if not is_active:
+            if not is_wanted:
                 self._core.stop_run(view, run, now_s, StopCause.JOB_FINISHED)
             elif is_over_limit or is_too_large:
                 self._core.stop_run(view, run, now_s, StopCause.WITHDRAWN)
@@ -479,7 +479,7 @@
             return
         if run.phase is not RunPhase.ORDERED:
             return
-        if job.status is not state.JobStatus.ACTIVE:
+        if not _is_wanted(job, key):
             self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
             return
         if self._core.limits.is_exceeded(run.customer):
@@ -506,6 +506,16 @@
         )
 
 
+def _is_wanted(job: state.Job, key: state.RunKey) -> bool:
+    """Tell whether a run's start may be ordered, or ordered again.
+
+    Its task may be done by the end of an earlier run, which counted as lost.
+    """
+    task = job.tasks.get(key.task)
+    is_done = task is not None and task.is_done
+    return job.status is state.JobStatus.ACTIVE and not is_done
+
+
 def _note_start_answered(order: Order, run: RunView | None) -> None:
     """Count a start order that is answered, unanswered for good or unsent."""
     if run is not None and isinstance(order, StartOrder):
