No repetition of orders that are only late

`orders_timed` showed up to 151 repetitions a second while no order was left unanswered.

Cause: while answers are late, a quarter of the first sendings may be repeated early, whether or not any answer is missing; and after 0.5 s an order is repeated whatever the load. Each repetition loads the leader and the slow links of the agents again.

--- a/features/order_storms.feature
+++ b/features/order_storms.feature
@@ -8,6 +8,22 @@
     Then at most 160 orders were sent while an earlier sending was under way
     And every start is confirmed
 
+  # Guards against orders that are only late and are sent again up to the
+  # budget, although none is missing.
+  Scenario: While answers are late and none is missing, no order is repeated
+    Given a fleet of 60 workers that answers after 0.2 s, and has answered 60 starts
+    When it carries out 2000 orders a second, and gets 500 starts at once
+    Then no order was sent while an earlier sending was under way
+    And every start is confirmed
+
+  # Guards against a fleet with late answers that takes each lost one for a
+  # late one.
+  Scenario: While answers are late and some are missing, orders are repeated
+    Given a fleet of 60 workers that answers after 0.2 s, and has answered 60 starts
+    When 0.1 of the answers are lost, and it gets 400 starts twice within 2 s
+    Then some orders were sent while an earlier sending was under way
+    And every start is confirmed
+
   # Guards against workers that have just joined, whose orders are repeated
   # before any answer could be there.
   Scenario: A worker without answers is repeated at the time that the fleet takes
--- a/features/steps/order_storm_steps.py
+++ b/features/steps/order_storm_steps.py
@@ -66,9 +66,9 @@
         self.confirmed_s: dict[str, float] = {}
         self.sent: dict[str, list[float]] = {}
         self.now_s = 0.0
+        self.lost_share = lost_share
         self._service_s = 1 / orders_per_s
         self._answer_s = answer_s
-        self._lost_share = lost_share
         self._busy_until_s = 0.0
         self._rng = random.Random(1)  # noqa: S311
         self._numbers = itertools.count()
@@ -128,6 +128,10 @@
         self._read(facts)
         return facts
 
+    def limit_rate(self, orders_per_s: float) -> None:
+        """Set how many orders a second the workers carry out in all."""
+        self._service_s = 1 / orders_per_s
+
     def submit(self, job_id: str, count: int) -> None:
         """Submit a job of lasting tasks."""
         step = state.StepSpec(count, TASK, is_lasting=True)
@@ -164,7 +168,7 @@
         self._begun.append((at_s, order.life.key, order.key))
         outcome = _outcomes.DONE
         timeout_s = self.now_s + ORDER_TIMEOUT_S
-        if at_s >= timeout_s or self._rng.random() < self._lost_share:
+        if at_s >= timeout_s or self._rng.random() < self.lost_share:
             at_s, outcome = timeout_s, _outcomes.NO_ANSWER
         sending = Sending(order, grant, self.now_s)
         heapq.heappush(
@@ -219,6 +223,45 @@
     context.fleet.advance(seconds)
 
 
+@when(
+    'it carries out {rate:d} orders a second, and gets {starts:d} starts at '
+    'once'
+)
+def order_late(context: Any, rate: int, starts: int) -> None:
+    context.fleet.early_count = 0
+    context.fleet.limit_rate(rate)
+    context.starts = len(context.fleet.confirmed_s) + starts
+    context.fleet.submit('job', starts)
+    context.fleet.advance(3.0)
+
+
+@when(
+    '{share:g} of the answers are lost, and it gets {starts:d} starts twice '
+    'within {seconds:g} s'
+)
+def order_late_and_lost(
+    context: Any, share: float, starts: int, seconds: float
+) -> None:
+    fleet = context.fleet
+    fleet.early_count = 0
+    fleet.lost_share = share
+    context.starts = len(fleet.confirmed_s) + 2 * starts
+    for number in range(2):
+        fleet.submit(f'job-{number}', starts)
+        fleet.advance(seconds / 2)
+    fleet.advance(3.0)
+
+
+@then('no order was sent while an earlier sending was under way')
+def check_none_early(context: Any) -> None:
+    assert context.fleet.early_count == 0, context.fleet.early_count
+
+
+@then('some orders were sent while an earlier sending was under way')
+def check_some_early(context: Any) -> None:
+    assert context.fleet.early_count > 0
+
+
 @then(
     'at most {count:d} orders were sent while an earlier sending was under way'
 )
--- a/greengagering/coordination/workers/_answer_times.py
+++ b/greengagering/coordination/workers/_answer_times.py
@@ -110,6 +110,10 @@
         """Tell whether orders are known to be answered soon, if at all."""
         return self._is_known(now_s) and self.expected_s(now_s) <= MIN_REPEAT_S
 
+    def are_late(self, now_s: float) -> bool:
+        """Tell whether orders are known to be answered later than usual."""
+        return self._is_known(now_s) and not self.are_soon(now_s)
+
     def _is_known(self, now_s: float) -> bool:
         return self._count * self._decay(now_s) >= MIN_FLEET_ANSWERS
 
