A message to an agent carries a job's text once

Cause: each start in a message carries its job's text of up to 4 KB, also where several starts of one job go to the same agent.

Change: such starts are in a new field of AgentOrders, by job, without their text. An entry of the former version would ignore the field, so the leader uses it only for agents whose offer says that they read it, which is a new field with a default. Should such a message reach an entry of the former version still, its orders count as left unanswered. Former leaders ignore the field of the offer.

Test: agent_rules.feature, "A message to an agent carries a job's text once for all of its starts". Two scenarios show that an agent of the former version gets starts as before, and that a former leader reads offers.

--- a/features/agent_rules.feature
+++ b/features/agent_rules.feature
@@ -80,6 +80,24 @@
       | 0.05  | 0.5   | 0.4  | 0.0       | without |
       | 0.05  | 0.5   | 0.05 | 0.3       | without |
 
+  # Guards against slow links to agents that carry a job's text once for each of its tasks.
+  Scenario: A message to an agent carries a job's text once for all of its starts
+    Given agents that read starts by job
+    When 4 starts of a job with 1500 bytes of text and 1 of another are ordered at one worker
+    Then the message takes less than 4000 bytes on its way
+    And the worker gets each start once, with its job's text
+
+  # Guards against an entry of the former version that takes such a start for one without text, or leaves it out.
+  Scenario: An agent of the former version gets each start with its text
+    Given agents of the former version
+    When 4 starts of a job with 1500 bytes of text and 1 of another are ordered at one worker
+    Then the former version reads each start in the message, with its job's text
+
+  # Guards against a leader of the former version that can't read offers.
+  Scenario: A leader of the former version reads an agent's offer
+    Given agents that read starts by job
+    Then the former version reads their offers
+
   Scenario: An agent sends no order of a former leader
     Given an agent with permission for 0.4 s
     When a newer leader's orders arrive before an older one's
--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -106,6 +106,8 @@
 from greengagering.coordination.workers import AgentPermit
 from greengagering.coordination.workers import AgentRegistry
 from greengagering.coordination.workers import bound_poll
+from greengagering.coordination.workers import group_starts
+from greengagering.coordination.workers import JobStarts
 from greengagering.coordination.workers import ListedRun
 from greengagering.coordination.workers import LookAnswer
 from greengagering.coordination.workers import LookOrder
@@ -124,6 +126,7 @@
     'AgentMessage',
     'AgentOffer',
     'AgentOrders',
+    'JobStarts',
     'AgentPermit',
     'AgentRegistry',
     'bound_poll',
@@ -228,6 +231,7 @@
     'WaveDecisions',
     'FleetView',
     'count_services',
+    'group_starts',
     'decide_waves',
     'find_wait_reasons',
     'wave_targets',
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -283,7 +283,9 @@
     def _send_probe(self, address: str, now_s: float) -> None:
         offer = None
         if self.is_offering:
-            offer = AgentOffer(self._boot_id, self._data_centre, now_s)
+            offer = AgentOffer(
+                self._boot_id, self._data_centre, now_s, reads_job_starts=True
+            )
         probe = messages.ControlProbe(self.entry_id, self.address, offer=offer)
         self._outbox.append(GatewayOutgoing(address, probe))
 
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -4,6 +4,8 @@
 from greengagering.coordination.workers._agent_messages import AgentMessage
 from greengagering.coordination.workers._agent_messages import AgentOffer
 from greengagering.coordination.workers._agent_messages import AgentOrders
+from greengagering.coordination.workers._agent_messages import group_starts
+from greengagering.coordination.workers._agent_messages import JobStarts
 from greengagering.coordination.workers._agents import Agent
 from greengagering.coordination.workers._agents import AgentPermit
 from greengagering.coordination.workers._agents import AgentRegistry
@@ -56,6 +58,7 @@
     'FleetAnswerTimes',
     'GRANT_INTERVAL_S',
     'IncarnationTable',
+    'JobStarts',
     'LEASE_S',
     'ListedRun',
     'LookAnswer',
@@ -86,6 +89,7 @@
     'bound_poll',
     'counted_cpu',
     'find_paces',
+    'group_starts',
     'handle_pace_answer',
     'is_shared',
 ]
--- a/greengagering/coordination/workers/_agent_messages.py
+++ b/greengagering/coordination/workers/_agent_messages.py
@@ -1,5 +1,7 @@
 """Messages between the leader and the entries that carry its orders."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 
 from greengagering.coordination.workers import _orders
@@ -13,11 +15,27 @@
         boot_id: identifies the current start of the entry's process.
         data_centre: where the entry runs.
         sent_at_s: the entry's own clock, which the leader echoes.
+        reads_job_starts: whether it reads AgentOrders.job_starts, which
+            former versions ignore.
     """
 
     boot_id: str
     data_centre: str
     sent_at_s: float
+    reads_job_starts: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobStarts:
+    """Orders to start runs of one job, whose text is sent once.
+
+    Attributes:
+        text: the job's text.
+        starts: the orders, each with its number, without their text.
+    """
+
+    text: str
+    starts: tuple[tuple[int, _orders.StartOrder], ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +57,7 @@
         looks: polls of workers.
         offer_age_s: time from the receipt of that offer until the orders were
             sent, on the leader's clock, or None if unknown.
+        job_starts: further orders to start a run, by job.
     """
 
     address: str
@@ -52,6 +71,14 @@
     paces: tuple[tuple[int, _orders.PaceOrder], ...] = ()
     looks: tuple[tuple[int, _orders.LookOrder], ...] = ()
     offer_age_s: float | None = None
+    job_starts: tuple[JobStarts, ...] = ()
+
+    def all_starts(self) -> Iterator[tuple[int, _orders.StartOrder]]:
+        """Yield all orders to start a run with their numbers and texts."""
+        yield from self.starts
+        for job in self.job_starts:
+            for number, start in job.starts:
+                yield number, dataclasses.replace(start, text=job.text)
 
     def age_s(self, now_s: float) -> float:
         """Return the most time for which the orders can have been under way.
@@ -86,4 +113,26 @@
     looks: tuple[tuple[int, _orders.LookAnswer], ...] = ()
 
 
+def group_starts(
+    starts: Iterable[tuple[int, _orders.StartOrder]],
+) -> tuple[tuple[tuple[int, _orders.StartOrder], ...], tuple[JobStarts, ...]]:
+    """Take the text out of starts that share it.
+
+    Returns:
+        The starts that share no text, and the others by text.
+    """
+    by_text: dict[str, list[tuple[int, _orders.StartOrder]]] = {}
+    for number, start in starts:
+        by_text.setdefault(start.text, []).append((number, start))
+    single = []
+    grouped = []
+    for text, members in by_text.items():
+        if len(members) == 1:
+            single += members
+            continue
+        bare = tuple((n, dataclasses.replace(s, text='')) for n, s in members)
+        grouped.append(JobStarts(text, bare))
+    return tuple(single), tuple(grouped)
+
+
 AgentMessage = AgentOrders | AgentAnswers
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -219,6 +219,10 @@
         for number, order in batch:
             if order.fence == fence:
                 kinds.setdefault(type(order), []).append((number, order))
+        starts = tuple(kinds.get(coordination.StartOrder, ()))
+        job_starts: tuple[coordination.JobStarts, ...] = ()
+        if agent.offer.reads_job_starts:
+            starts, job_starts = coordination.group_starts(starts)
         return coordination.AgentOrders(
             address=self._address,
             leader_boot_id=self._boot_id,
@@ -227,7 +231,8 @@
             term=fence,
             offered_at_s=agent.offer.sent_at_s,
             permit_s=permit_s,
-            starts=tuple(kinds.get(coordination.StartOrder, ())),
+            starts=starts,
+            job_starts=job_starts,
             stops=tuple(kinds.get(coordination.StopOrder, ())),
             paces=tuple(kinds.get(coordination.PaceOrder, ())),
             looks=tuple(kinds.get(coordination.LookOrder, ())),
--- a/greengagering/transport/_agent_runner.py
+++ b/greengagering/transport/_agent_runner.py
@@ -59,7 +59,7 @@
             self._logged_term = batch.term
             logs.info('agent_serves', leader=batch.address, term=batch.term)
         requester = _Requester(batch.address, batch.leader_boot_id)
-        for number, start in batch.starts:
+        for number, start in batch.all_starts():
             self._begin(requester, number, self._client.start, start)
         for number, stop in batch.stops:
             self._begin(requester, number, self._client.stop, stop)
