A new leader repeats no orders before a burst's first answers

Cause: while no answer times of the fleet are known, orders are repeated after 0.1 s within the budget, as then a missing answer might be lost. In a burst many orders have been sent by then.

As before, lost orders and polls show themselves in the loss meters.

Test: order_storms.feature, "Before the first answers of a burst no order is repeated", failed before with 100 orders sent beside an earlier sending.

--- a/features/order_storms.feature
+++ b/features/order_storms.feature
@@ -16,6 +16,14 @@
     Then no order was sent while an earlier sending was under way
     And every start is confirmed
 
+  # Guards against a new leader that spends its budget before any answer can
+  # be there.
+  Scenario: Before the first answers of a burst no order is repeated
+    Given a fleet of 60 workers that answers after 0.2 s
+    When it carries out 2000 orders a second, and gets 500 starts at once
+    Then no order was sent while an earlier sending was under way
+    And every start is confirmed
+
   # Guards against a fleet with late answers that takes each lost one for a
   # late one.
   Scenario: While answers are late and some are missing, orders are repeated
--- a/features/steps/order_storm_steps.py
+++ b/features/steps/order_storm_steps.py
@@ -223,6 +223,11 @@
     context.fleet.advance(seconds)
 
 
+@given('a fleet of {count:d} workers that answers after {answer_s:g} s')
+def unknown_fleet(context: Any, count: int, answer_s: float) -> None:
+    context.fleet = Fleet(count, answer_s=answer_s)
+
+
 @when(
     'it carries out {rate:d} orders a second, and gets {starts:d} starts at '
     'once'
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -123,6 +123,7 @@
             repeat_s = self._core.repeat_after_s(view, run.sendings, now_s)
             run.sendings += 1
             run.sent_at_s = now_s
+            self._core.fleet_answer_times.note_sent(now_s)
             self._retries[run.key.name] = (now_s + repeat_s, run, view)
 
     def open_start_grant(self, order: StartOrder, now_s: float) -> int:
