--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -4,6 +4,8 @@
 from greengagering.coordination.workers._agent_messages import AgentMessage
 from greengagering.coordination.workers._agent_messages import AgentOffer
 from greengagering.coordination.workers._agent_messages import AgentOrders
+from greengagering.coordination.workers._agent_messages import group_starts
+from greengagering.coordination.workers._agent_messages import JobStarts
 from greengagering.coordination.workers._agents import Agent
 from greengagering.coordination.workers._agents import AgentPermit
 from greengagering.coordination.workers._agents import AgentRegistry
@@ -59,6 +61,7 @@
     'FleetAnswerTimes',
     'GRANT_INTERVAL_S',
     'IncarnationTable',
+    'JobStarts',
     'LATE_START_S',
     'LEASE_S',
     'ListedRun',
@@ -92,6 +95,7 @@
     'bound_poll',
     'counted_cpu',
     'find_paces',
+    'group_starts',
     'handle_pace_answer',
     'is_shared',
 ]
