Keep a pool's machines until its first burst is over

Cause: machines beyond half an even share went to standby before any demand was known, and had to move back, one and a half seconds each, when a queue's first burst had begun.

Change: until a service's first burst is over, or until work has come for the time of the long-term mean without one, its pool keeps the machines that it was given. What it gains in the burst isn't kept.

The scenario failed before: the first pool of the fleet four times as large had 18 of its 32 machines at the first job.

--- a/features/demand_bursts.feature
+++ b/features/demand_bursts.feature
@@ -44,6 +44,13 @@
     Given a random day of 12 s of a fleet four times as large
     Then at least 0.95 of the value of each day is earned in time
 
+  # Guards against pools that are emptied into standby before their first
+  # burst, or at its onset, and start it with a fifth of what it needs.
+  Scenario: A pool keeps the machines that it was given until its first burst
+    Given a random day of a fleet four times as large
+    When its first burst has lasted 0.8 s
+    Then the first pool has had all its machines throughout
+
   Scenario: A full pool is not searched again for each waiting step
     Given a leader whose workers are full and 200 waiting steps
     When it plans once more
--- a/features/steps/demand_burst_steps.py
+++ b/features/steps/demand_burst_steps.py
@@ -128,6 +128,29 @@
     context.days = _simulate_days(pattern, 1)
 
 
+@given('a random day of a fleet four times as large')
+def draw_large_fleet(context: Any) -> None:
+    context.world = demand_world.DemandWorld(demand_world.LARGE_FLEET, seed=1)
+
+
+@when('its first burst has lasted {after_s:g} s')
+def simulate_first_burst(context: Any, after_s: float) -> None:
+    world = context.world
+    shape = world.pattern.queues[0]
+    context.first_sizes = []
+    while world.now_s < demand_world.WARM_UP_S + after_s:
+        world.simulate_until(world.now_s + demand_world.TICK_S)
+        context.first_sizes.append(world.count_machines(shape.name))
+
+
+@then('the first pool has had all its machines throughout')
+def check_first_pool(context: Any) -> None:
+    world = context.world
+    assert min(context.first_sizes) >= world.pattern.machines[0], (
+        world.describe_pools()
+    )
+
+
 @given('a leader whose workers are full and {count:d} waiting steps')
 def fill_workers(context: Any, count: int) -> None:
     pattern = demand_world.four_bursting_queues(day_s=0.0)
--- a/greengagering/coordination/capacity/_pool_plan.py
+++ b/greengagering/coordination/capacity/_pool_plan.py
@@ -91,11 +91,13 @@
         self._term_started_at_s = float('-inf')
         self._logged = ''
         self._idle_since_s: dict[str, float] = {}
+        self._given_sizes: dict[str, int] = {}
 
     def start_term(self, now_s: float) -> None:
         """Forget what an earlier term has observed."""
         self._term_started_at_s = now_s
         self._idle_since_s.clear()
+        self._given_sizes.clear()
 
     def find_moves(
         self,
@@ -209,6 +211,12 @@
                 rooms = rooms[:1]
             pool.needed = MIN_MACHINES
             pool.reserve = max(reserve, MIN_MACHINES)
+            if scheduler.demand.is_unknown(name, now_s):
+                # The operator's size is all that is known of its bursts.
+                if not scheduler.demand.is_bursting(name):
+                    self._given_sizes[name] = len(pool.up)
+                given = self._given_sizes.get(name, 0)
+                pool.reserve = max(pool.reserve, given)
             if scheduler.demand.is_resting(name, now_s):
                 pool.reserve = MIN_MACHINES
             if not rooms:
--- a/greengagering/coordination/scheduling/_demand.py
+++ b/greengagering/coordination/scheduling/_demand.py
@@ -153,6 +153,7 @@
         self._last_burst_s = float('-inf')
         self._burst_interval_s: float | None = None
         self._burst_count = 0
+        self._first_work_s = math.inf
 
     def add_work(
         self,
@@ -163,6 +164,7 @@
         customer: str = '',
     ) -> None:
         """Add the work of a submitted job."""
+        self._first_work_s = min(self._first_work_s, now_s)
         load = self._loads.setdefault(service, _Load(at_s=now_s))
         _decay(load, now_s)
         for rate in load.rates:
@@ -270,6 +272,22 @@
         other_bursts = max(len(self._loads) - 1, 1)
         return now_s < load.burst_at_s + other_bursts * interval_s
 
+    def is_unknown(self, service: str, now_s: float) -> bool:
+        """Tell whether a service's first burst isn't over yet or may come.
+
+        A service that has not burst within MEAN_WINDOW_S from the first work
+        isn't expected to, unless next_bursts names it.
+        """
+        if now_s >= self._first_work_s + MEAN_WINDOW_S:
+            return False
+        load = self._loads.get(service)
+        return load is None or load.is_bursting or load.burst_at_s == -math.inf
+
+    def is_bursting(self, service: str) -> bool:
+        """Tell whether a service's burst has been seen to begin."""
+        load = self._loads.get(service)
+        return load is not None and load.is_bursting
+
     def _detect_burst(self, service: str, load: _Load, now_s: float) -> None:
         _end_burst(load)
         recent = load.recent
