Take the size of a burst's jobs from more than its onset

Callers saw: the burst after a large onset late, as its pool's machines had been taken for the burst before it.

Cause: the onset's rate is that of 0.4 s.

Change: the onset gives the number of jobs, and the work of two seconds their size.

--- a/features/demand_bursts.feature
+++ b/features/demand_bursts.feature
@@ -57,6 +57,13 @@
     When its first burst has lasted 8.9 s
     Then the other pools' sizes differ by no more than 8 machines
 
+  # Guards against a burst's onset that, as its first jobs happen to be large,
+  # takes several times the machines that the burst needs from other pools.
+  Scenario: A few large jobs at a burst's onset aren't taken for its size
+    Given a queue with 20 jobs a second of 10 core-seconds each
+    When the jobs of 0.4 s come with 50 core-seconds each
+    Then its new work keeps no more than 500 cores in use
+
   Scenario: A full pool is not searched again for each waiting step
     Given a leader whose workers are full and 200 waiting steps
     When it plans once more
--- a/features/steps/demand_burst_steps.py
+++ b/features/steps/demand_burst_steps.py
@@ -343,3 +343,28 @@
 ) -> None:
     check_expected(context, first, name)
     check_expected(context, second, other)
+
+
+@given('a queue with {per_s:d} jobs a second of {core_s:g} core-seconds each')
+def submit_steadily(context: Any, per_s: int, core_s: float) -> None:
+    context.tracker = _demand.DemandTracker()
+    context.per_s = per_s
+    context.now_s = 0.0
+    _add_jobs(context, 10.0, core_s)
+
+
+@when('the jobs of {length_s:g} s come with {core_s:g} core-seconds each')
+def submit_large(context: Any, length_s: float, core_s: float) -> None:
+    _add_jobs(context, length_s, core_s)
+
+
+@then('its new work keeps no more than {cores:d} cores in use')
+def check_rate(context: Any, cores: int) -> None:
+    rate = context.tracker.rate('alpha', context.now_s)
+    assert rate[0] <= cores, rate
+
+
+def _add_jobs(context: Any, length_s: float, core_s: float) -> None:
+    for _ in range(round(length_s * context.per_s)):
+        context.now_s += 1 / context.per_s
+        context.tracker.add_work('alpha', core_s, 100.0, context.now_s)
--- a/greengagering/coordination/scheduling/_demand.py
+++ b/greengagering/coordination/scheduling/_demand.py
@@ -217,7 +217,14 @@
         )
         if load.onset.jobs < MIN_ONSET_JOBS:
             return recent
-        return max(recent[0], onset[0]), max(recent[1], onset[1])
+        # A few large jobs at the onset don't show that all will be so large.
+        ratio = (load.onset.jobs * RATE_WINDOW_S) / (
+            load.recent.jobs * ONSET_WINDOW_S
+        )
+        return (
+            max(recent[0], min(onset[0], recent[0] * ratio)),
+            max(recent[1], min(onset[1], recent[1] * ratio)),
+        )
 
     def next_bursts(self) -> tuple[list[str], float] | None:
         """Return which services may burst next and when, or None.
