--- a/features/demand_bursts.feature
+++ b/features/demand_bursts.feature
@@ -44,6 +44,26 @@
     Given a random day of 12 s of a fleet four times as large
     Then at least 0.95 of the value of each day is earned in time
 
+  # Guards against pools that are emptied into standby before their first
+  # burst, or at its onset, and start it with a fifth of what it needs.
+  Scenario: A pool keeps the machines that it was given until its first burst
+    Given a random day of a fleet four times as large
+    When its first burst has lasted 0.8 s
+    Then the first pool has had all its machines throughout
+
+  # Guards against a first burst that takes the next pool's machines only.
+  Scenario: A short pool takes machines from the largest reserves
+    Given a random day of a fleet four times as large
+    When its first burst has lasted 8.9 s
+    Then the other pools' sizes differ by no more than 8 machines
+
+  # Guards against a burst's onset that, as its first jobs happen to be large,
+  # takes several times the machines that the burst needs from other pools.
+  Scenario: A few large jobs at a burst's onset aren't taken for its size
+    Given a queue with 20 jobs a second of 10 core-seconds each
+    When the jobs of 0.4 s come with 50 core-seconds each
+    Then its new work keeps no more than 500 cores in use
+
   Scenario: A full pool is not searched again for each waiting step
     Given a leader whose workers are full and 200 waiting steps
     When it plans once more
--- a/features/steps/demand_burst_steps.py
+++ b/features/steps/demand_burst_steps.py
@@ -128,6 +128,36 @@
     context.days = _simulate_days(pattern, 1)
 
 
+@given('a random day of a fleet four times as large')
+def draw_large_fleet(context: Any) -> None:
+    context.world = demand_world.DemandWorld(demand_world.LARGE_FLEET, seed=1)
+
+
+@when('its first burst has lasted {after_s:g} s')
+def simulate_first_burst(context: Any, after_s: float) -> None:
+    world = context.world
+    shape = world.pattern.queues[0]
+    context.first_sizes = []
+    while world.now_s < demand_world.WARM_UP_S + after_s:
+        world.simulate_until(world.now_s + demand_world.TICK_S)
+        context.first_sizes.append(world.count_machines(shape.name))
+
+
+@then('the first pool has had all its machines throughout')
+def check_first_pool(context: Any) -> None:
+    world = context.world
+    assert min(context.first_sizes) >= world.pattern.machines[0], (
+        world.describe_pools()
+    )
+
+
+@then("the other pools' sizes differ by no more than {count:d} machines")
+def check_spread(context: Any, count: int) -> None:
+    world = context.world
+    sizes = [world.count_machines(q.name) for q in world.pattern.queues[1:]]
+    assert max(sizes) - min(sizes) <= count, world.describe_pools()
+
+
 @given('a leader whose workers are full and {count:d} waiting steps')
 def fill_workers(context: Any, count: int) -> None:
     pattern = demand_world.four_bursting_queues(day_s=0.0)
@@ -313,3 +343,28 @@
 ) -> None:
     check_expected(context, first, name)
     check_expected(context, second, other)
+
+
+@given('a queue with {per_s:d} jobs a second of {core_s:g} core-seconds each')
+def submit_steadily(context: Any, per_s: int, core_s: float) -> None:
+    context.tracker = _demand.DemandTracker()
+    context.per_s = per_s
+    context.now_s = 0.0
+    _add_jobs(context, 10.0, core_s)
+
+
+@when('the jobs of {length_s:g} s come with {core_s:g} core-seconds each')
+def submit_large(context: Any, length_s: float, core_s: float) -> None:
+    _add_jobs(context, length_s, core_s)
+
+
+@then('its new work keeps no more than {cores:d} cores in use')
+def check_rate(context: Any, cores: int) -> None:
+    rate = context.tracker.rate('alpha', context.now_s)
+    assert rate[0] <= cores, rate
+
+
+def _add_jobs(context: Any, length_s: float, core_s: float) -> None:
+    for _ in range(round(length_s * context.per_s)):
+        context.now_s += 1 / context.per_s
+        context.tracker.add_work('alpha', core_s, 100.0, context.now_s)
--- a/greengagering/coordination/capacity/_pool_plan.py
+++ b/greengagering/coordination/capacity/_pool_plan.py
@@ -91,11 +91,13 @@
         self._term_started_at_s = float('-inf')
         self._logged = ''
         self._idle_since_s: dict[str, float] = {}
+        self._given_sizes: dict[str, int] = {}
 
     def start_term(self, now_s: float) -> None:
         """Forget what an earlier term has observed."""
         self._term_started_at_s = now_s
         self._idle_since_s.clear()
+        self._given_sizes.clear()
 
     def find_moves(
         self,
@@ -209,6 +211,12 @@
                 rooms = rooms[:1]
             pool.needed = MIN_MACHINES
             pool.reserve = max(reserve, MIN_MACHINES)
+            if scheduler.demand.is_unknown(name, now_s):
+                # The operator's size is all that is known of its bursts.
+                if not scheduler.demand.is_bursting(name):
+                    self._given_sizes[name] = len(pool.up)
+                given = self._given_sizes.get(name, 0)
+                pool.reserve = max(pool.reserve, given)
             if scheduler.demand.is_resting(name, now_s):
                 pool.reserve = MIN_MACHINES
             if not rooms:
@@ -305,7 +313,7 @@
             and busy ones, those with the fewest runs first.
         """
         excess_machines: list[machines.Machine] = []
-        reserves: list[machines.Machine] = []
+        reserves: list[tuple[int, machines.Machine]] = []
         busy: list[tuple[int, machines.Machine]] = []
         for name, pool in pools.items():
             surplus = len(pool.up) - max(pool.needed, MIN_MACHINES)
@@ -322,10 +330,17 @@
             idle = [m for count, m in movable[:surplus] if not count]
             excess = max(len(pool.up) - pool.kept, 0)
             excess_machines += idle[:excess]
-            reserves += idle[excess:]
+            rest = idle[excess:]
+            reserves += zip(range(len(rest), 0, -1), rest, strict=True)
             busy += [item for item in movable[:surplus] if item[0]]
         busy.sort(key=lambda item: item[0])
-        return excess_machines, reserves, [machine for _, machine in busy]
+        # The largest reserve first, so that what is left is spread evenly.
+        reserves.sort(key=lambda item: -item[0])
+        return (
+            excess_machines,
+            [machine for _, machine in reserves],
+            [machine for _, machine in busy],
+        )
 
     def _return_idle(
         self, pools: dict[str, _Pool], standby: list[str], now_s: float
