Rank the candidates of a step without what is not placed yet

Evidence: in a profile of the scheduling code (benchmarks/job_decisions.py's workers, 272 of them, 24 starts a step, 60 steps) the assignment is 0.95 of the step; 0.33 of it is the sorting of a step's candidates by _rank, and 0.21 the search for workers that it fits, both for each step that waits.

Change: before anything is placed only the doubts, the data rack and the free processor share tell the candidates apart, so these alone are compared; the needs of the step are read once for all workers.

--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -51,10 +51,15 @@
     step = work.step
     labelled = _labelled(workers, step)
     has_healthy = any(not worker.is_failing for worker in labelled)
+    # Not WorkerView.fits: this runs for each usable worker and waiting step.
+    cpu, memory = counted_cpu(step), step.room.memory_mb
+    gpu = step.room.gpu_count
     candidates = [
         worker
         for worker in labelled
-        if worker.fits(step)
+        if cpu <= worker.free_cpu
+        and memory <= worker.free_memory
+        and gpu <= worker.free_gpu
         and (
             not (has_healthy and worker.is_failing) or worker.may_probe(now_s)
         )
@@ -202,7 +207,7 @@
             # The worker with the least room is the best, so one that was
             # chosen stays the best until it is full.
             self._by_rank = sorted(
-                workers, key=lambda w: self._rank(w, False), reverse=True
+                workers, key=self._rank_unplaced, reverse=True
             )
 
     def choose(self, index: int) -> WorkerView | None:
@@ -274,6 +279,15 @@
             rack_rank = -self._rack_counts.get(rack, 0)
         return (is_avoided, doubt_count, is_off_data_rack, rack_rank, room)
 
+    def _rank_unplaced(self, worker: WorkerView) -> tuple[float, ...]:
+        """Return what differs in _rank while nothing is placed."""
+        data_rack = self._step.data_rack
+        return (
+            worker.failure_streak + (worker.slowness >= SLOW_RATIO),
+            bool(data_rack) and worker.facts.rack != data_rack,
+            worker.free_cpu,
+        )
+
     def _hosts_lasting(self, worker: WorkerView) -> bool:
         if self._placed_counts.get(worker.key):
             return True
