Count the leases that late orders to former processes may grant

What callers may see: a task runs twice (TWICE).

Cause: a start or a poll without an answer names the worker and carries the end of a lease on the former process's clock. The next process under the name takes up to 10 s from it, for 13.5 s after the sending, also from a start that it refuses. The leader counted that only for orders that came before it first read the process's lists.

Change: polls that grant a lease are kept by worker like starts. A process that is new under the name is assumed to hold a lease until 10 s after the last of them may come. A poll whose connection is refused was not received.

A worker that restarts and is lost again within that time keeps its runs longer.

--- /dev/null
+++ b/features/late_leases.feature
@@ -0,0 +1,17 @@
+Feature: A worker's lease counts what orders to its former processes may still grant
+
+  # Guards against a task that runs twice: a start that was meant for a former process comes late, and extends the lease of a later one, which is cut off then and taken for over too early.
+  Scenario: A worker that is cut off isn't over before the lease has ended that a late start may have granted
+    Given a worker of which a start at 0.1 s gets no answer
+    When the worker restarts, and reports at 1.0 s
+    And the worker works on until 10.0 s
+    And a late order extends its lease by 10 s, and it is cut off
+    Then it isn't over before that lease has ended
+
+  # Guards against the same for a poll, which grants a lease too.
+  Scenario: A worker that is cut off isn't over before the lease has ended that a late poll may have granted
+    Given a worker of which a poll at 1.4 s that grants a lease gets no answer
+    When the worker restarts, and reports at 2.0 s
+    And the worker works on until 11.0 s
+    And a late order extends its lease by 10 s, and it is cut off
+    Then it isn't over before that lease has ended
--- /dev/null
+++ b/features/steps/late_lease_steps.py
@@ -0,0 +1,84 @@
+"""Steps about leases that orders to former processes of a worker extend."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import late_poll_steps
+from features.steps import unanswered_order_steps
+from greengagering import coordination
+from greengagering.coordination.workers import _worker_view
+from greengagering import state
+
+TIMEOUT_S = unanswered_order_steps.ORDER_TIMEOUT_S
+
+_outcomes = coordination.OrderOutcome
+
+
+@given('a worker of which a start at {now_s:g} s gets no answer')
+def leave_start(context: Any, now_s: float) -> None:
+    context.worker = worker = unanswered_order_steps.OrderedWorker(1)
+    context.late_until_s = now_s + _worker_view.MAX_ORDER_DELAY_S
+    worker.step(now_s)
+    worker.answer(0, now_s + TIMEOUT_S, _outcomes.NO_ANSWER)
+
+
+@given(
+    'a worker of which a poll at {now_s:g} s that grants a lease gets no '
+    'answer'
+)
+def leave_grant(context: Any, now_s: float) -> None:
+    context.worker = worker = unanswered_order_steps.OrderedWorker(1)
+    context.late_until_s = now_s + _worker_view.MAX_ORDER_DELAY_S
+    worker.step(0.1)
+    worker.answer(0, 0.12)
+    poll = worker.scheduler.next_poll(worker.facts.key, now_s)
+    assert poll is not None
+    assert poll.until_ms, poll
+    grant = worker.scheduler.open_poll_grant(poll, now_s)
+    no_answer = coordination.LookAnswer(_outcomes.NO_ANSWER)
+    worker.scheduler.handle_poll_answer(
+        poll, grant, no_answer, now_s, now_s + TIMEOUT_S
+    )
+
+
+@when('a late order extends its lease by 10 s, and it is cut off')
+def cut_off(context: Any) -> None:
+    """Leave everything unanswered from the next grant on that is answered."""
+    worker = context.worker
+    key = worker.restarted.key
+    granted_at_s = worker.scheduler.workers[key].granted_at_s
+    while worker.scheduler.workers[key].granted_at_s == granted_at_s:
+        late_poll_steps.work(context, worker.now_s + late_poll_steps.STEP_S)
+    context.cut_at_s = worker.now_s
+    assert worker.now_s < context.late_until_s, worker.now_s
+    assert worker.scheduler.workers[key].runs
+    context.over_at_s = None
+    while context.over_at_s is None:
+        worker.step(round(worker.now_s + 0.1, 3))
+        now_s = worker.now_s
+        for record in worker.records:
+            if isinstance(record, state.LifeOver) and record.life_key == key:
+                context.over_at_s = now_s
+        poll = worker.scheduler.next_poll(key, now_s)
+        if poll is not None:
+            grant = worker.scheduler.open_poll_grant(poll, now_s)
+            no_answer = coordination.LookAnswer(_outcomes.NO_ANSWER)
+            worker.scheduler.handle_poll_answer(
+                poll, grant, no_answer, now_s, now_s + 0.1
+            )
+        assert now_s < 60, 'it is never over'
+
+
+@then("it isn't over before that lease has ended")
+def check_over(context: Any) -> None:
+    ran_s = context.over_at_s - context.cut_at_s
+    assert ran_s >= _worker_view.MAX_LEASE_S, ran_s
+
+
+@when('the worker works on until {until_s:g} s')
+def work_on(context: Any, until_s: float) -> None:
+    context.process = late_poll_steps.LaterProcess(context.worker.restarted)
+    late_poll_steps.work(context, until_s)
--- a/features/steps/late_poll_steps.py
+++ b/features/steps/late_poll_steps.py
@@ -132,14 +132,16 @@
         clock_ms = int((now_s - 1) * 1000)
         taken = len(worker.starts)
         worker.step(now_s)
-        orders = [*worker.starts[taken:], *worker.stops]
+        for number, start in enumerate(worker.starts[taken:], taken):
+            if start.life == process.facts:
+                outcome = process.carry_out(start)
+                worker.answer(number, now_s, outcome, clock_ms)
+        for stop in worker.stops:
+            if stop.life == process.facts:
+                outcome = process.carry_out(stop)
+                answer = coordination.OrderAnswer(outcome, clock_ms)
+                scheduler.handle_order_answer(stop, 0, answer, now_s, now_s)
         worker.stops.clear()
-        for order in orders:
-            if order.life == process.facts:
-                answer = coordination.OrderAnswer(
-                    process.carry_out(order), clock_ms
-                )
-                scheduler.handle_order_answer(order, 0, answer, now_s, now_s)
         poll = scheduler.next_poll(process.facts.key, now_s)
         if poll is not None:
             grant = scheduler.open_poll_grant(poll, now_s)
--- a/features/steps/unanswered_order_steps.py
+++ b/features/steps/unanswered_order_steps.py
@@ -88,10 +88,10 @@
         number: int,
         now_s: float,
         outcome: coordination.OrderOutcome = _outcomes.DONE,
+        clock_ms: int | None = None,
     ) -> None:
         """Let the scheduler handle the answer to a start."""
-        clock_ms = None
-        if outcome is not _outcomes.NO_ANSWER:
+        if clock_ms is None and outcome is not _outcomes.NO_ANSWER:
             clock_ms = CLOCK_MS + int(now_s * 1000)
         answer = coordination.OrderAnswer(outcome, clock_ms)
         self.scheduler.handle_order_answer(
--- a/greengagering/coordination/scheduling/_late_starts.py
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -92,7 +92,13 @@
         It gets no run before it has confirmed that. Runs that an earlier
         incarnation still has are refused as well: they are lost with it.
         """
-        late = self._core.sent_starts.find(view.facts.worker_id, now_s)
+        worker_id = view.facts.worker_id
+        for sent in (self._core.sent_starts, self._core.sent_grants):
+            until_s = sent.last_until_s(worker_id, now_s)
+            if until_s is not None:
+                # A refused start extends the lease as well.
+                view.raise_lease_end(until_s)
+        late = self._core.sent_starts.find(worker_id, now_s)
         if not late:
             return
         for order in late:
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -15,12 +15,14 @@
 from greengagering.coordination.scheduling._shares import JobRates
 from greengagering.coordination.workers import FleetAnswerTimes
 from greengagering.coordination.workers import IncarnationTable
+from greengagering.coordination.workers import LookOrder
 from greengagering.coordination.workers import LossMeter
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import RecentItems
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
-from greengagering.coordination.workers import SentStarts
+from greengagering.coordination.workers import SentOrders
+from greengagering.coordination.workers import StartOrder
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
 from greengagering import state
@@ -106,6 +108,7 @@
             LifeOver.
         stop_counts: runs ordered to stop, by cause.
         sent_starts: starts that may still be carried out.
+        sent_grants: polls that may still be carried out and grant a lease.
         ended_lives: cause and time of the end of the incarnations that this
             leader declared over last.
         removed_runs: how the runs that left a view last did so, by run name.
@@ -138,7 +141,8 @@
         self.logged_once: set[str] = set()
         self.lost_run_counts: dict[str, int] = {}
         self.stop_counts: dict[str, int] = {}
-        self.sent_starts = SentStarts()
+        self.sent_starts: SentOrders[StartOrder] = SentOrders()
+        self.sent_grants: SentOrders[LookOrder] = SentOrders()
         self.ended_lives: RecentItems[tuple[str, float]] = RecentItems()
         self.removed_runs: RecentItems[str] = RecentItems()
         self.is_plan_due = False
@@ -166,6 +170,7 @@
         self.logged_once.clear()
         # What this term sent is refused under a later one's fence.
         self.sent_starts.clear()
+        self.sent_grants.clear()
         self.ended_lives.clear()
         self.removed_runs.clear()
 
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -165,6 +165,8 @@
 
     def open_poll_grant(self, order: LookOrder, now_s: float) -> int:
         """Register a poll about to be sent; return its grant's number or 0."""
+        if order.until_ms:
+            self._core.sent_grants.note(order, now_s)
         view = self._core.workers.get(order.life.key)
         if view is None:
             return 0
@@ -193,6 +195,8 @@
             sent_at_s: when the poll was sent, on the leader's clock.
             now_s: the leader's clock.
         """
+        if answer.outcome is not OrderOutcome.NO_ANSWER or answer.is_refused:
+            self._core.sent_grants.close(order)
         view = self._core.workers.get(order.life.key)
         if view is None or order.fence != self._core.fence:
             return
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -29,7 +29,7 @@
 from greengagering.coordination.workers._run_view import RunPhase
 from greengagering.coordination.workers._run_view import RunView
 from greengagering.coordination.workers._sent_starts import LATE_START_S
-from greengagering.coordination.workers._sent_starts import SentStarts
+from greengagering.coordination.workers._sent_starts import SentOrders
 from greengagering.coordination.workers._sharing import find_paces
 from greengagering.coordination.workers._sharing import handle_pace_answer
 from greengagering.coordination.workers._sharing import is_shared
@@ -82,7 +82,7 @@
     'SETTLED_S',
     'SILENCE_S',
     'SLOW_RATIO',
-    'SentStarts',
+    'SentOrders',
     'StartOrder',
     'StopOrder',
     'WaitCause',
