--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -94,7 +94,6 @@
         proposals: records to propose.
         decisions: decisions to log.
         poll_losses: share of polls whose answers were lost lately.
-        order_losses: share of orders that were left without an answer lately.
         fleet_answer_times: how long workers took to answer orders lately.
         poll_candidates: keys of incarnations whose next poll may be due now.
         pending_voids: workers of runs whose RunsVoided record is proposed
@@ -133,7 +132,6 @@
         self.proposals: list[state.JobRecord] = []
         self.decisions: list[Decision] = []
         self.poll_losses = LossMeter()
-        self.order_losses = LossMeter()
         self.fleet_answer_times = FleetAnswerTimes()
         self.poll_candidates: set[str] = set()
         self.pending_voids: dict[str, WorkerView] = {}
@@ -162,7 +160,6 @@
         self.job_rates = JobRates()
         self.admission = Admission()
         self.poll_losses = LossMeter()
-        self.order_losses = LossMeter()
         self.fleet_answer_times = FleetAnswerTimes()
         self.orders.clear()
         self.proposals.clear()
@@ -280,17 +277,6 @@
             now_s
         )
 
-    def are_orders_late(self, view: WorkerView, now_s: float) -> bool:
-        """Tell whether a missing answer of a worker is late and not lost.
-
-        The fleet's answers are late then, and hardly any is missing.
-        """
-        return (
-            self.fleet_answer_times.are_late(now_s)
-            and not self.order_losses.is_lossy(now_s)
-            and not self.expects_losses(view, now_s)
-        )
-
     def repeat_after_s(
         self, view: WorkerView, doublings: int, now_s: float
     ) -> float:
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -126,7 +126,6 @@
             repeat_s = self._core.repeat_after_s(view, run.sendings, now_s)
             run.sendings += 1
             run.sent_at_s = now_s
-            self._core.fleet_answer_times.note_sent(now_s)
             self._retries[run.key.name] = (now_s + repeat_s, run, view)
 
     def open_start_grant(self, order: StartOrder, now_s: float) -> int:
@@ -168,9 +167,10 @@
             view.withdraw_grant(grant)
             self.handle_unsent_order(order, now_s)
             return
-        is_lost = answer.outcome is OrderOutcome.NO_ANSWER
-        self._core.order_losses.note(int(is_lost), now_s)
-        if sent_at_s is not None and not is_lost:
+        if (
+            sent_at_s is not None
+            and answer.outcome is not OrderOutcome.NO_ANSWER
+        ):
             view.answer_times.add(now_s - sent_at_s)
             self._core.fleet_answer_times.add(now_s - sent_at_s, now_s)
         self._handle_answer(view, order, grant, answer, now_s)
@@ -412,10 +412,8 @@
                 self._waits.note_suspect(run, now_s)
                 self._schedule_retry(view, run, now_s)
                 continue
-            if not self._may_repeat(view, run, now_s):
-                due_s = now_s + HOLD_S
-                if now_s < run.sent_at_s + MAX_REPEAT_S:
-                    due_s = min(due_s, run.sent_at_s + MAX_REPEAT_S)
+            if not self._may_repeat(run, now_s):
+                due_s = min(now_s + HOLD_S, run.sent_at_s + MAX_REPEAT_S)
                 self._retries[key] = (due_s, run, view)
                 continue
             try:
@@ -424,23 +422,14 @@
                 self._schedule_retry(view, run, now_s)
                 raise
 
-    def _may_repeat(
-        self, view: WorkerView, run: RunView, now_s: float
-    ) -> bool:
+    def _may_repeat(self, run: RunView, now_s: float) -> bool:
         """Tell whether a run's order may be sent again.
 
-        Under a load that delays answers, repetitions add to it. So while
-        answers are late and none is missing, an order that may still be
-        answered isn't repeated; while some are missing, that takes of the
-        budget. If all other answers come soon, the missing one is lost.
+        While an earlier sending may still be answered, that takes of the
+        budget: under a load that delays answers, repetitions add to it. If
+        all other answers come soon, the missing one is lost and not late.
         """
-        is_overdue = now_s >= run.sent_at_s + MAX_REPEAT_S
-        if self._core.are_orders_late(view, now_s):
-            if is_overdue and not run.starts_under_way:
-                return True
-            self._times.held_back += 1
-            return False
-        if is_overdue:
+        if now_s >= run.sent_at_s + MAX_REPEAT_S:
             return True
         if self._core.fleet_answer_times.are_soon(now_s):
             return True
--- a/greengagering/coordination/workers/_answer_times.py
+++ b/greengagering/coordination/workers/_answer_times.py
@@ -31,12 +31,6 @@
 """Answers within FLEET_MEMORY_S below which they say nothing of the fleet."""
 
 
-MIN_FLEET_SENDINGS = 20.0
-"""Sendings within FLEET_MEMORY_S from which fewer answers than
-MIN_FLEET_ANSWERS mean that answers are late; else most would have to be
-lost."""
-
-
 class AnswerTimes:
     """Smoothed answer time of one worker, with its variation.
 
@@ -92,17 +86,10 @@
         self._sum_s = 0.0
         self._square_sum = 0.0
         self._noted_at_s = 0.0
-        self._sent = 0.0
-        self._sent_at_s = 0.0
-
-    def note_sent(self, now_s: float) -> None:
-        """Add an order that is about to be sent."""
-        self._sent = self._sent * _decay(now_s - self._sent_at_s) + 1
-        self._sent_at_s = now_s
 
     def add(self, answer_s: float, now_s: float) -> None:
         """Add the time from an order to its answer."""
-        factor = _decay(now_s - self._noted_at_s)
+        factor = self._decay(now_s)
         self._count = self._count * factor + 1
         self._sum_s = self._sum_s * factor + answer_s
         self._square_sum = self._square_sum * factor + answer_s**2
@@ -123,18 +110,9 @@
         """Tell whether orders are known to be answered soon, if at all."""
         return self._is_known(now_s) and self.expected_s(now_s) <= MIN_REPEAT_S
 
-    def are_late(self, now_s: float) -> bool:
-        """Tell whether orders are known to be answered later than usual."""
-        if self._is_known(now_s):
-            return not self.are_soon(now_s)
-        sent = self._sent * _decay(now_s - self._sent_at_s)
-        return sent >= MIN_FLEET_SENDINGS
-
     def _is_known(self, now_s: float) -> bool:
-        count = self._count * _decay(now_s - self._noted_at_s)
-        return count >= MIN_FLEET_ANSWERS
-
+        return self._count * self._decay(now_s) >= MIN_FLEET_ANSWERS
 
-def _decay(age_s: float) -> float:
-    """Return the weight of what was noted some time ago."""
-    return math.exp(-max(age_s, 0.0) / FLEET_MEMORY_S)
+    def _decay(self, now_s: float) -> float:
+        age_s = max(now_s - self._noted_at_s, 0.0)
+        return math.exp(-age_s / FLEET_MEMORY_S)
--- a/greengagering/coordination/workers/_open_polls.py
+++ b/greengagering/coordination/workers/_open_polls.py
@@ -155,7 +155,7 @@
 
 
 class LossMeter:
-    """The share of lost answers lately, of orders or polls of the fleet."""
+    """The share of polls of the whole fleet whose answers were lost lately."""
 
     def __init__(self) -> None:
         self._lost = 0.0
@@ -163,7 +163,7 @@
         self._noted_at_s = 0.0
 
     def note(self, lost: int, now_s: float) -> None:
-        """Add a sending that is over, and how many lost ones it reveals."""
+        """Add an answered poll, and the lost ones that it reveals."""
         age_s = max(now_s - self._noted_at_s, 0.0)
         factor = math.exp(-age_s / LOSS_MEMORY_S)
         self._lost = self._lost * factor + lost
