--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -14,11 +14,11 @@
 from greengagering.coordination.workers import find_paces
 from greengagering.coordination.workers import GRANT_INTERVAL_S
 from greengagering.coordination.workers import is_shared
-from greengagering.coordination.workers import LATE_START_S
 from greengagering.coordination.workers import LEASE_S
 from greengagering.coordination.workers import ListedRun
 from greengagering.coordination.workers import LookAnswer
 from greengagering.coordination.workers import LookOrder
+from greengagering.coordination.workers import MAX_ORDER_AGE_S
 from greengagering.coordination.workers import OrderOutcome
 from greengagering.coordination.workers import POLL_WAIT_S
 from greengagering.coordination.workers import RunPhase
@@ -115,7 +115,7 @@
         """
         if view.has_fence:
             return None
-        if now_s >= self._core.leading_since_s + LATE_START_S:
+        if now_s >= self._core.leading_since_s + MAX_ORDER_AGE_S:
             return None
         if not view.polls.may_send(now_s, is_long=False):
             return None
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -30,8 +30,8 @@
 from greengagering.coordination.workers._run_view import RunObserver
 from greengagering.coordination.workers._run_view import RunPhase
 from greengagering.coordination.workers._run_view import RunView
-from greengagering.coordination.workers._sent_starts import LATE_START_S
-from greengagering.coordination.workers._sent_starts import SentOrders
+from greengagering.coordination.workers._sent_orders import MAX_ORDER_AGE_S
+from greengagering.coordination.workers._sent_orders import SentOrders
 from greengagering.coordination.workers._sharing import find_paces
 from greengagering.coordination.workers._sharing import handle_pace_answer
 from greengagering.coordination.workers._sharing import is_shared
@@ -62,13 +62,13 @@
     'GRANT_INTERVAL_S',
     'IncarnationTable',
     'JobStarts',
-    'LATE_START_S',
     'LEASE_S',
     'ListedRun',
     'LookAnswer',
     'LookOrder',
     'LossMeter',
     'MAX_LEASE_S',
+    'MAX_ORDER_AGE_S',
     'MAX_REPEAT_S',
     'Order',
     'OrderAnswer',
--- a/greengagering/coordination/workers/_sent_starts.py
+++ b/greengagering/coordination/workers/_sent_orders.py
@@ -8,7 +8,7 @@
 from greengagering.coordination.workers._worker_view import MAX_ORDER_DELAY_S
 from greengagering.coordination.workers._worker_view import MAX_SEND_DELAY_S
 
-LATE_START_S = MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
+MAX_ORDER_AGE_S = MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
 """Longest time from the decision to send an order until it is carried out."""
 
 Sent = TypeVar('Sent', bound=StartOrder | LookOrder)
@@ -19,7 +19,8 @@
 
     Orders name the worker, so whichever process has its name carries them
     out. A sending therefore belongs to no incarnation and to no run of the
-    leader's views: it counts until it is answered, or LATE_START_S are over.
+    leader's views: it counts until it is answered, or MAX_ORDER_AGE_S has
+    passed.
     Noting and closing one takes the same time however many there are.
     """
 
@@ -41,7 +42,7 @@
     def note(self, order: Sent, now_s: float) -> None:
         """Note a sending, or that it is sent later than noted before."""
         number = id(order)
-        self._open[number] = (now_s + LATE_START_S, order)
+        self._open[number] = (now_s + MAX_ORDER_AGE_S, order)
         self._open.move_to_end(number)
         sent = self._by_worker.setdefault(order.life.worker_id, {})
         sent[number] = order
