Take a worker's rank and a run's phase from one place each

The ranking of unplaced candidates repeated three terms of _rank, which now takes them from it. That a run is stopping or stopped was spelt out twice; RunView tells it.

--- a/greengagering/coordination/scheduling/_late_starts.py
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -5,13 +5,10 @@
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import OrderOutcome
-from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import StartOrder
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
 
-_STOPPED = (RunPhase.STOPPING, RunPhase.STOPPED)
-
 
 class LateStartGuard:
     """Notes what is sent, and has processes that are new here refuse it.
@@ -46,7 +43,7 @@
         run = view.runs.get(order.key.name) if view is not None else None
         if view is not None and run is not None:
             is_ending = view.is_over or bool(view.successor)
-            if not (is_ending or run.phase in _STOPPED):
+            if not (is_ending or run.is_stopping):
                 return False
             run.starts_under_way -= 1
         self._core.log_decision(
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -229,7 +229,7 @@
         self, view: WorkerView, run: RunView, now_s: float, cause: StopCause
     ) -> None:
         """Order a run to stop, unless that was ordered already."""
-        if run.phase in (RunPhase.STOPPING, RunPhase.STOPPED):
+        if run.is_stopping:
             return
         self.stop_counts[cause] = self.stop_counts.get(cause, 0) + 1
         self.log_decision(
--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -256,12 +256,10 @@
         left, which keeps large free rooms for large tasks.
         """
         step = self._step
-        doubt_count = worker.failure_streak + (worker.slowness >= SLOW_RATIO)
+        doubt_count, is_off_data_rack, room = self._rank_unplaced(worker)
         rack = worker.facts.rack
-        is_off_data_rack = bool(step.data_rack) and rack != step.data_rack
-        room = (
-            worker.free_cpu
-            - step.room.cpu_millicores * self._placed_counts.get(worker.key, 0)
+        room -= step.room.cpu_millicores * self._placed_counts.get(
+            worker.key, 0
         )
         if step.is_lasting:
             return (
@@ -279,8 +277,11 @@
             rack_rank = -self._rack_counts.get(rack, 0)
         return (is_avoided, doubt_count, is_off_data_rack, rack_rank, room)
 
-    def _rank_unplaced(self, worker: WorkerView) -> tuple[float, ...]:
-        """Return what differs in _rank while nothing is placed."""
+    def _rank_unplaced(self, worker: WorkerView) -> tuple[int, bool, int]:
+        """Return what differs in _rank while nothing is placed.
+
+        These are doubts, whether it is off the data's rack, and free room.
+        """
         data_rack = self._step.data_rack
         return (
             worker.failure_streak + (worker.slowness >= SLOW_RATIO),
--- a/greengagering/coordination/workers/_run_view.py
+++ b/greengagering/coordination/workers/_run_view.py
@@ -81,6 +81,11 @@
     room_waits: WaitTimes | None = None
     waits: WaitTimes = dataclasses.field(default_factory=WaitTimes)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether it is ordered to stop, stopped, refused or to be voided."""
+        return self.phase in (RunPhase.STOPPING, RunPhase.STOPPED)
+
     @property
     def is_start_open(self) -> bool:
         """Whether an order to start it may still be carried out.
