--- a/features/search/run.py
+++ b/features/search/run.py
@@ -1,10 +1,12 @@
 """Runs many schedules of a fault search in several processes."""
 
+from collections.abc import Callable
 import concurrent.futures
 import dataclasses
+import functools
 import sys
 import traceback
-from typing import Any
+from typing import Any, TypeVar
 
 import fire
 
@@ -19,6 +21,8 @@
 
 PROCESSES = 4
 
+Result = TypeVar('Result')
+
 
 @dataclasses.dataclass(frozen=True)
 class SeedFailure:
@@ -28,131 +32,104 @@
     message: str
 
 
-def run_replica_seed(seed: int) -> replica_search.SearchResult | SeedFailure:
+def catch_failure(
+    run_seed: Callable[[int], Result],
+) -> Callable[[int], Result | SeedFailure]:
+    """Make a function that runs a schedule return its failure."""
+
+    @functools.wraps(run_seed)
+    def run(seed: int) -> Result | SeedFailure:
+        try:
+            return run_seed(seed)
+        except Exception as error:
+            lines = traceback.format_exception(error)[-3:]
+            return SeedFailure(seed, ''.join(lines))
+
+    return run
+
+
+@catch_failure
+def run_replica_seed(seed: int) -> replica_search.SearchResult:
     """Run one schedule over the consensus of control replicas."""
-    try:
-        return replica_search.ReplicaSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return replica_search.ReplicaSearch(seed).run()
 
 
-def run_syncing_seed(seed: int) -> replica_search.SearchResult | SeedFailure:
+@catch_failure
+def run_syncing_seed(seed: int) -> replica_search.SearchResult:
     """Run one schedule over the consensus with background syncs."""
-    try:
-        return replica_search.ReplicaSearch(
-            seed, syncs_in_background=True
-        ).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return replica_search.ReplicaSearch(seed, syncs_in_background=True).run()
 
 
-def run_control_seed(seed: int) -> control_search.ControlResult | SeedFailure:
+@catch_failure
+def run_control_seed(seed: int) -> control_search.ControlResult:
     """Run one schedule over tickets, leases and waves."""
-    try:
-        return control_search.ControlSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return control_search.ControlSearch(seed).run()
 
 
-def run_job_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_job_seed(seed: int) -> job_search.JobResult:
     """Run one schedule over jobs, runs and worker leases."""
-    try:
-        return job_search.JobSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return job_search.JobSearch(seed).run()
 
 
-def run_agent_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_agent_seed(seed: int) -> job_search.JobResult:
     """Run one schedule over jobs whose orders go through agents."""
-    try:
-        return job_search.JobSearch(seed, has_agents=True).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return job_search.JobSearch(seed, has_agents=True).run()
 
 
-def run_limit_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_limit_seed(seed: int) -> job_search.JobResult:
     """Run one schedule over jobs of customers whose limits change."""
-    try:
-        return job_search.JobSearch(
-            seed, has_agents=seed % 2 == 1, has_customers=True
-        ).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return job_search.JobSearch(
+        seed, has_agents=seed % 2 == 1, has_customers=True
+    ).run()
 
 
-def run_crash_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_crash_seed(seed: int) -> job_search.JobResult:
     """Run one schedule with tasks that crash workers, and changing rooms."""
-    try:
-        return job_search.JobSearch(
-            seed, has_agents=seed % 2 == 1, has_deadly_tasks=True
-        ).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return job_search.JobSearch(
+        seed, has_agents=seed % 2 == 1, has_deadly_tasks=True
+    ).run()
 
 
-def run_machine_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_machine_seed(seed: int) -> job_search.JobResult:
     """Run one schedule over machines that move and go down."""
-    try:
-        return machine_search.MachineSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return machine_search.MachineSearch(seed).run()
 
 
-def run_sending_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_sending_seed(seed: int) -> job_search.JobResult:
     """Run one schedule with broken connections and refused repetitions."""
-    try:
-        return job_search.JobSearch(
-            seed, has_agents=seed % 2 == 1, breaks_connections=True
-        ).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return job_search.JobSearch(
+        seed, has_agents=seed % 2 == 1, breaks_connections=True
+    ).run()
 
 
-def run_leave_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_leave_seed(seed: int) -> job_search.JobResult:
     """Run one schedule over workers that drain, leave and come back."""
-    try:
-        return leave_search.LeaveSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return leave_search.LeaveSearch(seed).run()
 
 
-def run_restart_seed(seed: int) -> job_search.JobResult | SeedFailure:
+@catch_failure
+def run_restart_seed(seed: int) -> job_search.JobResult:
     """Run one schedule over workers that often restart at once."""
-    try:
-        return restart_search.RestartSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return restart_search.RestartSearch(seed).run()
 
 
-def run_late_start_seed(
-    seed: int,
-) -> late_start_search.LateStartResult | SeedFailure:
+@catch_failure
+def run_late_start_seed(seed: int) -> late_start_search.LateStartResult:
     """Run one schedule over starts that are late, through several agents."""
-    try:
-        return late_start_search.LateStartSearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return late_start_search.LateStartSearch(seed).run()
 
 
-def run_reply_seed(seed: int) -> reply_search.ReplyResult | SeedFailure:
+@catch_failure
+def run_reply_seed(seed: int) -> reply_search.ReplyResult:
     """Run one schedule over entries' job calls and their answers."""
-    try:
-        return reply_search.ReplySearch(seed).run()
-    except Exception as error:
-        lines = traceback.format_exception(error)[-3:]
-        return SeedFailure(seed, ''.join(lines))
+    return reply_search.ReplySearch(seed).run()
 
 
 SEARCHES: dict[str, Any] = {
