Use the job search's printing of a trace, and one check of an agent's process

The late start search repeated the former and checked twice whether an agent has restarted; steps of overtaken starts looked for voids as those of late starts do. No check changes.

--- a/features/search/job_search.py
+++ b/features/search/job_search.py
@@ -1064,7 +1064,16 @@
         seed: seed of the schedule.
         word: print only lines with this word, such as a task or a worker.
     """
-    search = JobSearch(seed)
+    print_failure(JobSearch(seed), word)
+
+
+def print_failure(search: JobSearch, word: str) -> None:
+    """Run a schedule, and print its trace if it violates an invariant.
+
+    Args:
+        search: the schedule.
+        word: print only lines with this word.
+    """
     try:
         search.run()
     except InvariantError as error:
--- a/features/search/late_start_search.py
+++ b/features/search/late_start_search.py
@@ -269,19 +269,18 @@
             or transit.is_answer
         ):
             super()._deliver(transit)
+        elif transit.stage is late_start_fakes.Stage.SENT:
+            self._reach_worker(transit)
+        elif transit.sending.boot != transit.sending.agent.boot:
+            transit.sending.is_under_way = False
         elif transit.stage is late_start_fakes.Stage.ARRIVES:
             self._queue_at_agent(transit)
-        elif transit.stage is late_start_fakes.Stage.LEAVES:
-            self._leave_agent(transit)
         else:
-            self._reach_worker(transit)
+            self._leave_agent(transit)
 
     def _queue_at_agent(self, transit: late_start_fakes.AgentTransit) -> None:
         sending, order = transit.sending, transit.order
         agent = sending.agent
-        if sending.boot != agent.boot:
-            sending.is_under_way = False
-            return
         agent.term = max(agent.term, order.fence)
         if _name_order(order) in agent.waiting:
             self.result.twins += 1
@@ -299,9 +298,6 @@
         """Let an agent send an order, if it may."""
         sending, order = transit.sending, transit.order
         agent = sending.agent
-        if sending.boot != agent.boot:
-            sending.is_under_way = False
-            return
         agent.waiting.discard(_name_order(order))
         if (
             self.now_s > sending.waits_since_s + MAX_WAIT_S
@@ -435,14 +431,7 @@
         seed: seed of the schedule.
         word: print only lines with this word, such as a task or a worker.
     """
-    search = LateStartSearch(seed)
-    try:
-        search.run()
-    except InvariantError as error:
-        for line in search.trace:
-            if word in line:
-                print(line)
-        print(error)
+    job_search.print_failure(LateStartSearch(seed), word)
 
 
 if __name__ == '__main__':
--- a/features/steps/overtaken_start_steps.py
+++ b/features/steps/overtaken_start_steps.py
@@ -5,9 +5,9 @@
 from behave import then
 from behave import when
 
+from features.steps import late_start_steps
 from features.steps import unanswered_order_steps
 from greengagering import coordination
-from greengagering import state
 
 STEP_S = 0.02
 _NUMBERS = {'first': 0, 'second': 1, 'third': 2}
@@ -52,15 +52,11 @@
 
 @then("its run isn't voided")
 def check_not_voided(context: Any) -> None:
-    assert not find_voids(context), context.worker.records
+    assert not late_start_steps.has_voided(context.worker), (
+        context.worker.records
+    )
 
 
 @then('its run is voided as refused')
 def check_voided(context: Any) -> None:
-    assert find_voids(context), context.worker.records
-
-
-def find_voids(context: Any) -> list[state.JobRecord]:
-    """Return the records that void runs."""
-    records = context.worker.records
-    return [r for r in records if isinstance(r, state.RunsVoided)]
+    assert late_start_steps.has_voided(context.worker), context.worker.records
