--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -29,6 +29,7 @@
 PREFIX = '/quick/'
 HEARTBEAT_S = 0.75
 STOP_S = 0.1
+DRAIN_S = 2.0
 HOLD_MAX_MS = 10_000
 END_ROWS = 500
 
@@ -118,6 +119,7 @@
         self.run_s = run_s or (lambda task: 0.5)
         self.is_up = False
         self.state = 'ready'
+        self.drain_ends_s = 0.0
         self.hook = None
         self.starts = []
         self.all_ends = []
@@ -189,12 +191,14 @@
 
     async def drain(self):
         """Report that it drains, until that is certainly acknowledged."""
+        self.drain_ends_s = time.monotonic() + DRAIN_S
         self.state = 'draining'
         self.record.add(f'worker {self.worker_id} drains')
         # The next acknowledgement may be for the former state.
         known = self.acknowledged
         while self.acknowledged < known + 2:
             await asyncio.sleep(0.01)
+        self.drain_ends_s = time.monotonic() + DRAIN_S
         self.record.add(f'worker {self.worker_id}: draining acknowledged')
 
     async def leave(self):
@@ -388,6 +392,9 @@
             'seq': self.seq,
             'born': self.born,
         }
+        left_s = self.drain_ends_s - time.monotonic()
+        if self.state == 'draining' and left_s > 0:
+            body['drainRemainingMs'] = int(left_s * 1000)
         url = f'http://{control}/instances/{self.worker_id}/heartbeat'
         try:
             async with session.post(url, json=body) as response:
@@ -586,7 +593,10 @@
 
         text = (ROOT / role['template']).read_text()
         text = re.sub(r'\{\{([\w.]+)(\|json)?\}\}', fill, text)
-        text = text.replace('9464', str(self.ports['metrics']))
+        text = text.replace(
+            '"metrics_port": 9464',
+            f'"metrics_port": {self.ports["metrics"]}',
+        )
         path = self.folder / f'{name}.json'
         path.write_text(text)
         (self.folder / f'{name}-data').mkdir(exist_ok=True)
