--- a/greengagering/coordination/jobs/_work_index.py
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -3,6 +3,8 @@
 import dataclasses
 import heapq
 
+from greengagering.coordination.jobs._step_graph import build_graph
+from greengagering.coordination.jobs._step_graph import StepGraph
 from greengagering.coordination.workers import RunView
 from greengagering.coordination.workers import WaitTimes
 from greengagering import state
@@ -40,6 +42,8 @@
         waits: what its waiting tasks wait for, since it is ready.
         last_run: the run that ended last, or None.
         last_ended_s: when its end was listed.
+        is_finished: whether the steps that follow it were looked at, as all
+            of its tasks are done.
     """
 
     job: state.Job
@@ -56,6 +60,7 @@
     waits: WaitTimes = dataclasses.field(default_factory=WaitTimes)
     last_run: RunView | None = None
     last_ended_s: float = 0.0
+    is_finished: bool = False
 
     def set_waiting(self, index: int, task: state.Task | None) -> None:
         """Record that a task waits; `task` is None before its first run."""
@@ -94,6 +99,7 @@
 
     def __init__(self) -> None:
         self.steps: dict[str, dict[str, StepWork]] = {}
+        self._jobs: dict[str, _IndexedJob] = {}
         self._scheduled: list[tuple[int, str, int]] = []
         # Names of tasks whose next run is proposed and not yet committed.
         self._proposed: set[str] = set()
@@ -102,6 +108,9 @@
         """Add a job; occurrences that are not due yet are scheduled."""
         spec = job.spec
         self.steps.setdefault(spec.job_id, {})
+        self._jobs[spec.job_id] = _IndexedJob(
+            build_graph(spec), find_objective_s(job)
+        )
         for occurrence in range(spec.occurrence_count):
             due_ms = spec.first_due_ms + occurrence * spec.interval_ms
             if spec.first_due_ms and due_ms > now_ms:
@@ -129,6 +138,7 @@
     def remove_job(self, job_id: str) -> None:
         """Remove the ready steps of a job."""
         self.steps.pop(job_id, None)
+        self._jobs.pop(job_id, None)
 
     def find(self, key: state.RunKey) -> StepWork | None:
         """Return the step of a run, or None if it isn't ready."""
@@ -161,23 +171,26 @@
         else:
             work.clear_waiting(index)
 
-    def add_following_steps(self, key: state.RunKey, now_s: float) -> None:
-        """Add the steps that depend on a step, if that is finished."""
+    def finish_step(self, key: state.RunKey, now_s: float) -> None:
+        """Add the steps that depend on a step, if that has just finished.
+
+        Args:
+            key: a run whose end completed its task, or its gang.
+            now_s: the leader's clock.
+        """
         work = self.find(key)
-        if work is None:
+        if work is None or work.is_finished or not _is_done(work):
             return
-        job = work.job
-        if job.done_counts.get(work.step_key, 0) < work.step.task_count:
-            return
-        for number, step in enumerate(job.spec.steps):
-            if work.number in step.after:
-                self._add_step(
-                    job,
-                    work.occurrence,
-                    number,
-                    _Deadlines.of_work(work),
-                    now_s,
-                )
+        work.is_finished = True
+        if work.step.is_gang:
+            # The end of one member completes the tasks of all of them.
+            for index in range(work.step.task_count):
+                task = f'{work.step_key}.{index}'
+                self.refresh_task(dataclasses.replace(key, task=task))
+        deadlines = _Deadlines.of_work(work)
+        graph = self._jobs[key.job_id].graph
+        for number in graph.following[work.number]:
+            self._add_step(work.job, work.occurrence, number, deadlines, now_s)
 
     def _add_occurrence(
         self,
@@ -186,7 +199,7 @@
         since_s: float,
         now_s: float,
     ) -> None:
-        objective_s = find_objective_s(job)
+        objective_s = self._jobs[job.spec.job_id].objective_s
         deadlines = _Deadlines(
             since_s + objective_s,
             since_s + WORTHLESS_RATIO * objective_s,
@@ -207,10 +220,9 @@
         if steps is None or key in steps:
             return
         step = job.spec.steps[number]
-        for earlier in step.after:
-            done = job.done_counts.get(f'{occurrence}.{earlier}', 0)
-            if done < job.spec.steps[earlier].task_count:
-                return
+        indexed = self._jobs[job.spec.job_id]
+        if not indexed.is_ready(job, occurrence, number):
+            return
         work = StepWork(
             job,
             occurrence,
@@ -218,7 +230,7 @@
             set(),
             deadlines.objective_end_s,
             deadlines.worthless_at_s,
-            _find_remaining_s(job.spec, number),
+            indexed.graph.remaining_s[number],
             now_s,
         )
         for index in range(step.task_count):
@@ -238,17 +250,42 @@
         return _Deadlines(work.objective_end_s, work.worthless_at_s)
 
 
-def _find_remaining_s(spec: state.JobSpec, number: int) -> float:
-    """Return the estimated time of the longest chain from a step on."""
-    remaining_s: dict[int, float] = {}
-    for later in range(len(spec.steps) - 1, number - 1, -1):
-        following = [
-            remaining_s[n] for n in remaining_s if later in spec.steps[n].after
-        ]
-        remaining_s[later] = spec.steps[later].estimate_s + max(
-            following, default=0.0
-        )
-    return remaining_s[number]
+class _IndexedJob:
+    """What the index knows of a job besides its ready steps.
+
+    Attributes:
+        graph: order of its steps.
+        objective_s: time within which an occurrence should finish.
+    """
+
+    def __init__(self, graph: StepGraph, objective_s: float) -> None:
+        self.graph = graph
+        self.objective_s = objective_s
+        # How many of the steps in `after` are known to be done, by occurrence
+        # and number of a step that isn't ready. Done tasks stay done, so that
+        # each of them is checked once.
+        self._checked: dict[tuple[int, int], int] = {}
+
+    def is_ready(self, job: state.Job, occurrence: int, number: int) -> bool:
+        """Tell whether the steps are done that a step depends on."""
+        after = job.spec.steps[number].after
+        place = (occurrence, number)
+        first = self._checked.pop(place, 0)
+        for position in range(first, len(after)):
+            if not _is_step_done(job, occurrence, after[position]):
+                if position:
+                    self._checked[place] = position
+                return False
+        return True
+
+
+def _is_done(work: StepWork) -> bool:
+    return _is_step_done(work.job, work.occurrence, work.number)
+
+
+def _is_step_done(job: state.Job, occurrence: int, number: int) -> bool:
+    done = job.done_counts.get(f'{occurrence}.{number}', 0)
+    return done >= job.spec.steps[number].task_count
 
 
 def find_objective_s(job: state.Job) -> float:
--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -290,9 +290,9 @@
         )
 
     def _hosts_lasting(self, worker: WorkerView) -> bool:
-        if self._placed_counts.get(worker.key):
-            return True
-        return any(run.step.is_lasting for run in worker.runs.values())
+        return worker.hosts_lasting or bool(
+            self._placed_counts.get(worker.key)
+        )
 
     def _reserve(self, worker: WorkerView) -> None:
         key, rack = worker.key, worker.facts.rack
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import dataclasses
 
 from greengagering.coordination.jobs import describe_change
 from greengagering.coordination.jobs import WorkIndex
@@ -522,16 +521,24 @@
         self._core.log_decision(
             'job_finished', job=job_id, status=str(job.status)
         )
-        for task in job.tasks.values():
-            for life_key in task.live_runs.values():
-                view = self.workers.get(life_key)
-                if view is None:
-                    continue
-                for run in view.runs.values():
-                    if run.key.job_id == job_id:
-                        self._core.stop_run(
-                            view, run, now_s, StopCause.JOB_FINISHED
-                        )
+        self._stop_runs(job, now_s)
+
+    def _stop_runs(self, job: state.Job, now_s: float) -> None:
+        """Stop what still runs of a finished job."""
+        life_keys = {
+            life_key: None
+            for task in job.tasks.values()
+            for life_key in task.live_runs.values()
+        }
+        for life_key in life_keys:
+            view = self.workers.get(life_key)
+            if view is None:
+                continue
+            for run in view.runs.values():
+                if run.key.job_id == job.spec.job_id:
+                    self._core.stop_run(
+                        view, run, now_s, StopCause.JOB_FINISHED
+                    )
 
     def _record_demand(self, job: state.Job, now_s: float) -> None:
         # Machines are asked for only by work within its customer's rate.
@@ -604,14 +611,7 @@
         if job.status is not state.JobStatus.ACTIVE:
             self._handle_finished(end.key.job_id, now_s)
         elif end.ending is state.RunEnding.DONE:
-            step = job.spec.steps[end.key.step_number]
-            if step.is_gang:
-                for index in range(step.task_count):
-                    task = f'{end.key.step_key}.{index}'
-                    self._core.index.refresh_task(
-                        dataclasses.replace(end.key, task=task)
-                    )
-            self._core.index.add_following_steps(end.key, now_s)
+            self._core.index.finish_step(end.key, now_s)
 
     def _forget_finished(self, now_s: float) -> None:
         old = [
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -108,14 +108,15 @@
                     work, service, isolation.apart, batch, now_s
                 )
                 startable = self._count_startable(work, len(indexes))
-            for placement in _placement.place_step(
+            placements = _placement.place_step(
                 work,
                 self._permitted(work, pool.workers, now_s),
                 now_s,
                 startable,
                 indexes,
-            ):
-                self._reserve(work, placement, batch, now_s)
+            )
+            self._reserve(work, placements, batch, now_s)
+            for _ in placements:
                 order.note_placed(work, service)
             if work.waiting:
                 pool.measure()
@@ -281,8 +282,7 @@
             self._count_startable(work, len(group)),
             group,
         )
-        for placement in placements:
-            self._reserve(work, placement, batch, now_s, isolated_s)
+        self._reserve(work, placements, batch, now_s, isolated_s)
         return placements
 
     def _propose(self, runs: list[state.RunKey], life_keys: list[str]) -> None:
@@ -334,43 +334,46 @@
     def _reserve(
         self,
         work: StepWork,
-        placement: _placement.Placement,
+        placements: list[_placement.Placement],
         batch: '_Batch',
         now_s: float,
         isolated_s: float = 0.0,
-    ) -> state.RunKey:
-        """Reserve a placement's room, and add its run to the batch."""
+    ) -> None:
+        """Reserve the room of a step's placements, and add their runs."""
         job = work.job
-        task_key = f'{work.step_key}.{placement.index}'
-        run_number = _next_run_number(work, placement.index)
-        key = state.RunKey(job.spec.job_id, task_key, run_number)
-        self._core.index.mark_proposed(key)
-        run = RunView(
-            key,
-            work.step,
-            RunPhase.ORDERED,
-            now_s,
-            customer=job.customer,
-            isolated_s=isolated_s,
-        )
-        if work.waits.seconds:
-            run.room_waits = WaitTimes()
-            run.room_waits.add_all(work.waits)
-        placement.worker.add_run(run)
-        batch.vacant.remove(placement.worker)
-        batch.runs.append(key)
-        batch.life_keys.append(placement.worker.key)
-        return key
-
-
-def _next_run_number(work: StepWork, index: int) -> int:
-    """Return the task's next run number; a gang's tasks share one."""
-    indexes = [index]
-    if work.step.is_gang:
-        indexes = list(range(work.step.task_count))
-    runs = [0]
-    for member in indexes:
-        task = work.job.tasks.get(f'{work.step_key}.{member}')
-        if task is not None:
-            runs.append(task.run)
-    return max(runs) + 1
+        # Found once, as it takes a look at every task of a gang.
+        gang_run = _next_gang_run(work) if work.step.is_gang else None
+        for placement in placements:
+            task_key = f'{work.step_key}.{placement.index}'
+            run_number = gang_run or _next_run(job, task_key)
+            key = state.RunKey(job.spec.job_id, task_key, run_number)
+            self._core.index.mark_proposed(key)
+            run = RunView(
+                key,
+                work.step,
+                RunPhase.ORDERED,
+                now_s,
+                customer=job.customer,
+                isolated_s=isolated_s,
+            )
+            if work.waits.seconds:
+                run.room_waits = WaitTimes()
+                run.room_waits.add_all(work.waits)
+            placement.worker.add_run(run)
+            batch.vacant.remove(placement.worker)
+            batch.runs.append(key)
+            batch.life_keys.append(placement.worker.key)
+
+
+def _next_run(job: state.Job, task_key: str) -> int:
+    """Return the number of a task's next run."""
+    task = job.tasks.get(task_key)
+    return 1 if task is None else task.run + 1
+
+
+def _next_gang_run(work: StepWork) -> int:
+    """Return the number of a gang's next run, which its tasks share."""
+    return max(
+        _next_run(work.job, f'{work.step_key}.{index}')
+        for index in range(work.step.task_count)
+    )
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -198,6 +198,9 @@
         self.slowness = 1.0
         self.observer: RunObserver | None = None
         self._isolated: dict[str, RunView] = {}
+        # Placement asks for these counts for each worker and waiting step.
+        self._step_counts: dict[tuple[str, str], int] = {}
+        self._lasting_count = 0
         # When each held end may be dropped, by its number.
         self._held_ends: dict[int, float] = {}
 
@@ -307,7 +310,7 @@
             self.runs[run.key.name] = run
             if run.isolated_s:
                 self._isolated[run.key.name] = run
-            self._change_use(run.step, 1)
+            self._change_use(run, 1)
             if self.observer is not None:
                 self.observer.add_run(run)
 
@@ -316,7 +319,7 @@
         run = self.runs.pop(name, None)
         if run is not None:
             self._isolated.pop(name, None)
-            self._change_use(run.step, -1)
+            self._change_use(run, -1)
             if self.observer is not None:
                 self.observer.remove_run(run)
         return run
@@ -557,13 +560,23 @@
 
     def count_runs_of_step(self, job_id: str, step_key: str) -> int:
         """Return how many runs of a step are assigned to this worker."""
-        return sum(
-            1
-            for run in self.runs.values()
-            if run.key.job_id == job_id and run.key.step_key == step_key
-        )
+        return self._step_counts.get((job_id, step_key), 0)
+
+    @property
+    def hosts_lasting(self) -> bool:
+        """Whether a lasting task is assigned to this worker."""
+        return self._lasting_count > 0
 
-    def _change_use(self, step: state.StepSpec, sign: int) -> None:
+    def _change_use(self, run: RunView, sign: int) -> None:
+        """Count a run in the use of the worker's room, or no longer."""
+        step = run.step
         self.free_cpu -= sign * counted_cpu(step)
         self.free_memory -= sign * step.room.memory_mb
         self.free_gpu -= sign * step.room.gpu_count
+        self._lasting_count += sign * step.is_lasting
+        step_name = (run.key.job_id, run.key.step_key)
+        count = self._step_counts.get(step_name, 0) + sign
+        if count:
+            self._step_counts[step_name] = count
+        else:
+            del self._step_counts[step_name]
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -166,14 +166,30 @@
     incarnation = state.lives.get(record.life_key)
     if incarnation is None:
         return
+    gang_progress: dict[tuple[str, str], str] = {}
     for end in record.ends:
         if end.number > incarnation.noted_end:
             incarnation.noted_end = end.number
             incarnation.runs.pop(end.key.name, None)
-            _record_end(state, end)
+            _record_end(state, end, gang_progress)
+    for (job_id, step_key), saved in gang_progress.items():
+        _save_gang_progress(state.jobs[job_id], step_key, saved)
 
 
-def _record_end(state: model.JobsState, end: model.RunEnd) -> None:
+def _record_end(
+    state: model.JobsState,
+    end: model.RunEnd,
+    gang_progress: dict[tuple[str, str], str],
+) -> None:
+    """Record one end of a run.
+
+    Args:
+        state: state that is changed in place.
+        end: the end.
+        gang_progress: collects the progress that gangs have saved last, by
+            job id and step key. It is copied to all tasks of a gang, and that
+            is done once a record.
+    """
     job = state.jobs.get(end.key.job_id)
     task = job.tasks.get(end.key.task) if job is not None else None
     if job is None or task is None:
@@ -181,8 +197,10 @@
     task.live_runs.pop(end.key.run, None)
     step_key = end.key.step_key
     step = job.spec.steps[end.key.step_number]
-    if end.saved:
-        _save_progress(job, step, step_key, task, end.saved)
+    if end.saved and step.is_gang:
+        gang_progress[end.key.job_id, step_key] = end.saved
+    elif end.saved:
+        task.saved = end.saved
     if end.ending in (model.RunEnding.DONE, model.RunEnding.FAILED):
         # It has run to an end of its own without crashing its worker.
         task.crashes = None
@@ -194,16 +212,8 @@
         _count_failure(job, step, step_key, task)
 
 
-def _save_progress(
-    job: model.Job,
-    step: model.StepSpec,
-    step_key: str,
-    task: model.Task,
-    saved: str,
-) -> None:
-    if not step.is_gang:
-        task.saved = saved
-        return
+def _save_gang_progress(job: model.Job, step_key: str, saved: str) -> None:
+    step = job.spec.steps[int(step_key.rpartition('.')[2])]
     for member in _step_tasks(job, step, step_key):
         member.saved = saved
 
@@ -220,6 +230,9 @@
 def _finish_tasks(
     job: model.Job, step: model.StepSpec, step_key: str, end: model.RunEnd
 ) -> None:
+    done_count = job.done_counts.get(step_key, 0)
+    if done_count >= step.task_count:
+        return
     if step.is_gang:
         # The end of one member completes the tasks of all members.
         finished = _step_tasks(job, step, step_key)
@@ -228,20 +241,18 @@
     for task in finished:
         if not task.is_done:
             task.is_done = True
-            done = job.done_counts.get(step_key, 0) + 1
-            job.done_counts[step_key] = done
+            done_count += 1
+    job.done_counts[step_key] = done_count
+    if done_count < step.task_count:
+        return
+    job.done_step_count += 1
     if job.status is model.JobStatus.ACTIVE and _is_complete(job):
         job.status = model.JobStatus.SUCCEEDED
 
 
 def _is_complete(job: model.Job) -> bool:
-    if len(job.done_counts) < len(job.spec.steps) * job.spec.occurrence_count:
-        return False
-    return all(
-        job.done_counts.get(f'{occurrence}.{number}', 0) >= step.task_count
-        for occurrence in range(job.spec.occurrence_count)
-        for number, step in enumerate(job.spec.steps)
-    )
+    step_count = len(job.spec.steps) * job.spec.occurrence_count
+    return job.done_step_count >= step_count
 
 
 def _count_failure(
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -273,6 +273,8 @@
         tasks: tasks that were assigned, by 'occurrence.step.index'.
         done_counts: number of done tasks by 'occurrence.step'.
         customer: name of the customer that submitted it, or ''.
+        done_step_count: number of steps, in all occurrences, whose tasks are
+            all done. It is derived from done_counts.
     """
 
     spec: JobSpec
@@ -283,6 +285,12 @@
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     done_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     customer: str = ''
+    done_step_count: int = dataclasses.field(default=0, init=False)
+
+    def __post_init__(self) -> None:
+        for step_key, done_count in self.done_counts.items():
+            step = self.spec.steps[int(step_key.rpartition('.')[2])]
+            self.done_step_count += done_count >= step.task_count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
