--- a/features/steps/customer_limit_steps.py
+++ b/features/steps/customer_limit_steps.py
@@ -125,6 +125,12 @@
     world_of(context).commit(_accept(context, name, *steps))
 
 
+def submit_job(context: Any, name: str, *steps: state.StepSpec) -> str:
+    """Submit a job of a customer, and return its id."""
+    _submit(context, name, *steps)
+    return str(context.customer_jobs[name][-1])
+
+
 def _step(count: int, cpu: int, **fields: Any) -> state.StepSpec:
     return state.StepSpec(
         count, state.Room(cpu, TASK_MB), ESTIMATE_S, **fields
--- a/greengagering/coordination/scheduling/_advice.py
+++ b/greengagering/coordination/scheduling/_advice.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from greengagering.coordination.jobs import StepWork
+from greengagering.coordination.scheduling import _placement
 from greengagering.coordination.workers import WorkerView
 
 MAX_REQUEST_WORKERS = 30
@@ -55,7 +56,7 @@
 
     Attributes:
         work: the step.
-        workers: usable workers of its service.
+        workers: usable workers of its service that suit it.
         since_s: since when it has needed advice without a request for it.
     """
 
@@ -93,7 +94,8 @@
     ) -> list[WorkerView]:
         """Return the workers that a step may use.
 
-        If none of them has room for the step, it waits for advice.
+        If none of them has room for the step, it waits for advice. Workers
+        that can't run it, whatever the adviser says, are left out.
 
         Args:
             work: a step of a job whose queue needs advice.
@@ -101,13 +103,15 @@
             now_s: the leader's clock.
         """
         name = step_name(work)
-        valid = [w for w in workers if self._is_permitted(name, w, now_s)]
-        if not any(worker.fits(work.step) for worker in valid):
-            waited = self._waited.get(name)
-            since_s = now_s if waited is None else waited.since_s
-            self._waiting.setdefault(
-                name, _WaitingStep(work, workers, since_s)
-            )
+        suitable = _placement.find_suitable(work.step, workers)
+        valid = [w for w in suitable if self._is_permitted(name, w, now_s)]
+        if not _placement.has_place(work, valid):
+            waiting = self._waiting.get(name)
+            # A plan may ask about a part of the workers, and then about all.
+            if waiting is None or len(suitable) > len(waiting.workers):
+                waited = self._waited.get(name)
+                since_s = now_s if waited is None else waited.since_s
+                self._waiting[name] = _WaitingStep(work, suitable, since_s)
         return valid
 
     def permit(self, work: StepWork, life_key: str) -> str:
@@ -129,7 +133,7 @@
             if not asked:
                 del self._waiting[name]
                 continue
-            may_start = asked[0].fits(waiting.work.step)
+            may_start = _placement.can_start(waiting.work, asked[0])
             if found is None or may_start:
                 found = AdviceRequest(
                     name, {w.facts.worker_id: w.key for w in asked}
@@ -203,18 +207,22 @@
         """
         not_permitted = self._not_permitted.get(name, set())
         known = self._permits.get(name, {})
-        step = waiting.work.step
-        if not waiting.work.waiting:
+        work = waiting.work
+        if not work.waiting:
             return []
         candidates = [
             worker
             for worker in waiting.workers
             if worker.key not in not_permitted
-            and (worker.key not in known or worker.fits(step))
+            and (worker.key not in known or _placement.can_start(work, worker))
             and not self._is_permitted(name, worker, now_s)
         ]
         candidates.sort(
-            key=lambda w: (not w.fits(step), w.key not in known, -w.free_cpu)
+            key=lambda w: (
+                not _placement.can_start(work, w),
+                w.key not in known,
+                -w.free_cpu,
+            )
         )
         return candidates[:MAX_REQUEST_WORKERS]
 
--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -34,6 +34,7 @@
     now_s: float,
     startable: int,
     indexes: list[int],
+    worker_limit: int | None = None,
 ) -> list[Placement]:
     """Choose workers for as many tasks as there is room for.
 
@@ -43,6 +44,7 @@
         now_s: the leader's clock.
         startable: largest number of tasks to place.
         indexes: tasks to place, those of a gang whole.
+        worker_limit: largest number of workers to choose; None is no limit.
 
     Returns:
         Placements; for a gang those of all its tasks, or none. The caller
@@ -50,7 +52,10 @@
     """
     step = work.step
     labelled = _labelled(workers, step)
-    has_healthy = any(not worker.is_failing for worker in labelled)
+    has_healthy = any(
+        not worker.is_failing and _is_large_enough(worker, step)
+        for worker in labelled
+    )
     # Not WorkerView.fits: this runs for each usable worker and waiting step.
     cpu, memory = counted_cpu(step), step.room.memory_mb
     gpu = step.room.gpu_count
@@ -66,7 +71,9 @@
     ]
     if not candidates:
         return []
-    step_room = _StepRoom(work, candidates, has_healthy=has_healthy)
+    step_room = _StepRoom(
+        work, candidates, worker_limit, has_healthy=has_healthy
+    )
     chosen: list[Placement] = []
     for index in indexes:
         if len(chosen) >= startable:
@@ -119,6 +126,23 @@
     return [w for w in workers if step.required_label in w.facts.labels]
 
 
+def _is_large_enough(worker: WorkerView, step: state.StepSpec) -> bool:
+    """Tell whether a task fits a worker on which nothing else runs."""
+    room = worker.room
+    return (
+        counted_cpu(step) <= room.cpu_millicores
+        and step.room.memory_mb <= room.memory_mb
+        and step.room.gpu_count <= room.gpu_count
+    )
+
+
+def find_suitable(
+    step: state.StepSpec, workers: list[WorkerView]
+) -> list[WorkerView]:
+    """Return the workers that can run a task of a step if they are empty."""
+    return [w for w in _labelled(workers, step) if _is_large_enough(w, step)]
+
+
 class VacantWorkers:
     """Usable workers without a run that would be suspected of a crash.
 
@@ -146,42 +170,76 @@
 
 
 def find_soonest_vacant(
-    workers: list[WorkerView], step: state.StepSpec
+    work: StepWork, workers: list[WorkerView]
 ) -> WorkerView | None:
-    """Return the worker that may be vacant first, of those that fit a step."""
+    """Return the worker to keep vacant until a task of a step can start there.
+
+    It is the one that may be vacant first, of those that have room for a task
+    once all runs but the lasting ones have ended.
+    """
     return min(
-        (
-            worker
-            for worker in _labelled(workers, step)
-            if counted_cpu(step) <= worker.room.cpu_millicores
-            and step.room.memory_mb <= worker.room.memory_mb
-            and step.room.gpu_count <= worker.room.gpu_count
-        ),
-        key=lambda worker: len(worker.unsettled_runs()),
+        (w for w in _labelled(workers, work.step) if _may_start(work, w)),
+        key=lambda worker: (worker.is_failing, len(worker.unsettled_runs())),
         default=None,
     )
 
 
+def _may_start(work: StepWork, worker: WorkerView) -> bool:
+    """Tell whether a task fits beside the lasting runs of a worker."""
+    step = work.step
+    lasting = [run.step for run in worker.runs.values() if run.step.is_lasting]
+    room = worker.room
+    if (
+        counted_cpu(step) + sum(map(counted_cpu, lasting))
+        > room.cpu_millicores
+        or step.room.memory_mb + sum(s.room.memory_mb for s in lasting)
+        > room.memory_mb
+        or step.room.gpu_count + sum(s.room.gpu_count for s in lasting)
+        > room.gpu_count
+    ):
+        return False
+    # The limit counts lasting tasks; the others end.
+    return not step.is_lasting or _is_within_limit(work, worker)
+
+
 def has_place(work: StepWork, workers: list[WorkerView]) -> bool:
     """Tell whether any of the workers can take one more task of a step."""
-    step = work.step
-    for worker in _labelled(workers, step):
-        if not worker.fits(step):
-            continue
-        count = worker.count_runs_of_step(work.job.spec.job_id, work.step_key)
-        if not step.max_per_worker or count < step.max_per_worker:
-            return True
-    return False
+    return any(
+        can_start(work, worker) for worker in _labelled(workers, work.step)
+    )
+
+
+def can_start(work: StepWork, worker: WorkerView) -> bool:
+    """Tell whether a worker has room for one more task of a step.
+
+    Whether it has the label that the step requires isn't looked at.
+    """
+    return worker.fits(work.step) and _is_within_limit(work, worker)
+
+
+def _is_within_limit(work: StepWork, worker: WorkerView) -> bool:
+    """Tell whether a step's tasks per worker allow one more on a worker."""
+    limit = work.step.max_per_worker
+    if not limit:
+        return True
+    job_id = work.job.spec.job_id
+    return worker.count_runs_of_step(job_id, work.step_key) < limit
 
 
 class _StepRoom:
     """Free room of candidates, less what this step's placements use."""
 
     def __init__(
-        self, work: StepWork, workers: list[WorkerView], *, has_healthy: bool
+        self,
+        work: StepWork,
+        workers: list[WorkerView],
+        worker_limit: int | None,
+        *,
+        has_healthy: bool,
     ) -> None:
         self._work = work
         self._step = work.step
+        self._worker_limit = worker_limit
         self._placed_counts: dict[str, int] = {}
         self._workers = workers
         self._has_healthy = has_healthy
@@ -239,6 +297,12 @@
     def _has_room(self, worker: WorkerView) -> bool:
         step = self._step
         task_count = self._placed_counts.get(worker.key, 0) + 1
+        if (
+            task_count == 1
+            and self._worker_limit is not None
+            and len(self._placed_counts) >= self._worker_limit
+        ):
+            return False
         if worker.is_failing and task_count > 1 and self._has_healthy:
             return False
         if not worker.fits(step, task_count):
--- a/greengagering/coordination/scheduling/_task_assigner.py
+++ b/greengagering/coordination/scheduling/_task_assigner.py
@@ -180,6 +180,10 @@
             workers = usable.get(service)
             if not workers:
                 continue
+            # No worker is kept for tasks that a customer's limit holds back.
+            needed = work.step.task_count if work.step.is_gang else 1
+            if self._count_startable(work, needed) < needed:
+                continue
             isolation = isolations[id(work)]
             views = isolated_views.setdefault(service, [])
             for group in isolation.isolated:
@@ -192,10 +196,14 @@
                     work, service, group, keepable, batch, now_s
                 )
                 if not used:
-                    kept = _placement.find_soonest_vacant(workers, work.step)
-                    used = [kept] if kept is not None else []
-                    for worker in used:
-                        batch.vacant.remove(worker)
+                    kept = _placement.find_soonest_vacant(
+                        work, self._permitted(work, workers, now_s)
+                    )
+                    if kept is None:
+                        # The other groups need the same room.
+                        break
+                    batch.vacant.remove(kept)
+                    used = [kept]
                 views += used
                 workers[:] = [w for w in workers if w not in used]
 
@@ -273,14 +281,13 @@
         isolated_s: float = 0.0,
     ) -> list[_placement.Placement]:
         vacant = batch.vacant.in_pool(service)
-        if not work.step.is_gang:
-            vacant = vacant[:worker_limit]
         placements = _placement.place_step(
             work,
             self._permitted(work, vacant, now_s),
             now_s,
             self._count_startable(work, len(group)),
             group,
+            None if work.step.is_gang else worker_limit,
         )
         self._reserve(work, placements, batch, now_s, isolated_s)
         return placements
