--- a/greengagering/coordination/scheduling/_late_starts.py
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -27,23 +27,25 @@
 
         Orders wait while the leader has no lease. Meanwhile a run may have
         left the view, or its worker may have been replaced; its start would
-        be carried out by the replacement.
+        be carried out by the replacement. Or the worker may take no new run
+        any more.
         """
         sendable: list[Order] = []
         for order in orders:
             if isinstance(order, StartOrder):
-                if self._is_outdated(order):
+                if self._is_outdated(order, now_s):
                     continue
                 self._core.sent_starts.note(order, now_s)
             sendable.append(order)
         return sendable
 
-    def _is_outdated(self, order: StartOrder) -> bool:
+    def _is_outdated(self, order: StartOrder, now_s: float) -> bool:
         view = self._core.workers.get(order.life.key)
         run = view.runs.get(order.key.name) if view is not None else None
         if view is not None and run is not None:
             is_ending = view.is_over or bool(view.successor)
-            if not (is_ending or run.is_stopping):
+            is_gone = is_ending or run.is_stopping
+            if not (is_gone or self._core.withdraw_start(view, run, now_s)):
                 return False
             run.starts_under_way -= 1
         self._core.log_decision(
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -42,8 +42,8 @@
     STALLED: it makes no progress, and another worker has room.
     JOB_FINISHED: its job or task has finished, or its job was cancelled.
     UNRESOLVED: its worker may run it or not, after unanswered start orders.
-    WITHDRAWN: its worker's room or its customer's limit was lowered before
-        its start was confirmed.
+    WITHDRAWN: before its start was confirmed, its worker began to drain or to
+        be emptied, or its worker's room or its customer's limit was lowered.
     """
 
     EMPTYING = 'emptying'
@@ -249,6 +249,48 @@
         """Queue an order to stop a run."""
         self.orders.append(StopOrder(view.facts, run.key, self.fence))
 
+    def find_withdrawal(self, view: WorkerView, run: RunView) -> str:
+        """Return why a run's start must not be sent, or not again, or ''."""
+        if view.is_draining:
+            return 'draining'
+        if view.is_reserved:
+            return 'emptying'
+        if self.limits.is_exceeded(run.customer):
+            return 'customer_limit'
+        if view.is_overcommitted:
+            return 'worker_room'
+        return ''
+
+    def withdraw_start(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> bool:
+        """Withdraw a run's start if it must not be sent.
+
+        Its task starts elsewhere: at once if no order was sent, else once the
+        worker has confirmed that it has stopped or refused the run.
+
+        Returns:
+            Whether it is withdrawn.
+        """
+        reason = self.find_withdrawal(view, run)
+        if not reason:
+            return False
+        self.log_decision(
+            'start_withdrawn',
+            run=run.key.name,
+            life=view.key,
+            reason=reason,
+            sendings=run.sendings,
+            customer=run.customer,
+            free_millicores=view.free_cpu,
+            free_mb=view.free_memory,
+        )
+        if run.sendings:
+            self.stop_run(view, run, now_s, StopCause.WITHDRAWN)
+        else:
+            self.propose_void(view, run, VoidCause.NOT_ORDERED)
+        return True
+
     def propose_void(
         self, view: WorkerView, run: RunView, cause: VoidCause
     ) -> None:
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -446,22 +446,13 @@
         elif run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
             job = self._core.jobs.jobs.get(run.key.job_id)
             is_wanted = job is not None and _is_wanted(job, run.key)
-            is_over_limit = self._core.limits.is_exceeded(run.customer)
-            is_too_large = view.is_overcommitted
-            if run.starts_under_way and (is_over_limit or is_too_large):
+            if run.starts_under_way and self._core.find_withdrawal(view, run):
                 # It is withdrawn only if no answer comes.
                 self._schedule_retry(view, run, now_s)
-                return
-            if is_over_limit:
-                self._core.log_decision(
-                    'start_withdrawn', run=run.key.name, customer=run.customer
-                )
-            if is_too_large:
-                self._log_withdrawn(view, run)
-            if not is_wanted:
+            elif not is_wanted:
                 self._core.stop_run(view, run, now_s, StopCause.JOB_FINISHED)
-            elif is_over_limit or is_too_large:
-                self._core.stop_run(view, run, now_s, StopCause.WITHDRAWN)
+            elif self._core.withdraw_start(view, run, now_s):
+                return
             elif run.unresolved_starts >= MAX_UNRESOLVED_STARTS:
                 self._core.stop_run(view, run, now_s, StopCause.UNRESOLVED)
             else:
@@ -482,28 +473,9 @@
         if not _is_wanted(job, key):
             self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
             return
-        if self._core.limits.is_exceeded(run.customer):
-            # The limit was lowered after the run was proposed.
-            self._core.log_decision(
-                'start_withdrawn', run=key.name, customer=run.customer
-            )
-            self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
-            return
-        if view.is_overcommitted:
-            self._log_withdrawn(view, run)
-            self._core.propose_void(view, run, VoidCause.NOT_ORDERED)
-            return
-        self._order_start(view, run, now_s)
-
-    def _log_withdrawn(self, view: WorkerView, run: RunView) -> None:
-        """Log a start that is withdrawn as its worker's room has shrunk."""
-        self._core.log_decision(
-            'start_withdrawn',
-            run=run.key.name,
-            life=view.key,
-            free_millicores=view.free_cpu,
-            free_mb=view.free_memory,
-        )
+        # The worker or the limit may have changed after it was proposed.
+        if not self._core.withdraw_start(view, run, now_s):
+            self._order_start(view, run, now_s)
 
 
 def _is_wanted(job: state.Job, key: state.RunKey) -> bool:
