Log which grant decides a worker's lease, at its first reading and its end

worker_read has clock_ms, lease_s and lease_source, and life_over has lease_left_s and lease_source. Before, a worker that was declared over too early couldn't be told from others: neither line said which grant the leader had counted (taken, open_grant, mix_up or unread), nor what clock the worker had. No logic changes.

--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -401,6 +401,7 @@
             )
         )
         view.is_over = True
+        lease_end_s, lease_source = view.find_lease_end()
         self.ended_lives.note(view.key, (cause, self.now_s))
         self.log_decision(
             'life_over',
@@ -411,6 +412,8 @@
             suspects=len(suspects),
             address=view.facts.address,
             heard_s_ago=round(self.now_s - view.heard_at_s, 3),
+            lease_left_s=_round_lease(lease_end_s - self.now_s),
+            lease_source=lease_source,
         )
         for run in view.runs.values():
             self._log_lost_run(view, run, cause)
@@ -485,6 +488,10 @@
             self.log_decision(event, term=self.fence, **fields)
 
 
+def _round_lease(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def to_ms(seconds: float) -> int:
     """Return seconds as whole milliseconds."""
     return round(seconds * 1000)
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -255,12 +255,16 @@
         view.update_clock(answer.clock_ms, now_s)
         view.mark_read(now_s)
         if is_first:
+            lease_end_s, lease_source = view.find_lease_end()
             self._core.log_decision(
                 'worker_read',
                 life=view.key,
                 service=view.facts.service,
                 running=len(answer.running),
                 ended=len(answer.ended),
+                clock_ms=answer.clock_ms,
+                lease_s=round(lease_end_s - now_s, 3),
+                lease_source=lease_source,
             )
             self._tracker.end_displaced(view)
         self._delay_next_poll(view, answer, now_s)
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -477,12 +477,24 @@
 
     def lease_ends_at_s(self) -> float:
         """Return the time from which the lease has certainly expired."""
+        return self.find_lease_end()[0]
+
+    def find_lease_end(self) -> tuple[float, str]:
+        """Return when the lease has certainly expired, and what decides that.
+
+        That is 'taken' for the newest grant that was answered, 'open_grant'
+        for one that was not, 'mix_up' for one that another incarnation may
+        have taken, or 'unread' for one of an earlier leader.
+        """
         lease_s = LEASE_S / WORKER_CLOCK_RATIO
-        ends = [self._lease_taken_at_s + lease_s, self._mix_up_lease_end_s]
-        ends += self._open_grants.values()
+        ends = [
+            (self._lease_taken_at_s + lease_s, 'taken'),
+            (self._mix_up_lease_end_s, 'mix_up'),
+        ]
+        ends += [(end_s, 'open_grant') for end_s in self._open_grants.values()]
         if self._unread_since_s is not None:
             late_s = MAX_SEND_DELAY_S + MAX_ORDER_DELAY_S
-            ends.append(self._unread_since_s + late_s + lease_s)
+            ends.append((self._unread_since_s + late_s + lease_s, 'unread'))
         return max(ends)
 
     def mark_responsive(self, now_s: float) -> None:
