TWICE: count a lease that another process than the intended one has taken

Cause: a worker that is back under its name answers orders that were meant for its former process, and takes the lease that they grant: its end is given on the former one's clock, so it may be the longest. The leader closed the order as answered and counted the lease for the former process only. A check of the restarted one's clock (below 10 s at its first reading) hid that in tests, in which each process's clock began at zero.

Change: an order that grants a lease and is answered by another process raises the assumed end of the lease of every process under that name, also of those that are seen later (lease_mixed_up). It was so for unanswered ones before.

--- a/features/late_leases.feature
+++ b/features/late_leases.feature
@@ -15,3 +15,16 @@
     And the worker works on until 11.0 s
     And a late order extends its lease by 10 s, and it is cut off
     Then it isn't over before that lease has ended
+
+  # Guards against a task that runs twice: the next process answers an order to the former one, so that nothing seems open, and holds the lease that it grants by the former one's clock.
+  Scenario Outline: A worker that is cut off isn't over before the lease has ended that it took by an order to its former process
+    Given a worker of which <order> is answered by its next process
+    When the worker restarts, and reports at 2.0 s
+    And it works on with a clock that doesn't begin at zero until 5.0 s
+    And it is cut off
+    Then it isn't over before the longest lease since that answer has ended
+
+    Examples:
+      | order                                  |
+      | a poll that grants a lease             |
+      | a repeated start, as that of an old run |
--- a/features/steps/late_lease_steps.py
+++ b/features/steps/late_lease_steps.py
@@ -12,6 +12,11 @@
 from greengagering.coordination.workers import _worker_view
 from greengagering import state
 
+GRANT_AT_S = 1.4
+FORMER_CLOCK_MS = 50_000
+CLOCK_START_MS = 11_000
+"""Clocks of the former and of the restarted process, in ms."""
+
 TIMEOUT_S = unanswered_order_steps.ORDER_TIMEOUT_S
 
 _outcomes = coordination.OrderOutcome
@@ -44,7 +49,59 @@
     )
 
 
+@given(
+    'a worker of which a poll that grants a lease is answered by its next process'
+)
+def mix_up_poll(context: Any) -> None:
+    context.worker = worker = unanswered_order_steps.OrderedWorker(1)
+    worker.step(0.1)
+    worker.answer(0, 0.12)
+    poll = worker.scheduler.next_poll(worker.facts.key, GRANT_AT_S)
+    assert poll is not None
+    assert poll.until_ms, poll
+    grant = worker.scheduler.open_poll_grant(poll, GRANT_AT_S)
+    answer = coordination.LookAnswer(
+        _outcomes.DONE, CLOCK_START_MS, worker.facts.born_ms + 1
+    )
+    worker.scheduler.handle_poll_answer(
+        poll, grant, answer, GRANT_AT_S, GRANT_AT_S
+    )
+
+
+@given(
+    'a worker of which a repeated start, as that of an old run is answered by '
+    'its next process'
+)
+def mix_up_start(context: Any) -> None:
+    context.worker = worker = unanswered_order_steps.OrderedWorker(1)
+    worker.view.update_clock(FORMER_CLOCK_MS, 0.0)
+    worker.step(GRANT_AT_S)
+    worker.answer(0, GRANT_AT_S, _outcomes.OLD_RUN, CLOCK_START_MS)
+
+
+@when(
+    "it works on with a clock that doesn't begin at zero until {until_s:g} s"
+)
+def work_by_clock(context: Any, until_s: float) -> None:
+    context.process = late_poll_steps.LaterProcess(
+        context.worker.restarted, CLOCK_START_MS
+    )
+    late_poll_steps.work(context, until_s)
+
+
+@then("it isn't over before the longest lease since that answer has ended")
+def check_mixed_up(context: Any) -> None:
+    ran_s = context.over_at_s - GRANT_AT_S
+    assert ran_s >= _worker_view.MAX_LEASE_S, ran_s
+
+
 @when('a late order extends its lease by 10 s, and it is cut off')
+def cut_off_late(context: Any) -> None:
+    cut_off(context)
+    assert context.cut_at_s < context.late_until_s, context.cut_at_s
+
+
+@when('it is cut off')
 def cut_off(context: Any) -> None:
     """Leave everything unanswered from the next grant on that is answered."""
     worker = context.worker
@@ -53,7 +110,6 @@
     while worker.scheduler.workers[key].granted_at_s == granted_at_s:
         late_poll_steps.work(context, worker.now_s + late_poll_steps.STEP_S)
     context.cut_at_s = worker.now_s
-    assert worker.now_s < context.late_until_s, worker.now_s
     assert worker.scheduler.workers[key].runs
     context.over_at_s = None
     while context.over_at_s is None:
--- a/features/steps/late_poll_steps.py
+++ b/features/steps/late_poll_steps.py
@@ -29,10 +29,14 @@
         started: the runs that it was ordered to start, in their order.
         running: the runs in progress, by name.
         ended: the ends that it lists.
+        clock_start_ms: its clock at 1 s.
     """
 
-    def __init__(self, facts: state.WorkerFacts) -> None:
+    def __init__(
+        self, facts: state.WorkerFacts, clock_start_ms: int = 0
+    ) -> None:
         self.facts = facts
+        self.clock_start_ms = clock_start_ms
         self.started: list[state.RunKey] = []
         self.running: dict[str, state.RunKey] = {}
         self.ended: list[state.RunEnd] = []
@@ -129,7 +133,7 @@
     scheduler = worker.scheduler
     while worker.now_s < until_s:
         now_s = round(worker.now_s + STEP_S, 3)
-        clock_ms = int((now_s - 1) * 1000)
+        clock_ms = process.clock_start_ms + int((now_s - 1) * 1000)
         taken = len(worker.starts)
         worker.step(now_s)
         for number, start in enumerate(worker.starts[taken:], taken):
--- a/greengagering/coordination/scheduling/_late_starts.py
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -9,6 +9,14 @@
 from greengagering.coordination.workers import StopOrder
 from greengagering.coordination.workers import WorkerView
 
+LEASE_TAKEN = (
+    OrderOutcome.DONE,
+    OrderOutcome.OLD_RUN,
+    OrderOutcome.NO_ROOM,
+)
+"""Outcomes of a start order whose lease the worker has taken, even where it
+did not start the run."""
+
 
 class LateStartGuard:
     """Notes what is sent, and has processes that are new here refuse it.
@@ -74,9 +82,13 @@
         outcome = answer.outcome
         if outcome is OrderOutcome.NO_ANSWER:
             return
-        if outcome is OrderOutcome.DONE and (
-            view is None or view.is_clock_foreign(answer.clock_ms, now_s)
-        ):
+        is_foreign = view is None or view.is_clock_foreign(
+            answer.clock_ms, now_s
+        )
+        is_start = isinstance(order, StartOrder)
+        if is_start and is_foreign and outcome in LEASE_TAKEN:
+            self._core.note_mixed_grant(order.life.worker_id, now_s)
+        if outcome is OrderOutcome.DONE and is_foreign:
             return
         self.close(order)
 
@@ -97,6 +109,9 @@
             if until_s is not None:
                 # A refused start extends the lease as well.
                 view.raise_lease_end(until_s)
+        mixed_at_s = self._core.mixed_grants.find(worker_id)
+        if mixed_at_s is not None:
+            view.raise_lease_end(mixed_at_s)
         late = self._core.sent_starts.find(worker_id, now_s)
         if not late:
             return
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -109,6 +109,9 @@
         stop_counts: runs ordered to stop, by cause.
         sent_starts: starts that may still be carried out.
         sent_grants: polls that may still be carried out and grant a lease.
+        mixed_grants: when an order that grants a lease was last answered by
+            another process of its worker than it was meant for, by the
+            worker's id.
         ended_lives: cause and time of the end of the incarnations that this
             leader declared over last.
         removed_runs: how the runs that left a view last did so, by run name.
@@ -143,6 +146,7 @@
         self.stop_counts: dict[str, int] = {}
         self.sent_starts: SentOrders[StartOrder] = SentOrders()
         self.sent_grants: SentOrders[LookOrder] = SentOrders()
+        self.mixed_grants: RecentItems[float] = RecentItems()
         self.ended_lives: RecentItems[tuple[str, float]] = RecentItems()
         self.removed_runs: RecentItems[str] = RecentItems()
         self.is_plan_due = False
@@ -171,6 +175,7 @@
         # What this term sent is refused under a later one's fence.
         self.sent_starts.clear()
         self.sent_grants.clear()
+        self.mixed_grants.clear()
         self.ended_lives.clear()
         self.removed_runs.clear()
 
@@ -313,6 +318,17 @@
         # causes the run to be voided again.
         run.phase_at_s = math.inf
 
+    def note_mixed_grant(self, worker_id: str, now_s: float) -> None:
+        """Note that a lease was granted to a process that it isn't meant for.
+
+        The order gives the lease's end on the clock of the process that it
+        was meant for, so the lease may be the longest that a worker takes.
+        """
+        self.mixed_grants.note(worker_id, now_s)
+        for view in self.incarnations.of_worker(worker_id):
+            view.raise_lease_end(now_s)
+        self.log_decision('lease_mixed_up', worker=worker_id)
+
     def expects_losses(self, view: WorkerView, now_s: float) -> bool:
         """Tell whether answers of a responsive worker are expected lost."""
         return now_s < view.polls.lossy_until_s or self.poll_losses.is_lossy(
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -3,6 +3,7 @@
 from greengagering.coordination.entries._retry_budget import RetryBudget
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._late_starts import LateStartGuard
+from greengagering.coordination.scheduling._late_starts import LEASE_TAKEN
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
 from greengagering.coordination.scheduling._leader_core import StopCause
@@ -55,14 +56,6 @@
 """Outcomes that prove that this start order was not carried out, and by which
 the run is voided, or stopped if an earlier order may have started it."""
 
-_LEASE_TAKEN = (
-    OrderOutcome.DONE,
-    OrderOutcome.OLD_RUN,
-    OrderOutcome.NO_ROOM,
-)
-"""Outcomes of a start order whose lease the worker has taken, even where it
-did not start the run."""
-
 
 class RunOrders:
     """Queues orders for committed runs, and repeats them.
@@ -255,7 +248,7 @@
     ) -> None:
         outcome = answer.outcome
         if grant and outcome is not OrderOutcome.NO_ANSWER:
-            is_taken = outcome in _LEASE_TAKEN
+            is_taken = outcome in LEASE_TAKEN
             view.close_grant(grant, now_s, is_taken=is_taken)
         if run is not None:
             self._apply_start_outcome(view, run, answer, now_s)
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -197,6 +197,9 @@
         """
         if answer.outcome is not OrderOutcome.NO_ANSWER or answer.is_refused:
             self._core.sent_grants.close(order)
+        is_other = answer.born_ms not in (None, order.life.born_ms)
+        if is_other and order.until_ms:
+            self._core.note_mixed_grant(order.life.worker_id, now_s)
         view = self._core.workers.get(order.life.key)
         if view is None or order.fence != self._core.fence:
             return
@@ -217,7 +220,7 @@
             view.note_lost_poll(sent_at_s)
             self._handle_failed_poll(view, answer, sent_at_s, now_s)
             return
-        if answer.born_ms not in (None, view.facts.born_ms):
+        if is_other:
             self._tracker.handle_other_incarnation(view, now_s)
             return
         self._handle_lists(view, answer, sent_at_s, now_s)
--- a/greengagering/coordination/workers/_incarnation_table.py
+++ b/greengagering/coordination/workers/_incarnation_table.py
@@ -57,9 +57,13 @@
             default=None,
         )
 
+    def of_worker(self, worker_id: str) -> list[WorkerView]:
+        """Return a worker's incarnations."""
+        return list(self._by_worker.get(worker_id, ()))
+
     def related(self, facts: state.WorkerFacts) -> list[WorkerView]:
         """Return the other incarnations with the same name or address."""
-        found = list(self._by_worker.get(facts.worker_id, ()))
+        found = self.of_worker(facts.worker_id)
         found += [
             view
             for view in self._by_address.get(facts.address, ())
