--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -233,6 +233,8 @@
     done_count = job.done_counts.get(step_key, 0)
     if done_count >= step.task_count:
         return
+    if job.done_step_count < 0:
+        job.done_step_count = _count_done_steps(job)
     if step.is_gang:
         # The end of one member completes the tasks of all members.
         finished = _step_tasks(job, step, step_key)
@@ -250,6 +252,13 @@
         job.status = model.JobStatus.SUCCEEDED
 
 
+def _count_done_steps(job: model.Job) -> int:
+    return sum(
+        done_count >= job.spec.steps[int(key.rpartition('.')[2])].task_count
+        for key, done_count in job.done_counts.items()
+    )
+
+
 def _is_complete(job: model.Job) -> bool:
     step_count = len(job.spec.steps) * job.spec.occurrence_count
     return job.done_step_count >= step_count
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -274,7 +274,7 @@
         done_counts: number of done tasks by 'occurrence.step'.
         customer: name of the customer that submitted it, or ''.
         done_step_count: number of steps, in all occurrences, whose tasks are
-            all done. It is derived from done_counts.
+            all done; -1 in a snapshot of a former version, which lacks it.
     """
 
     spec: JobSpec
@@ -285,12 +285,7 @@
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     done_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     customer: str = ''
-    done_step_count: int = dataclasses.field(default=0, init=False)
-
-    def __post_init__(self) -> None:
-        for step_key, done_count in self.done_counts.items():
-            step = self.spec.steps[int(step_key.rpartition('.')[2])]
-            self.done_step_count += done_count >= step.task_count
+    done_step_count: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
