TWICE: a new leader counts the longest lease of a worker that has restarted

Cause: mark_read meant to count the longest lease for a process that started a short time ago, and told that by its clock, as if each process's clock began at zero. It begins anew, at any value.

Change: the leader stores with a new incarnation whether an earlier one had its name; the names of workers that were declared over last are kept for that. A new leader counts the longest lease for such a worker until 13.5 s after it was first known, by the time at which its own replica applied that, or after the term began. Others, and later ones, keep the usual lease: a guess costs their tasks 6 s.

Evidence: features/late_leases.feature, two scenarios fail on (over 7.5 s after the term began), three more hold the usual lease. The fakes' clocks begin anywhere now; the recut search restarts workers, holds orders back for their next process, stops leaders and cuts the workers off.

--- a/features/fault_search.feature
+++ b/features/fault_search.feature
@@ -96,3 +96,9 @@
     When 300 schedules of the reply search run from seed 0
     Then no schedule violates an invariant
     And the schedules exercised accepted, shown, denied, refused, unknown, restarts, silences and late_answers
+
+  # Guards against a worker that is declared over while it holds a lease: one that its restarted process took by an order to the former one.
+  Scenario: No worker that restarts and is cut off is over before its lease has ended
+    When 100 schedules of the recut search run from seed 0
+    Then no schedule violates an invariant
+    And the schedules exercised accepted, starts, succeeded, worker_restarts, leaders, recuts, held_orders and lapsed_lives
--- a/features/late_leases.feature
+++ b/features/late_leases.feature
@@ -28,3 +28,38 @@
       | order                                  |
       | a poll that grants a lease             |
       | a repeated start, as that of an old run |
+
+  # Guards against a task that runs twice: the former leader's orders to the worker's former process granted its next one a long lease, and the new leader knows of none.
+  Scenario Outline: A new leader counts the longest lease of a worker that restarted a short time ago
+    Given a worker that works from 0.1 s on
+    When the worker restarts, and the leader knows at 1.0 s
+    And at 2.0 s <replica> takes over
+    And it works on with a clock that doesn't begin at zero until 4.0 s
+    And it is cut off
+    Then it isn't over before the longest lease since then has ended
+
+    Examples:
+      | replica                                   |
+      | a replica that has followed the log       |
+      | a replica that has just loaded a snapshot |
+
+  # Guards against tasks that wait for 6 s more than they need to after a change of leader.
+  Scenario: A new leader counts the usual lease of a worker that restarted long ago
+    Given a worker that works from 0.1 s on
+    When the worker restarts, and the leader knows at 1.0 s
+    And at 30.0 s a replica that has followed the log takes over
+    And it works on with a clock that doesn't begin at zero until 32.0 s
+    And it is cut off
+    Then it is over within 5 s
+
+  Scenario Outline: A new leader counts the usual lease of a worker that hasn't restarted
+    Given a worker that works from 0.1 s on
+    When at 2.0 s <replica> takes over
+    And it works on with a clock that doesn't begin at zero until 4.0 s
+    And it is cut off
+    Then it is over within 5 s
+
+    Examples:
+      | replica                                   |
+      | a replica that has followed the log       |
+      | a replica that has just loaded a snapshot |
--- a/features/search/run.py
+++ b/features/search/run.py
@@ -15,6 +15,7 @@
 from features.search import late_start_search
 from features.search import leave_search
 from features.search import machine_search
+from features.search import recut_search
 from features.search import replica_search
 from features.search import reply_search
 from features.search import restart_search
@@ -126,6 +127,14 @@
     return late_start_search.LateStartSearch(seed).run()
 
 
+@catch_failure
+def run_recut_seed(seed: int) -> recut_search.RecutResult:
+    """Run one schedule over workers that restart and are cut off."""
+    search = recut_search.RecutSearch(seed)
+    search.run()
+    return search.result
+
+
 @catch_failure
 def run_reply_seed(seed: int) -> reply_search.ReplyResult:
     """Run one schedule over entries' job calls and their answers."""
@@ -145,6 +154,7 @@
     'leave': run_leave_seed,
     'restart': run_restart_seed,
     'late_start': run_late_start_seed,
+    'recut': run_recut_seed,
     'reply': run_reply_seed,
 }
 TOTALS: dict[str, Any] = {
@@ -160,6 +170,7 @@
     'leave': job_search.JobResult,
     'restart': job_search.JobResult,
     'late_start': late_start_search.LateStartResult,
+    'recut': recut_search.RecutResult,
     'reply': reply_search.ReplyResult,
 }
 
@@ -189,7 +200,7 @@
 
     Args:
         name: replica, syncing, control, job, agent, limit, crash, machine,
-            sending, leave, restart, late_start or reply.
+            sending, leave, restart, late_start, recut or reply.
         first_seed: first seed.
         count: number of schedules.
     """
--- a/features/search/worker_fakes.py
+++ b/features/search/worker_fakes.py
@@ -9,6 +9,11 @@
 from greengagering import state
 
 MAX_LEASE_MS = 10_000
+MAX_CLOCK_START_MS = 9_000_000
+CLOSE_CLOCKS_MS = (-12_000, 6000)
+"""Differences between the clocks of a worker's processes by which an order to
+one grants the other a short lease, or none."""
+
 STOP_S = 0.3
 ROOM = state.Room(cpu_millicores=8000, memory_mb=16_000, gpu_count=0)
 
@@ -170,6 +175,7 @@
         self.rack = 'rack-1'
         self.service = 'service-a'
         self.room = ROOM
+        self._clock_start_ms = 0.0
         self.lasting_run_s: float | None = None
         self.is_draining = False
         self.start_process(0.0)
@@ -194,6 +200,16 @@
         self._is_room_reported = False
         self._clock_rate = self.rng.uniform(0.98, 1.0)
         self._clock_base_s = now_s
+        # It starts anew: at zero, at any value, or close to the former one's.
+        # An own source of chance leaves the other draws of a seed as they are.
+        source = f'{self.facts().key} {self._clock_rate}'
+        draw = random.Random(source)  # noqa: S311
+        former_ms = self._clock_start_ms + now_s * 1000
+        anywhere_ms = draw.uniform(0, MAX_CLOCK_START_MS)
+        close_ms = max(0.0, former_ms + draw.uniform(*CLOSE_CLOCKS_MS))
+        self._clock_start_ms = draw.choice(
+            (anywhere_ms, anywhere_ms, anywhere_ms, close_ms, 0.0)
+        )
 
     def crash(self) -> None:
         """End the process and all of its runs without a notice."""
@@ -211,7 +227,8 @@
 
     def clock_ms(self, now_s: float) -> float:
         """Return this incarnation's own clock."""
-        return (now_s - self._clock_base_s) * 1000 * self._clock_rate
+        ran_ms = (now_s - self._clock_base_s) * 1000 * self._clock_rate
+        return self._clock_start_ms + ran_ms
 
     def facts(self) -> state.WorkerFacts:
         """Return what this incarnation reports about itself."""
--- a/features/steps/late_lease_steps.py
+++ b/features/steps/late_lease_steps.py
@@ -1,5 +1,6 @@
 """Steps about leases that orders to former processes of a worker extend."""
 
+import dataclasses
 from typing import Any
 
 from behave import given
@@ -7,6 +8,7 @@
 from behave import when
 
 from features.steps import late_poll_steps
+from features.steps import late_start_steps
 from features.steps import unanswered_order_steps
 from greengagering import coordination
 from greengagering.coordination.workers import _worker_view
@@ -50,7 +52,8 @@
 
 
 @given(
-    'a worker of which a poll that grants a lease is answered by its next process'
+    'a worker of which a poll that grants a lease is answered by its next '
+    'process'
 )
 def mix_up_poll(context: Any) -> None:
     context.worker = worker = unanswered_order_steps.OrderedWorker(1)
@@ -138,3 +141,48 @@
 def work_on(context: Any, until_s: float) -> None:
     context.process = late_poll_steps.LaterProcess(context.worker.restarted)
     late_poll_steps.work(context, until_s)
+
+
+@given('a worker that works from {now_s:g} s on')
+def start_work(context: Any, now_s: float) -> None:
+    context.worker = worker = unanswered_order_steps.OrderedWorker(1)
+    worker.step(now_s)
+    worker.answer(0, now_s + 0.02)
+
+
+@when('the worker restarts, and the leader knows at {now_s:g} s')
+def report_restart(context: Any, now_s: float) -> None:
+    worker = context.worker
+    worker.now_s = now_s
+    worker.restarted = dataclasses.replace(
+        worker.facts, born_ms=worker.facts.born_ms + 1
+    )
+    report = coordination.WorkerReport(
+        worker.restarted, 1, CLOCK_START_MS, is_draining=False
+    )
+    record = worker.scheduler.handle_report(report, now_s)
+    assert record is not None
+    late_start_steps.apply(worker, record, now_s)
+
+
+@when('at {now_s:g} s {replica} takes over')
+def change_leader(context: Any, now_s: float, replica: str) -> None:
+    worker = context.worker
+    if replica == 'a replica that has just loaded a snapshot':
+        data = state.encode(worker.scheduler.jobs)
+        jobs = state.decode(data, state.JobsState)
+        worker.scheduler = coordination.JobScheduler(jobs)
+    worker.scheduler.start_leading(2, now_s, 0)
+    worker.now_s = context.leading_since_s = now_s
+
+
+@then("it isn't over before the longest lease since then has ended")
+def check_longest(context: Any) -> None:
+    ran_s = context.over_at_s - context.leading_since_s
+    assert ran_s >= _worker_view.MAX_LEASE_S, ran_s
+
+
+@then('it is over within {seconds:g} s')
+def check_usual(context: Any, seconds: float) -> None:
+    ran_s = context.over_at_s - context.cut_at_s
+    assert ran_s <= seconds, ran_s
--- a/features/steps/unanswered_order_steps.py
+++ b/features/steps/unanswered_order_steps.py
@@ -36,6 +36,7 @@
         stops: stop orders taken from it.
         sent: times at which each of the starts was taken.
         records: records that steps have proposed.
+        restarted: what its newest process reported.
         now_s: time of the newest step.
     """
 
@@ -46,6 +47,7 @@
         self.stops: list[coordination.StopOrder] = []
         self.sent: list[float] = []
         self.records: list[state.JobRecord] = []
+        self.restarted = self.facts
         self.now_s = 0.0
         self._grants: list[int] = []
         step = state.StepSpec(
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -28,10 +28,12 @@
 from greengagering.coordination.scheduling._worker_reports import WorkerReports
 from greengagering.coordination.workers import LookAnswer
 from greengagering.coordination.workers import LookOrder
+from greengagering.coordination.workers import MAX_ORDER_AGE_S
 from greengagering.coordination.workers import Order
 from greengagering.coordination.workers import OrderAnswer
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
+from greengagering.coordination.workers import SeenTimes
 from greengagering.coordination.workers import StartOrder
 from greengagering.coordination.workers import WorkerReport
 from greengagering.coordination.workers import WorkerView
@@ -83,6 +85,7 @@
         self._stalls_checked_at_s = float('-inf')
         self._finished_at_s: dict[str, float] = {}
         self._logged_plan: state.RoutePlan | None = None
+        self._seen_times = SeenTimes()
 
     @property
     def jobs(self) -> state.JobsState:
@@ -92,6 +95,7 @@
     @jobs.setter
     def jobs(self, jobs: state.JobsState) -> None:
         self._core.jobs = jobs
+        self._seen_times.mark_unloaded()
 
     @property
     def fence(self) -> int:
@@ -396,6 +400,7 @@
         self, record: state.JobRecord, now_s: float, now_ms: int
     ) -> None:
         """Update the leader's state after a record was applied."""
+        self._follow_lives(record, now_s)
         if not self._core.is_leading:
             return
         self._core.is_plan_due = True
@@ -422,6 +427,14 @@
             case _:
                 self._apply_run_record(record, now_s)
 
+    def _follow_lives(self, record: state.JobRecord, now_s: float) -> None:
+        """Note, on every replica, when incarnations are known and over."""
+        self._seen_times.mark_loaded(now_s)
+        if isinstance(record, state.LifeSeen):
+            self._seen_times.note(record.facts.key, now_s)
+        elif isinstance(record, state.LifeOver):
+            self._seen_times.forget(record.life_key)
+
     def find_report_fault(self, report: WorkerReport, now_s: float) -> str:
         """Return why a report must not be used, or ''; see WorkerReports."""
         return self._reports.find_fault(report, now_s)
@@ -484,6 +497,14 @@
         view.is_draining = life.is_draining
         view.is_reserved = life.facts.worker_id in self._core.reserved_workers
         view.proposed_end = life.noted_end
+        if life.is_restarted:
+            # Leaders stopped sending to the earlier incarnation when this one
+            # was known to them, and former ones when this term began.
+            stopped_at_s = min(
+                self._core.leading_since_s,
+                self._seen_times.find_latest_s(view.key, now_s),
+            )
+            view.former_orders_until_s = stopped_at_s + MAX_ORDER_AGE_S
         self._core.incarnations.add(view)
         self._core.poll_candidates.add(view.key)
         for key in life.runs.values():
--- a/greengagering/coordination/scheduling/_worker_reports.py
+++ b/greengagering/coordination/scheduling/_worker_reports.py
@@ -91,7 +91,9 @@
             self._log_seen_again(key, now_s)
             if self._core.incarnations.is_outdated(report.facts):
                 return None
-            return state.LifeSeen(report.facts)
+            return state.LifeSeen(
+                report.facts, is_restarted=self._is_restarted(report.facts)
+            )
         life = self._core.jobs.lives[key]
         is_newest = self._is_newest(view, report)
         if is_newest:
@@ -112,6 +114,17 @@
             return state.LifeSeen(report.facts)
         return None
 
+    def _is_restarted(self, facts: state.WorkerFacts) -> bool:
+        """Tell whether a new incarnation had an earlier one with its name.
+
+        One that reports again after it was declared over isn't a new one.
+        """
+        worker_id = facts.worker_id
+        former_ms = self._core.jobs.ended_workers.get(worker_id, facts.born_ms)
+        return former_ms != facts.born_ms or bool(
+            self._core.incarnations.of_worker(worker_id)
+        )
+
     def _log_seen_again(self, key: str, now_s: float) -> None:
         """Log that an incarnation reports that this leader declared over."""
         ended = self._core.ended_lives.find(key)
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -30,6 +30,7 @@
 from greengagering.coordination.workers._run_view import RunObserver
 from greengagering.coordination.workers._run_view import RunPhase
 from greengagering.coordination.workers._run_view import RunView
+from greengagering.coordination.workers._seen_times import SeenTimes
 from greengagering.coordination.workers._sent_orders import MAX_ORDER_AGE_S
 from greengagering.coordination.workers._sent_orders import SentOrders
 from greengagering.coordination.workers._sharing import find_paces
@@ -81,6 +82,7 @@
     'RunObserver',
     'RunPhase',
     'RunView',
+    'SeenTimes',
     'SHARED_POLL_WAIT_S',
     'SETTLED_S',
     'SILENCE_S',
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -33,7 +33,7 @@
 
 CLOCK_TOLERANCE_MS = 1000
 """Lag behind the expected clock above which a reading is taken for another
-incarnation's; the clock of a restarted worker starts again at zero."""
+incarnation's; the clock of a restarted worker starts anew, at any value."""
 
 MAX_ORDER_DELAY_S = 12.0
 """Longest time after which an unanswered order may still be carried out, by
@@ -142,6 +142,8 @@
         listed_poll_at_s: when the latest poll for such lists was sent.
         is_list_due: the next poll must not wait for a run to end.
         polls: its polls without an answer.
+        former_orders_until_s: time until which it may carry out what earlier
+            leaders have ordered of an earlier incarnation, or -infinity.
         observer: learns of its runs while this incarnation may run something;
             set by the IncarnationTable.
     """
@@ -185,6 +187,7 @@
         self.listed_poll_at_s = float('-inf')
         self.is_list_due = False
         self.polls = _open_polls.OpenPolls()
+        self.former_orders_until_s = float('-inf')
         self._grant_number = 0
         self._open_grants: dict[int, float] = {}
         self._lease_taken_at_s = float('-inf')
@@ -460,16 +463,13 @@
         """Record that the lists were read under this leader's fence.
 
         From now on the worker refuses delayed orders of earlier leaders, but
-        it keeps any lease granted before. An incarnation that started a short
-        time ago may hold a lease from an order that was meant for an earlier
-        one under its name.
+        it keeps any lease granted before. One that was meant for an earlier
+        incarnation may be the longest; this leader doesn't know of it.
         """
         if self._unread_since_s is not None:
             self._lease_taken_at_s = max(self._lease_taken_at_s, now_s)
-        clock_ms = self.clock_ms(now_s)
-        is_recent_start = clock_ms is None or clock_ms < MAX_LEASE_S * 1000
-        if not self.is_read and is_recent_start:
-            self.raise_lease_end(now_s)
+        if not self.is_read:
+            self.raise_lease_end(min(now_s, self.former_orders_until_s))
         self.is_read = True
         self.unanswered_polls = 0
         self._unread_since_s = None
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+from typing import TypeVar
 
 from greengagering.state import _crash_counts
 from greengagering.state import _jobs_model as model
@@ -12,6 +13,12 @@
 """Most lapsed incarnations that are kept. A worker that was only cut off is
 heard again within minutes, and few are cut off at the same time."""
 
+MAX_ENDED_WORKERS = 5000
+"""Most workers of which the last end is kept. It has to cover those that end
+and are back within half a minute: a data centre that loses power."""
+
+Item = TypeVar('Item')
+
 
 def apply_to_jobs(state: model.JobsState, record: model.JobRecord) -> None:
     """Apply one committed record.
@@ -46,7 +53,7 @@
 def _apply_to_runs(state: model.JobsState, record: model.JobRecord) -> None:
     match record:
         case model.LifeSeen():
-            _record_facts(state, record.facts)
+            _record_facts(state, record)
         case model.LifeDraining():
             if record.life_key in state.lives:
                 state.lives[record.life_key].is_draining = True
@@ -62,15 +69,18 @@
             _record_ends(state, record)
 
 
-def _record_facts(state: model.JobsState, facts: model.WorkerFacts) -> None:
+def _record_facts(state: model.JobsState, record: model.LifeSeen) -> None:
     """Add an incarnation, or update the room of a known one."""
+    facts = record.facts
     incarnation = state.lives.get(facts.key)
     if incarnation is None:
         noted_end = 0
         lapsed = state.lapsed.pop(facts.worker_id, None)
         if lapsed is not None and lapsed.born_ms == facts.born_ms:
             noted_end = lapsed.noted_end
-        state.lives[facts.key] = model.WorkerLife(facts, noted_end)
+        state.lives[facts.key] = model.WorkerLife(
+            facts, noted_end, is_restarted=record.is_restarted
+        )
         return
     incarnation.facts = dataclasses.replace(incarnation.facts, room=facts.room)
 
@@ -124,21 +134,33 @@
     incarnation = state.lives.pop(record.life_key, None)
     if incarnation is None:
         return
+    facts = incarnation.facts
+    _put_newest(
+        state.ended_workers,
+        facts.worker_id,
+        facts.born_ms,
+        MAX_ENDED_WORKERS,
+    )
     if record.cause == model.LEASE_LAPSED and incarnation.noted_end:
-        facts = incarnation.facts
-        state.lapsed.pop(facts.worker_id, None)
-        state.lapsed[facts.worker_id] = model.LapsedLife(
-            facts.born_ms, incarnation.noted_end
-        )
-        if len(state.lapsed) > MAX_LAPSED:
-            # The first key is the oldest, on every replica.
-            del state.lapsed[next(iter(state.lapsed))]
+        lapsed = model.LapsedLife(facts.born_ms, incarnation.noted_end)
+        _put_newest(state.lapsed, facts.worker_id, lapsed, MAX_LAPSED)
     for key in incarnation.runs.values():
         task = state.find_task(key)
         if task is not None:
             task.live_runs.pop(key.run, None)
 
 
+def _put_newest(
+    items: dict[str, Item], key: str, item: Item, most: int
+) -> None:
+    """Put an item last, and drop the first one beyond a number of items."""
+    items.pop(key, None)
+    items[key] = item
+    if len(items) > most:
+        # The first key is the oldest, on every replica.
+        del items[next(iter(items))]
+
+
 def _assign_run(
     state: model.JobsState, key: model.RunKey, life_key: str
 ) -> None:
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -329,12 +329,15 @@
             new run.
         runs: runs that are assigned to it and aren't known to have ended, by
             run name.
+        is_restarted: whether an earlier incarnation had its name, so that it
+            may carry out what was ordered of that one.
     """
 
     facts: WorkerFacts
     noted_end: int = 0
     is_draining: bool = False
     runs: dict[str, 'RunKey'] = dataclasses.field(default_factory=dict)
+    is_restarted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -462,9 +465,15 @@
     """A worker's incarnation reported first, or with a changed room.
 
     A former version ignores the latter.
+
+    Attributes:
+        facts: what it reported.
+        is_restarted: whether an earlier incarnation had its name; counts only
+            the first time.
     """
 
     facts: WorkerFacts
+    is_restarted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -652,6 +661,8 @@
         ordered_at_ms: Unix time of the newest duty, by machine.
         lapsed: the latest incarnation whose lease has expired, by worker; one
             that was only cut off is heard again, and lists its ends again.
+        ended_workers: start, in Unix ms, of the incarnation that was declared
+            over last, by worker; the newest ones only.
     """
 
     plan: RoutePlan | None = None
@@ -661,6 +672,7 @@
     duties: dict[str, Duty] = dataclasses.field(default_factory=dict)
     ordered_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     lapsed: dict[str, LapsedLife] = dataclasses.field(default_factory=dict)
+    ended_workers: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def find_task(self, key: RunKey) -> Task | None:
         """Return the task of a run, or None if it is unknown."""
