--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -99,6 +99,9 @@
         pending_voids: workers of runs whose RunsVoided record is proposed
             and not applied yet, by run name.
         reserved_workers: ids of the workers whose machines are being emptied.
+        begun_jobs: ids of the active jobs of which a run has begun, as its
+            worker has confirmed or listed. For jobs that were assigned before
+            this term that isn't known; they count as begun.
         suspect_queues: time until which the new jobs of a queue start apart,
             by host and path prefix.
         short_services: services with tasks that found no room when tasks
@@ -139,6 +142,7 @@
         self.poll_candidates: set[str] = set()
         self.pending_voids: dict[str, WorkerView] = {}
         self.reserved_workers: set[str] = set()
+        self.begun_jobs: set[str] = set()
         self.suspect_queues: dict[tuple[str, str], float] = {}
         self.short_services: set[str] = set()
         self.logged_once: set[str] = set()
@@ -169,6 +173,7 @@
         self.proposals.clear()
         self.pending_voids.clear()
         self.reserved_workers.clear()
+        self.begun_jobs.clear()
         self.suspect_queues.clear()
         self.short_services.clear()
         self.logged_once.clear()
@@ -456,6 +461,12 @@
             ran_s=ran_s,
         )
 
+    def note_begun(self, job_id: str) -> None:
+        """Note that a run of a job has begun, unless the job has finished."""
+        job = self.jobs.jobs.get(job_id)
+        if job is not None and job.status is state.JobStatus.ACTIVE:
+            self.begun_jobs.add(job_id)
+
     def suspect_queue(self, job: state.Job, task: state.Task) -> None:
         """Start a queue's new jobs apart if a task of it crashes workers."""
         if task.crashes is not None and task.crashes.alone:
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -317,6 +317,7 @@
         outcome, clock_ms = answer.outcome, answer.clock_ms
         if outcome is kinds.DONE:
             run.has_begun = True
+            self._core.note_begun(run.key.job_id)
             if run.phase in (RunPhase.ORDERED, RunPhase.UNCERTAIN):
                 run.phase = RunPhase.RUNNING
                 run.phase_at_s = now_s
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -284,6 +284,8 @@
         for job in self.jobs.jobs.values():
             for task in job.tasks.values():
                 self._core.suspect_queue(job, task)
+            if job.has_started:
+                self._core.note_begun(job.spec.job_id)
             if job.status is state.JobStatus.ACTIVE:
                 self._core.index.add_job(job, now_s, now_ms)
             else:
@@ -474,16 +476,20 @@
         return find_needs(self._core, now_s)
 
     def count_pending(self, queue: state.Queue) -> int:
-        """Return how many active jobs of a queue have not started."""
+        """Return how many active jobs of a queue have not begun."""
         return sum(
             1
             for job in self.jobs.jobs.values()
             if job.status is state.JobStatus.ACTIVE
-            and not job.has_started
+            and not self.has_begun(job)
             and job.queue.host == queue.host
             and job.queue.path_prefix == queue.path_prefix
         )
 
+    def has_begun(self, job: state.Job) -> bool:
+        """Tell whether a run of a job has begun; it may be assigned before."""
+        return job.spec.job_id in self._core.begun_jobs
+
     def _log_customers(self) -> None:
         """Log how the plan in force changed the customers."""
         former, self._logged_plan = self._logged_plan, self.jobs.plan
@@ -533,6 +539,7 @@
         if job_id in self._finished_at_s:
             return
         self._finished_at_s[job_id] = now_s
+        self._core.begun_jobs.discard(job_id)
         if job.status is state.JobStatus.SUCCEEDED:
             steps = self._core.index.steps.get(job_id, {})
             self.waits.note_finished(steps.values(), now_s)
@@ -629,6 +636,7 @@
         job = self.jobs.jobs.get(end.key.job_id)
         if job is None:
             return
+        self._core.note_begun(end.key.job_id)
         if job.status is not state.JobStatus.ACTIVE:
             self._handle_finished(end.key.job_id, now_s)
         elif end.ending is state.RunEnding.DONE:
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -407,6 +407,7 @@
                 self._stop_unassigned(view, item)
                 continue
             run.is_listed = True
+            self._core.note_begun(run.key.job_id)
             run.percent = item.percent
             run.figure = item.figure
             run.saved = item.saved
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -269,7 +269,8 @@
         queue: the queue's parameters at acceptance.
         accepted_at_ms: Unix time of acceptance.
         status: current status.
-        has_started: whether a run was ever assigned.
+        has_started: whether a run was ever assigned; the leader knows more of
+            whether one has begun.
         tasks: tasks that were assigned, by 'occurrence.step.index'.
         done_counts: number of done tasks by 'occurrence.step'.
         customer: name of the customer that submitted it, or ''.
--- a/greengagering/transport/_job_call_handler.py
+++ b/greengagering/transport/_job_call_handler.py
@@ -256,7 +256,8 @@
             return job
         job_state = str(job.status)
         if job.status is state.JobStatus.ACTIVE:
-            job_state = 'running' if job.has_started else 'queued'
+            has_begun = self._core.jobs.has_begun(job)
+            job_state = 'running' if has_begun else 'queued'
         return coordination.JobAnswer(
             call.call_id,
             coordination.JobOutcome.DONE,
