--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import enum
 import math
 import traceback
 from typing import ParamSpec
@@ -10,6 +9,8 @@
 from greengagering.coordination.jobs import WorkIndex
 from greengagering.coordination.scheduling._admission import Admission
 from greengagering.coordination.scheduling._advice import PermitTable
+from greengagering.coordination.scheduling._causes import StopCause
+from greengagering.coordination.scheduling._causes import VoidCause
 from greengagering.coordination.scheduling import _customer_limits
 from greengagering.coordination.scheduling._isolation import QUEUE_MEMORY_S
 from greengagering.coordination.scheduling._shares import JobRates
@@ -34,39 +35,6 @@
 repeated yet; a few round trips. AnswerTimes gives the delay of the others."""
 
 
-class StopCause(enum.StrEnum):
-    """Why a run is ordered to stop.
-
-    EMPTYING: its machine is emptied for a move or an upkeep.
-    DRAINING: its worker drains, and another has room.
-    STALLED: it makes no progress, and another worker has room.
-    JOB_FINISHED: its job or task has finished, or its job was cancelled.
-    UNRESOLVED: its worker may run it or not, after unanswered start orders.
-    WITHDRAWN: before its start was confirmed, its worker began to drain or to
-        be emptied, or its worker's room or its customer's limit was lowered.
-    """
-
-    EMPTYING = 'emptying'
-    DRAINING = 'draining'
-    STALLED = 'stalled'
-    JOB_FINISHED = 'job_finished'
-    UNRESOLVED = 'unresolved'
-    WITHDRAWN = 'withdrawn'
-
-
-class VoidCause(enum.StrEnum):
-    """How it is known that a run neither runs nor can start any more.
-
-    REFUSED: its worker refused the only order to start it.
-    NOT_ORDERED: its start was withdrawn before it was ordered.
-    ABSENT: its worker doesn't list it.
-    """
-
-    REFUSED = 'refused'
-    NOT_ORDERED = 'not_ordered'
-    ABSENT = 'absent'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """Log event of a decision, with its fields."""
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -1,14 +1,14 @@
 """Sends orders to start and stop runs, and handles workers' answers."""
 
 from greengagering.coordination.entries._retry_budget import RetryBudget
+from greengagering.coordination.scheduling._causes import StopCause
+from greengagering.coordination.scheduling._causes import VoidCause
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._late_starts import LateStartGuard
 from greengagering.coordination.scheduling._late_starts import LEASE_TAKEN
 from greengagering.coordination.scheduling._leader_core import LeaderCore
 from greengagering.coordination.scheduling._leader_core import ORDER_RETRY_S
-from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._leader_core import to_ms
-from greengagering.coordination.scheduling._leader_core import VoidCause
 from greengagering.coordination.scheduling._wait_ledger import WaitLedger
 from greengagering.coordination.workers import handle_pace_answer
 from greengagering.coordination.workers import LEASE_S
--- a/greengagering/coordination/scheduling/_run_relocator.py
+++ b/greengagering/coordination/scheduling/_run_relocator.py
@@ -1,7 +1,7 @@
 """Stops stalled runs, and lasting tasks on draining workers, to move them."""
 
+from greengagering.coordination.scheduling._causes import StopCause
 from greengagering.coordination.scheduling._leader_core import LeaderCore
-from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling import _placement
 from greengagering.coordination.scheduling import _stalls
 from greengagering.coordination.workers import QUARANTINE_STREAK
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 from greengagering.coordination.scheduling._advice import Advice
 from greengagering.coordination.scheduling._advice import AdviceRequest
 from greengagering.coordination.scheduling._advice import PermitTable
+from greengagering.coordination.scheduling._causes import StopCause
 from greengagering.coordination.scheduling import _customer_limits
 from greengagering.coordination.scheduling._demand import DemandTracker
 from greengagering.coordination.scheduling import _incarnations
@@ -16,7 +17,6 @@
 from greengagering.coordination.scheduling._leader_core import Arguments
 from greengagering.coordination.scheduling._leader_core import Decision
 from greengagering.coordination.scheduling._leader_core import LeaderCore
-from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._pool_need import find_needs
 from greengagering.coordination.scheduling._pool_need import PoolNeed
 from greengagering.coordination.scheduling._run_orders import RunOrders
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -5,11 +5,11 @@
 
 import heapq
 
+from greengagering.coordination.scheduling._causes import StopCause
+from greengagering.coordination.scheduling._causes import VoidCause
 from greengagering.coordination.scheduling import _incarnations
 from greengagering.coordination.scheduling._leader_core import LeaderCore
-from greengagering.coordination.scheduling._leader_core import StopCause
 from greengagering.coordination.scheduling._leader_core import to_ms
-from greengagering.coordination.scheduling._leader_core import VoidCause
 from greengagering.coordination.scheduling._wait_ledger import WaitLedger
 from greengagering.coordination.workers import find_paces
 from greengagering.coordination.workers import GRANT_INTERVAL_S
