--- a/features/steps/moved_job_steps.py
+++ b/features/steps/moved_job_steps.py
@@ -107,7 +107,8 @@
     core = types.SimpleNamespace(
         state=types.SimpleNamespace(jobs=context.jobs_state),
         jobs=types.SimpleNamespace(
-            submissions=types.SimpleNamespace(judge=lambda *arguments: None)
+            submissions=types.SimpleNamespace(judge=lambda *arguments: None),
+            has_begun=lambda job: job.has_started,
         ),
     )
     handler = JobCallHandler(
