--- /dev/null
+++ b/features/crowds.feature
@@ -0,0 +1,107 @@
+@alone
+Feature: Processes bear crowds of clients that keep to no limit
+
+  # Guards against a head that is read and kept without a bound.
+  Scenario Outline: Heads: clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                       |
+      | a field value without end  |
+      | a field name without end   |
+      | a request line without end |
+      | fields without end         |
+      | bytes that are not HTTP    |
+
+  # Guards against empty lines before a request that keep connections for ever.
+  Scenario: Empty lines: clients send them without end
+    Given a control replica and an entry on small machines
+    When clients send empty lines without end to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+  # Guards against bodies that are bounded one by one, but not all together.
+  Scenario Outline: Bodies: clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                                          |
+      | whole bodies                                  |
+      | bodies that stop short of their end           |
+      | bodies in pieces that stop short of their end |
+      | large chunks that stop short of their end     |
+
+  # Guards against small chunks that take the process's time from all others.
+  Scenario: Small chunks: clients send chunks of one byte
+    Given a control replica and an entry on small machines
+    When clients send chunks of one byte that stop short of their end to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+  # Guards against what surrounds a body being read without a bound.
+  Scenario Outline: Around bodies: clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                         |
+      | chunk extensions without end |
+      | trailers without end         |
+      | a body after its refusal     |
+
+  # Guards against connections that take every descriptor and are never closed.
+  Scenario Outline: Connections: clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                         |
+      | nothing                      |
+      | half a head                  |
+      | one request and then nothing |
+
+  # Guards against requests and answers that pile up on a connection.
+  Scenario Outline: Pipelines: clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                                    |
+      | requests ahead of their answers         |
+      | requests whose answers they do not read |
+
+  # Guards against a bound that only the port for callers has.
+  Scenario Outline: Other ports: <where>, clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to <where>
+    Then an ordinary job is accepted beside them
+    And the configuration is read beside them
+    And the readiness check and the metrics are answered beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                                        | where                              |
+      | a field value without end                   | the port for workers and operators |
+      | configurations that stop short of their end | the port for workers and operators |
+      | reports that stop short of their end        | the port for workers and operators |
+      | nothing                                     | the port for workers and operators |
+      | a field value without end                   | the entry's readiness port         |
+      | nothing                                     | the entry's readiness port         |
+      | a field value without end                   | the entry's metrics port           |
+      | nothing                                     | the entry's metrics port           |
+      | nothing                                     | the control replica's metrics port |
+      | a field value without end                   | the entry's link port              |
+      | nothing                                     | the entry's link port              |
+      | nothing                                     | the control replica's link port    |
--- /dev/null
+++ b/features/steps/crowd_steps.py
@@ -0,0 +1,284 @@
+"""Steps that send crowds of clients to the ports of running processes."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import re
+import resource
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps.platform_path_steps import create_job
+from features.steps.platform_path_steps import wait_ready
+from features.steps.platform_path_steps import world_of
+from features.support import crowds
+from features.support import platform_world
+
+MEMORY_BOUND_MB = 128
+"""Most memory that a process may have used: that of a small machine."""
+
+FILE_BOUND = 512
+"""Number of descriptors that a process may open."""
+
+IDLE_POLL_S = 0.5
+IDLE_TICKS = 10
+"""Hundredths of a second that an idle process spends in IDLE_POLL_S."""
+
+IDLE_TIMEOUT_S = 60.0
+
+BODY_BYTES = 262_144
+LIMITS = {
+    'maxHeaderBytes': 16_384,
+    'maxBodyBytes': BODY_BYTES,
+    # Connections are to be bounded by their number here, not by time.
+    'headerTimeoutMs': 600_000,
+    'idleTimeoutMs': 600_000,
+}
+ENDLESS_BYTES = 4 * 1024 * 1024
+MANY = 480
+MORE_THAN_FILES = 600
+FEW = 60
+DEADLINE = {'Deadline-Ms': '30000'}
+
+PLAN_BYTES = 4 * 1024 * 1024
+REPORT_BYTES = 64 * 1024
+PLAN_LINE = 'POST /config/replace HTTP/1.1\r\n'
+REPORT_LINE = 'POST /instances/i-1/heartbeat HTTP/1.1\r\n'
+LINE = f'POST {platform_world.PREFIX}00000000000000ff HTTP/1.1\r\n'
+HOST = f'Host: {platform_world.HOST}\r\n'
+TYPE = 'Content-Type: application/json\r\n'
+START = (LINE + HOST + TYPE).encode()
+CHUNKED = START + b'Transfer-Encoding: chunked\r\n\r\n'
+READ_LINE = f'GET {platform_world.PREFIX} HTTP/1.1\r\n'
+READ = (READ_LINE + HOST + '\r\n').encode()
+
+
+def _sized(length: int, line: str = LINE) -> bytes:
+    length_field = f'Content-Length: {length}\r\n\r\n'
+    return (line + HOST + TYPE + length_field).encode()
+
+
+def _chunk(size: int) -> bytes:
+    return f'{size:x}\r\n'.encode() + b'x' * size + b'\r\n'
+
+
+SHORT_BODY = _sized(BODY_BYTES) + b'x' * (BODY_BYTES - 1)
+
+CROWDS = {
+    'a field value without end': crowds.Crowd(
+        FEW, crowds.repeat(START + b'X-Long: ', b'v', ENDLESS_BYTES)
+    ),
+    'a field name without end': crowds.Crowd(
+        FEW, crowds.repeat(START, b'n', ENDLESS_BYTES)
+    ),
+    'a request line without end': crowds.Crowd(
+        FEW, crowds.repeat(b'GET /', b'p', ENDLESS_BYTES)
+    ),
+    'fields without end': crowds.Crowd(
+        FEW,
+        crowds.repeat(START, b'X-Some: ' + b'v' * 1000 + b'\r\n', 4_194_304),
+    ),
+    'empty lines without end': crowds.Crowd(
+        MORE_THAN_FILES, crowds.repeat(b'', b'\r\n', 256 * 1024)
+    ),
+    'bytes that are not HTTP': crowds.Crowd(
+        FEW, crowds.repeat(b'\x16\x03\x01', b'\x00\xff\x80', ENDLESS_BYTES)
+    ),
+    'whole bodies': crowds.Crowd(
+        MANY, crowds.cut(SHORT_BODY + b'x', BODY_BYTES * 2)
+    ),
+    'bodies that stop short of their end': crowds.Crowd(
+        MANY, crowds.cut(SHORT_BODY, BODY_BYTES * 2)
+    ),
+    'bodies in pieces that stop short of their end': crowds.Crowd(
+        MANY, crowds.cut(SHORT_BODY, 4096)
+    ),
+    'large chunks that stop short of their end': crowds.Crowd(
+        MANY,
+        crowds.cut(
+            CHUNKED + _chunk(16_384) * 15 + _chunk(16_383), BODY_BYTES * 2
+        ),
+    ),
+    'chunks of one byte that stop short of their end': crowds.Crowd(
+        300, crowds.cut(CHUNKED + _chunk(1) * 32_768, 16_384)
+    ),
+    'chunk extensions without end': crowds.Crowd(
+        FEW, crowds.repeat(CHUNKED + b'1;', b'e', ENDLESS_BYTES)
+    ),
+    'trailers without end': crowds.Crowd(
+        FEW,
+        crowds.repeat(
+            CHUNKED + _chunk(1) + b'0\r\n',
+            b'X-Some: ' + b'v' * 1000 + b'\r\n',
+            ENDLESS_BYTES,
+        ),
+    ),
+    'a body after its refusal': crowds.Crowd(
+        FEW, crowds.repeat(_sized(2**30), b'x', ENDLESS_BYTES)
+    ),
+    'configurations that stop short of their end': crowds.Crowd(
+        FEW,
+        crowds.repeat(_sized(PLAN_BYTES, PLAN_LINE), b'x', PLAN_BYTES - 1),
+    ),
+    'reports that stop short of their end': crowds.Crowd(
+        MANY,
+        crowds.repeat(
+            _sized(REPORT_BYTES, REPORT_LINE), b'x', REPORT_BYTES - 1
+        ),
+    ),
+    'nothing': crowds.Crowd(MORE_THAN_FILES, crowds.cut(b'', 1)),
+    'half a head': crowds.Crowd(MORE_THAN_FILES, crowds.cut(START, 4096)),
+    'one request and then nothing': crowds.Crowd(
+        MORE_THAN_FILES, crowds.cut(READ, 4096)
+    ),
+    'requests ahead of their answers': crowds.Crowd(
+        FEW, crowds.repeat(b'', READ, 16 * 1024)
+    ),
+    'requests whose answers they do not read': crowds.Crowd(
+        FEW, crowds.repeat(b'', READ, 16 * 1024), reads=False
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Port:
+    """A port that a crowd is sent to.
+
+    Attributes:
+        process: name of the process that listens there.
+        port: name of the attribute of PlatformWorld that holds the number.
+    """
+
+    process: str
+    port: str
+
+
+PORTS = {
+    'the port for callers': Port('entry-1', 'entry_port'),
+    "the entry's readiness port": Port('entry-1', 'ready_port'),
+    "the entry's metrics port": Port('entry-1', 'metrics_port'),
+    "the entry's link port": Port('entry-1', 'link_port'),
+    'the port for workers and operators': Port('control-1', 'control_port'),
+    "the control replica's metrics port": Port('control-1', 'metrics_port'),
+    "the control replica's link port": Port('control-1', 'link_port'),
+}
+
+
+def _configuration() -> bytes:
+    wire = json.loads(platform_world.configuration(3))
+    wire['limits'] = LIMITS
+    return json.dumps(wire).encode()
+
+
+def _wait_idle(pid: int) -> None:
+    """Wait until a process has read what the crowd's kernels hold for it."""
+    ends_s = time.monotonic() + IDLE_TIMEOUT_S
+    spent_ticks = _spent_ticks(pid)
+    while time.monotonic() < ends_s:
+        time.sleep(IDLE_POLL_S)
+        former_ticks, spent_ticks = spent_ticks, _spent_ticks(pid)
+        if spent_ticks - former_ticks <= IDLE_TICKS:
+            return
+
+
+def _spent_ticks(pid: int) -> int:
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
+    return int(fields[13]) + int(fields[14])
+
+
+def _peak_memory_mb(pid: int) -> float:
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    found = re.search(r'VmHWM:\s+(\d+) kB', status)
+    assert found is not None, status
+    return int(found[1]) / 1024
+
+
+@given('a control replica and an entry on small machines')
+def start_small(context: Any) -> None:
+    world = world_of(context)
+    world.start_controls(1)
+    world.start_entry('entry-1')
+    world.start_worker('worker-1')
+    for process in world.processes.values():
+        limits = (FILE_BOUND, FILE_BOUND)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+    answer = world.call_leader('POST', '/config/replace', _configuration())
+    assert answer.status == 200, answer
+    wait_ready(
+        world, f'http://{world.hosts["entry-1"]}:{world.ready_port}/ready'
+    )
+    world.wait(
+        lambda: all(worker.acknowledged for worker in world.workers),
+        'a heartbeat of every worker was acknowledged',
+    )
+
+
+@when('clients send {what} to {where}')
+def send(context: Any, what: str, where: str) -> None:
+    world = world_of(context)
+    port = PORTS[where]
+    crowd = world.thread.start(
+        crowds.send_crowd(
+            CROWDS[what], world.hosts[port.process], getattr(world, port.port)
+        )
+    ).result()
+    context.crowd = crowd
+    context.add_cleanup(lambda: world.thread.run(crowd.close()))
+
+
+@then('every process has stayed within its machine')
+def check_processes(context: Any) -> None:
+    world = world_of(context)
+    found = []
+    for name, process in world.processes.items():
+        assert process.poll() is None, f'{name} ended: {world.log_tails()}'
+        _wait_idle(process.pid)
+        files = len(os.listdir(f'/proc/{process.pid}/fd'))
+        found.append((name, round(_peak_memory_mb(process.pid)), files))
+    shown = f'{found}, {context.crowd.count_open()} connections open'
+    print(f'    {shown}')
+    for name, memory_mb, files in found:
+        assert memory_mb <= MEMORY_BOUND_MB, f'{name}: {memory_mb} MB, {shown}'
+        assert files < FILE_BOUND, f'{name}: {files} descriptors, {shown}'
+
+
+@then('an ordinary job is accepted beside them')
+def submit_ordinary(context: Any) -> None:
+    world = world_of(context)
+    job_id, body = create_job(
+        context, {'count': 1, 'cpu': 500, 'memMb': 100, 'estMs': 400}
+    )
+    url = (
+        f'http://{world.hosts["entry-1"]}:{world.entry_port}'
+        f'{platform_world.PREFIX}{job_id}'
+    )
+    fields = {'Host': platform_world.HOST, **DEADLINE}
+    answer = world.call('POST', url, body, fields, timeout_s=45)
+    assert answer.status == 200, f'{answer} {world.log_tails()}'
+
+
+@then('the configuration is read beside them')
+def read_configuration(context: Any) -> None:
+    world = world_of(context)
+    url = f'http://{world.hosts["control-1"]}:{world.control_port}'
+    answer = world.call('GET', f'{url}/config/read', timeout_s=45)
+    assert answer.status == 200, f'{answer} {world.log_tails()}'
+    assert answer.body == _configuration()
+
+
+@then('the readiness check and the metrics are answered beside them')
+def check_others(context: Any) -> None:
+    world = world_of(context)
+    entry, control = world.hosts['entry-1'], world.hosts['control-1']
+    for url in (
+        f'http://{entry}:{world.ready_port}/ready',
+        f'http://{entry}:{world.metrics_port}/metrics',
+        f'http://{control}:{world.metrics_port}/metrics',
+    ):
+        answer = world.call('GET', url, timeout_s=45)
+        assert answer.status == 200, f'{url}: {answer} {world.log_tails()}'
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,6 +1,7 @@
 """Runs the features in parallel and prints a summary of their scenarios.
 
 A unit of work is a feature, or a single scenario of a feature tagged @split.
+A feature tagged @alone runs after all others, with nothing beside it.
 A failure of a scenario listed in KNOWN-RED.txt is printed, but does not fail
 the run.
 """
@@ -60,14 +61,28 @@
         slots.put(number)
     outcomes: list[Outcome] = []
     with concurrent.futures.ThreadPoolExecutor(SLOTS) as pool:
-        futures = [pool.submit(run_unit, unit, slots) for unit in units]
+        futures = [
+            pool.submit(run_unit, unit, slots)
+            for unit in units
+            if not runs_alone(unit)
+        ]
         for future in concurrent.futures.as_completed(futures):
             result = future.result()
             outcomes += result.outcomes
             print_result(result)
+    for unit in filter(runs_alone, units):
+        result = run_unit(unit, slots)
+        outcomes += result.outcomes
+        print_result(result)
     return print_summary(outcomes)
 
 
+def runs_alone(unit: str) -> bool:
+    """Return whether a unit must have nothing beside it."""
+    path = ROOT / unit.partition(':')[0]
+    return '@alone' in path.read_text().partition('\n')[0]
+
+
 def find_units() -> list[str]:
     """Return the units of work, those of HEAVY features first."""
     units = []
@@ -126,7 +141,7 @@
     is_part = ':' in unit
     return [
         Outcome(
-            f'{feature["location"].partition(":")[0]}: {element["name"]}',
+            _name_scenario(feature, element),
             element['status'],
             _find_message(element),
         )
@@ -137,6 +152,12 @@
     ]
 
 
+def _name_scenario(feature: dict[str, Any], element: dict[str, Any]) -> str:
+    path = feature['location'].partition(':')[0]
+    # The name of an outline's example ends with a space.
+    return f'{path}: {element["name"].strip()}'
+
+
 def _find_message(element: dict[str, Any]) -> str:
     """Return the name and error message of the step that failed, or empty."""
     for step in element['steps']:
