Pass requests to the HTTP parser only once they are whole

What callers saw: clients with heads over the limit, or without end, ended a process, which ran out of memory. 60 such clients, each with 4 MiB, took an entry to 145 MB (a field's value), 393 (a field's name), 341 (a request line), 184 (fields), 320 (trailers) and 1,028 MB (bytes that aren't HTTP), a control replica to 233, and the ports for readiness and metrics likewise (256, 164).

Cause: after an error the parser is fed on. Each read of up to 256 KB then raises another error, whose text shows what was read and marks the place, and each error is queued as a request until the connection is closed. Only one line or field had a limit, the head as a whole had none.

Change: between the event loop and aiohttp's protocol stands a connection that cuts the client's bytes into requests. It refuses a head beyond the limit (431, 414), empty lines without a request (400), a wrong framing (400, 501) and a body over its limit (413) by itself, reads on for a second so that the client can read why, and drops what comes. The parser gets one request at a time, and whole: nothing has run of what is refused, and a body in chunks reaches it as one chunk, so chunks cost it nothing. A client that waits to be told to continue is told so. Fields may be many, as all together have a limit.

--- a/greengagering/platform/_responses.py
+++ b/greengagering/platform/_responses.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 
 from greengagering.platform import _formats
+from greengagering.transport import gateway
 
 
 def json_response(body: dict[str, object], status: int = 200) -> web.Response:
@@ -23,3 +24,10 @@
         # The header's unit is whole seconds, so fractions are rounded up.
         response.headers['Retry-After'] = str(int(retry_after_s + 0.999))
     return response
+
+
+def refusal_response(refusal: gateway.Refusal) -> web.Response:
+    """Create the response to a request that no handler sees."""
+    return error_response(
+        refusal.status, refusal.message, refusal.retry_after_s
+    )
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -24,6 +24,7 @@
         from greengagering.platform import _control_app
         from greengagering.platform import _machine_calls
         from greengagering.platform import _plans
+        from greengagering.platform import _responses
         from greengagering.platform import _worker_calls
         from greengagering.transport import control
 
@@ -40,7 +41,17 @@
         _control_app.ControlApp(self._node).add_routes(app)
         metrics = control.create_metrics_app(self._node.metrics.registry)
         self._servers = [
-            control.HttpServer(app, settings.http_address, 'http_address'),
+            control.HttpServer(
+                app,
+                settings.http_address,
+                'http_address',
+                control.ServerOptions(
+                    control.FixedLimits(
+                        max_body_bytes=_control_app.MAX_CONFIGURATION_BYTES
+                    ),
+                    _responses.refusal_response,
+                ),
+            ),
             control.HttpServer(metrics, metrics_address, 'metrics_address'),
         ]
 
@@ -75,6 +86,8 @@
     ) -> None:
         super().__init__()
         from greengagering.platform import _caller_app
+        from greengagering.platform import _caller_limits
+        from greengagering.platform import _responses
         from greengagering.platform import _worker_calls
         from greengagering.transport import gateway
 
@@ -84,7 +97,13 @@
         self._servers = [
             gateway.HttpServer(metrics, metrics_address, 'metrics_address'),
             gateway.HttpServer(
-                callers.create_app(), settings.http_address, 'http_address'
+                callers.create_app(),
+                settings.http_address,
+                'http_address',
+                gateway.ServerOptions(
+                    _caller_limits.CallerLimits(self._node),
+                    _responses.refusal_response,
+                ),
             ),
             gateway.HttpServer(
                 callers.create_ready_app(),
--- a/greengagering/programs/_services.py
+++ b/greengagering/programs/_services.py
@@ -16,8 +16,12 @@
 
         self._node = control.create_control_node(settings)
         app = control.ControlApi(self._node).create_app()
+        limits = control.FixedLimits(max_body_bytes=control.MAX_TICKET_BYTES)
         self._server = control.HttpServer(
-            app, settings.http_address, 'http_address'
+            app,
+            settings.http_address,
+            'http_address',
+            control.ServerOptions(limits),
         )
 
     async def start(self) -> None:
@@ -40,8 +44,12 @@
 
         self._node = entry.EntryNode(settings)
         app = entry.EntryApi(self._node).create_app()
+        limits = entry.FixedLimits(max_body_bytes=settings.max_body_bytes)
         self._server = entry.HttpServer(
-            app, settings.http_address, 'http_address'
+            app,
+            settings.http_address,
+            'http_address',
+            entry.ServerOptions(limits),
         )
 
     async def start(self) -> None:
--- /dev/null
+++ b/greengagering/transport/_client_connection.py
@@ -0,0 +1,288 @@
+"""A client's connection, whose requests reach the HTTP parser only whole."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+from typing import cast
+
+
+from greengagering import logs
+from greengagering.protocol import pages
+from greengagering.transport._connection_table import CloseCause
+from greengagering.transport._connection_table import ConnectionTable
+from greengagering.transport._connection_table import Stage
+from greengagering.transport import _refusals
+from greengagering.transport._refusals import Refusal
+from greengagering.transport._request_framer import FramingError
+from greengagering.transport._request_framer import Progress
+from greengagering.transport._request_framer import RequestFramer
+from greengagering.transport._request_framer import RequestLimits
+
+CHUNKS_AT_ONCE = 1_000_000
+"""Chunks that are parsed as they come."""
+
+LINGER_S = 1.0
+"""Time in which a refused client can read why, as closing a connection that
+has unread bytes would drop the response."""
+
+MAX_LINGER_BYTES = 4 * 1024 * 1024
+"""Bytes that are read and dropped after a refusal."""
+
+RETRY_AFTER_S = 1.0
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionContext:
+    """What the connections of a server share.
+
+    Attributes:
+        name: setting that holds the server's address, for logs and metrics.
+        table: every connection of the server.
+        limits: limits on requests.
+        create_handler: creates the HTTP protocol of a connection.
+        handler_connections: connection of each such protocol.
+        refuse: creates responses to requests that no handler sees.
+    """
+
+    name: str
+    table: ConnectionTable
+    limits: RequestLimits
+    create_handler: Callable[[], asyncio.Protocol]
+    handler_connections: dict[Any, 'ClientConnection']
+    refuse: _refusals.RefusalFormat
+
+
+class ClientConnection(asyncio.Protocol):
+    """Reads requests within limits, and passes one at a time to a handler.
+
+    The handler's protocol gets a request once it is complete. So a request
+    that is never completed costs what the limits allow and no more, and the
+    refusal of one that isn't complete truly says that nothing of it has run.
+    """
+
+    def __init__(self, context: ConnectionContext) -> None:
+        self._context = context
+        self._table = context.table
+        self._framer = RequestFramer(context.limits)
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._handler: asyncio.Protocol | None = None
+        self._stage = Stage.NEW
+        self._is_writing_paused = False
+        self._is_reading_paused = False
+        self._is_response_due = False
+        self._dropped_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._table.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Add bytes to the request that is being read."""
+        if self._stage is Stage.CLOSING:
+            self._drop(len(data))
+            return
+        self._framer.feed(data)
+        if self._stage in (Stage.RUNNING, Stage.UNREAD):
+            self._hold_back()
+            return
+        self._read(CHUNKS_AT_ONCE)
+
+    def eof_received(self) -> bool | None:
+        """Let the transport close."""
+        return None
+
+    def pause_writing(self) -> None:
+        """Pass on that the client reads too slowly."""
+        self._is_writing_paused = True
+        if self._handler is not None:
+            self._handler.pause_writing()
+        self._move(Stage.UNREAD)
+
+    def resume_writing(self) -> None:
+        """Pass on that the client has read."""
+        self._is_writing_paused = False
+        if self._handler is not None:
+            self._handler.resume_writing()
+        self._move(Stage.RUNNING)
+        if self._is_response_due:
+            self.finish_request()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._transport = None
+        self._move(Stage.CLOSING)
+        self._table.remove(self)
+        self._framer.clear()
+        if self._handler is not None:
+            self._context.handler_connections.pop(self._handler, None)
+            self._handler.connection_lost(exc)
+            self._handler = None
+
+    def finish_request(self) -> None:
+        """Begin with the next request, as the handler has responded."""
+        transport = self._transport
+        if self._stage is Stage.CLOSING or transport is None:
+            return
+        if transport.is_closing():
+            return
+        self._is_response_due = self._is_writing_paused
+        if self._is_response_due:
+            return
+        self._move(Stage.IDLE)
+        self._resume_reading()
+        self._read(CHUNKS_AT_ONCE)
+
+    def give_up(self, cause: CloseCause) -> None:
+        """Close the connection; a request that hasn't run is refused."""
+        transport = self._transport
+        if transport is None:
+            self._table.remove(self)
+            return
+        if self._stage in (Stage.HEAD, Stage.BODY):
+            self._refuse(_create_refusal(cause), cause)
+            return
+        self._table.remove(self)
+        self._stage = Stage.CLOSING
+        if transport.get_write_buffer_size():
+            # The client doesn't read, so what is left would never be sent.
+            transport.abort()
+        else:
+            transport.close()
+
+    def _read(self, max_chunks: int) -> None:
+        if not self._framer.has_begun:
+            return
+        if self._stage in (Stage.NEW, Stage.IDLE):
+            self._move(Stage.HEAD)
+        try:
+            progress = self._framer.advance(max_chunks)
+            if progress is Progress.BODY_BEGINS:
+                self._begin_body()
+                progress = self._framer.advance(max_chunks)
+        except FramingError as error:
+            self._refuse(error.refusal, CloseCause.INVALID)
+            return
+        if progress is Progress.COMPLETE:
+            self._run()
+
+    def _begin_body(self) -> None:
+        self._move(Stage.BODY)
+        if self._framer.expects_continue and self._transport is not None:
+            self._transport.write(CONTINUE)
+
+    def _run(self) -> None:
+        """Pass the whole request to the handler's protocol."""
+        self._move(Stage.RUNNING)
+        request = self._framer.take_request()
+        if self._handler is None:
+            assert self._transport is not None
+            self._handler = self._context.create_handler()
+            self._context.handler_connections[self._handler] = self
+            self._handler.connection_made(_WriteTransport(self._transport))
+        self._handler.data_received(request)
+        self._hold_back()
+
+    def _hold_back(self) -> None:
+        """Stop reading while requests wait for the response to a former one.
+
+        One head's worth is read on, so that a client that leaves is noticed.
+        """
+        if self._framer.held_bytes > self._context.limits.max_header_bytes:
+            self._pause_reading()
+
+    def _refuse(self, refusal: Refusal, cause: CloseCause) -> None:
+        transport = self._transport
+        if self._stage is Stage.CLOSING or transport is None:
+            return
+        self._record(cause, refusal)
+        response = self._context.refuse(refusal)
+        transport.write(_refusals.encode_response(response))
+        self._framer.clear()
+        self._move(Stage.CLOSING)
+        # Closing while the client sends on would drop the response.
+        self._resume_reading()
+        self._loop.call_later(LINGER_S, self.give_up, CloseCause.LINGERED)
+
+    def _drop(self, size_bytes: int) -> None:
+        self._dropped_bytes += size_bytes
+        if self._dropped_bytes > MAX_LINGER_BYTES:
+            self.give_up(CloseCause.LINGERED)
+
+    def _record(self, cause: CloseCause, refusal: Refusal) -> None:
+        client = ''
+        if self._transport is not None:
+            peer = self._transport.get_extra_info('peername')
+            client = peer[0] if peer else ''
+        logs.info(
+            'connection_refused',
+            server=self._context.name,
+            cause=cause,
+            status=refusal.status,
+            detail=refusal.message,
+            client=client,
+            stage=self._stage,
+            received_bytes=self._framer.held_bytes,
+            connections=len(self._table),
+        )
+
+    def _move(self, stage: Stage) -> None:
+        if self._stage is not Stage.CLOSING:
+            self._stage = stage
+            self._table.move(self, stage)
+
+    def _pause_reading(self) -> None:
+        if not self._is_reading_paused and self._transport is not None:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused and self._transport is not None:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+
+class _WriteTransport(asyncio.Transport):
+    """A transport whose reading isn't the handler's to pause."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__()
+        self._transport = transport
+        # The handler writes often, so these aren't wrapped.
+        self.write = transport.write  # type: ignore[method-assign]
+        self.writelines = transport.writelines  # type: ignore[method-assign]
+        self.is_closing = transport.is_closing  # type: ignore[method-assign]
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return information on the connection."""
+        return self._transport.get_extra_info(name, default)
+
+    def pause_reading(self) -> None:
+        """Do nothing: the handler gets no more than one request."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return the number of bytes that the client hasn't read."""
+        return self._transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """Close the connection once the response is sent."""
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+
+def _create_refusal(cause: CloseCause) -> Refusal:
+    return Refusal(
+        503,
+        pages.ErrorKind.OVERLOADED,
+        'this process stops',
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/greengagering/transport/_http.py
+++ b/greengagering/transport/_http.py
@@ -1,4 +1,4 @@
-"""Server and response helpers shared by the HTTP interfaces."""
+"""Responses and bodies of requests, for all HTTP interfaces."""
 
 import asyncio
 import resource
@@ -9,54 +9,12 @@
 from greengagering.protocol import errors as protocol_errors
 from greengagering.protocol import headers
 from greengagering.protocol import pages
-from greengagering.transport import _addresses
-from greengagering.transport import errors
 
 JSON_TYPE = 'application/json'
-MAX_HEADER_BYTES = 16 * 1024
-CLOSE_TIMEOUT_S = 2.0
 KILOBYTES_PER_MEGABYTE = 1024
 PAGE_BYTES = resource.getpagesize()
 
 
-class HttpServer:
-    """An aiohttp application that listens on an address."""
-
-    def __init__(self, app: web.Application, address: str, name: str) -> None:
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=CLOSE_TIMEOUT_S,
-        )
-        self._address = address
-        self._name = name
-
-    async def start(self) -> None:
-        """Start to listen.
-
-        Raises:
-            ListenError: the address is taken or isn't this machine's.
-        """
-        endpoint = _addresses.parse_address(self._address)
-        await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, endpoint.host, endpoint.port, backlog=1024
-        )
-        try:
-            await site.start()
-        except OSError as error:
-            raise errors.ListenError(
-                f'{self._name} {self._address}: {error}'
-            ) from error
-
-    async def close(self) -> None:
-        """Stop listening and close open connections."""
-        await self._runner.cleanup()
-
-
 def page_response(page: Any, status: int = 200) -> web.Response:
     """Return a page as a JSON response."""
     return web.Response(
--- a/greengagering/transport/entry.py
+++ b/greengagering/transport/entry.py
@@ -2,6 +2,14 @@
 
 from greengagering.transport._entry_api import EntryApi
 from greengagering.transport._entry_node import EntryNode
-from greengagering.transport._http import HttpServer
+from greengagering.transport._http_server import FixedLimits
+from greengagering.transport._http_server import HttpServer
+from greengagering.transport._http_server import ServerOptions
 
-__all__ = ['EntryApi', 'EntryNode', 'HttpServer']
+__all__ = [
+    'EntryApi',
+    'EntryNode',
+    'FixedLimits',
+    'HttpServer',
+    'ServerOptions',
+]
