Bound the connections of each server, and end those that wait too long

What callers saw: 600 clients that send nothing, half a head, empty lines without end, or one request and then nothing take all 512 descriptors of a small machine, and nothing ends them: an ordinary caller is reset or not answered while they stay. At the ports for readiness, metrics, workers and operators they do the same to the whole process.

Cause: nothing bounded how many connections a process has, and aiohttp closes an idle one after an hour.

Change: each server has its own limit, so that a crowd at one port leaves room at the others: half of an entry's descriptors for callers, 0.4 of a replica's for workers and the operator (a leader needs the rest for its connections to workers), 64 for readiness checks and for metrics. A new connection takes the place of one that costs its client least: one that was refused, doesn't read, has sent no request, is in its head, idle, or in its body, in this order and longest first. A request that runs keeps its own; if all run, the newcomer gets 503. Heads, bodies, pauses between requests and answers that nobody reads have times. Each end but that of an idle connection is logged (connection_refused) and counted (refused_connections_total, by server and cause).

The platform tells the number of descriptors by deploy/*.json; settings without it count on 4,096.

--- /dev/null
+++ b/features/connection_limits.feature
@@ -0,0 +1,63 @@
+Feature: A server bounds its connections and gives up the right ones
+
+  # Guards against silent clients that keep every connection for themselves.
+  Scenario: A new connection takes the place of one that has sent no request
+    Given a server of at most 4 connections
+    And connection a has been idle after a request since 0 s
+    And connection b has been new since 1 s
+    And connection c has been in its head since 2 s
+    And connection d has been in its body since 3 s
+    When connection e arrives at 4 s
+    Then b is given up as too_many_connections
+    When connection f arrives at 4 s
+    Then e is given up as too_many_connections
+
+  # Guards against requests that are given up although they run.
+  Scenario: A request that runs keeps its connection, and a newcomer is refused
+    Given a server of at most 2 connections
+    And connection a has been running since 0 s
+    And connection b has been running since 0 s
+    When connection c arrives at 1 s
+    Then there is no room for c
+    And nobody is given up
+
+  # Guards against responses that nobody reads, and that keep their connections.
+  Scenario: A client that doesn't read its response gives way before others
+    Given a server of at most 2 connections
+    And connection a has been new since 0 s
+    And connection b has been unread since 1 s
+    When connection c arrives at 2 s
+    Then b is given up as too_many_connections
+
+  # Guards against connections that nothing ever ends.
+  Scenario Outline: A connection that waits too long is given up
+    Given a server of at most 9 connections
+    And connection a has been <stage> since 0 s
+    When it is <before> s
+    Then nobody is given up
+    When it is <after> s
+    Then a is given up as <cause>
+
+    Examples:
+      | stage        | before | after | cause       |
+      | new          | 14.9   | 15    | idle        |
+      | idle         | 14.9   | 15    | idle        |
+      | in its head  | 2.9    | 3     | slow_head   |
+      | in its body  | 9.9    | 10    | slow_body   |
+      | unread       | 14.9   | 15    | slow_reader |
+      | closing      | 0.9    | 1     | lingered    |
+
+  # Guards against a body that never ends because a byte of it comes now and then.
+  Scenario: A body that goes on coming is given up in time all the same
+    Given a server of at most 9 connections
+    And connection a has been in its body since 0 s
+    When bytes of a come at 5 s
+    And it is 10 s
+    Then a is given up as slow_body
+
+  # Guards against a client that waits for its answer being given up.
+  Scenario: A request that runs is never overdue
+    Given a server of at most 9 connections
+    And connection a has been running since 0 s
+    When it is 1000 s
+    Then nobody is given up
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -201,6 +201,9 @@
 @given('a control replica and an entry on small machines')
 def start_small(context: Any) -> None:
     world = world_of(context)
+    world.limits = {
+        'file_limit': FILE_BOUND,
+    }
     world.start_controls(1)
     world.start_entry('entry-1')
     world.start_worker('worker-1')
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -37,6 +37,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.hosts: dict[str, str] = {}
         self.settings: dict[str, dict[str, Any]] = {}
+        self.limits: dict[str, int] = {}
         self.control_port = ports.free_port()
         self.link_port = ports.free_port()
         self.entry_port = ports.free_port()
@@ -241,6 +242,7 @@
         self.hosts[name] = f'127.0.0.{len(self.hosts) + 2}'
 
     def _start(self, name: str, role: str) -> None:
+        self.settings[name] |= self.limits
         path = self.write_settings(name)
         with open(self.folder / f'{name}.log', 'ab') as log:
             self.processes[name] = subprocess.Popen(
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -21,6 +21,7 @@
     ) -> None:
         super().__init__()
         from greengagering.platform import _adviser_calls
+        from greengagering.platform import _client_limits
         from greengagering.platform import _control_app
         from greengagering.platform import _machine_calls
         from greengagering.platform import _plans
@@ -40,19 +41,25 @@
         app = control.ControlApi(self._node).create_app()
         _control_app.ControlApp(self._node).add_routes(app)
         metrics = control.create_metrics_app(self._node.metrics.registry)
+        refusals = self._node.metrics.refused_connections
         self._servers = [
             control.HttpServer(
                 app,
                 settings.http_address,
                 'http_address',
                 control.ServerOptions(
-                    control.FixedLimits(
-                        max_body_bytes=_control_app.MAX_CONFIGURATION_BYTES
-                    ),
+                    _client_limits.ControlLimits(),
+                    settings.max_connections,
                     _responses.refusal_response,
+                    refusals,
                 ),
             ),
-            control.HttpServer(metrics, metrics_address, 'metrics_address'),
+            control.HttpServer(
+                metrics,
+                metrics_address,
+                'metrics_address',
+                control.create_check_options(refusals),
+            ),
         ]
 
     async def start(self) -> None:
@@ -86,7 +93,7 @@
     ) -> None:
         super().__init__()
         from greengagering.platform import _caller_app
-        from greengagering.platform import _caller_limits
+        from greengagering.platform import _client_limits
         from greengagering.platform import _responses
         from greengagering.platform import _worker_calls
         from greengagering.transport import gateway
@@ -94,21 +101,30 @@
         self._node = gateway.GatewayNode(settings, _worker_calls.WorkerCalls())
         callers = _caller_app.CallerApp(self._node)
         metrics = gateway.create_metrics_app(self._node.metrics.registry)
+        refusals = self._node.metrics.refused_connections
         self._servers = [
-            gateway.HttpServer(metrics, metrics_address, 'metrics_address'),
+            gateway.HttpServer(
+                metrics,
+                metrics_address,
+                'metrics_address',
+                gateway.create_check_options(refusals),
+            ),
             gateway.HttpServer(
                 callers.create_app(),
                 settings.http_address,
                 'http_address',
                 gateway.ServerOptions(
-                    _caller_limits.CallerLimits(self._node),
+                    _client_limits.CallerLimits(self._node),
+                    settings.max_connections,
                     _responses.refusal_response,
+                    refusals,
                 ),
             ),
             gateway.HttpServer(
                 callers.create_ready_app(),
                 settings.ready_address,
                 'ready_address',
+                gateway.create_check_options(refusals),
             ),
         ]
 
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -42,6 +42,10 @@
 that is left out."""
 
 
+DEFAULT_FILE_LIMIT = 4096
+FileLimit = Annotated[int, pydantic.Field(ge=128, le=2**20)]
+
+
 class ControlHost(InputModel):
     """A control machine's settings, as deploy/control.json renders them.
 
@@ -53,6 +57,7 @@
         adviser_address: service that permits steps to run on workers.
         tolerated_losses: control machines that may be lost at the same time.
         metrics_port: port for metrics on this machine.
+        file_limit: descriptors that the process may have open.
     """
 
     host: Host
@@ -66,6 +71,7 @@
     machine_service_address: str
     adviser_address: str
     metrics_port: bounds.Port
+    file_limit: FileLimit = DEFAULT_FILE_LIMIT
     log_level: str = 'info'
 
     @pydantic.model_validator(mode='after')
@@ -97,6 +103,7 @@
             is_first_start=self.is_first_start,
             voter_count=2 * self.tolerated_losses + 1,
             platform_url=f'http://{self.machine_service_address}',
+            max_connections=int(self.file_limit * CONTROL_CLIENT_SHARE),
             log_level=self.log_level,
         )
 
@@ -110,6 +117,7 @@
         seed_addresses: HTTP addresses of some control replicas.
         grace_s: time from SIGTERM until the platform kills the process.
         metrics_port: port for metrics on this machine.
+        file_limit: descriptors that the process may have open.
     """
 
     entry_id: Name
@@ -121,6 +129,7 @@
     seed_addresses: Seeds
     grace_s: float
     metrics_port: bounds.Port
+    file_limit: FileLimit = DEFAULT_FILE_LIMIT
     log_level: str = 'info'
 
     @property
@@ -139,10 +148,18 @@
             ready_address=self.ready_address,
             seeds=_link_addresses(self.seed_addresses, self.link_port),
             stop_timeout_s=self.grace_s * STOP_TIMEOUT_SHARE,
+            max_connections=int(self.file_limit * CALLER_SHARE),
             log_level=self.log_level,
         )
 
 
+CALLER_SHARE = 0.5
+"""Share of an entry's descriptors that connections of callers may take."""
+
+CONTROL_CLIENT_SHARE = 0.4
+"""Share of a control replica's descriptors that connections of workers and
+the operator may take; a leader needs the rest for its own to the workers."""
+
 STOP_TIMEOUT_SHARE = 0.5
 """Share of the grace period after which a stopping entry abandons the calls
 that are still in flight, so that enough time is left to close in order."""
--- a/greengagering/programs/_services.py
+++ b/greengagering/programs/_services.py
@@ -16,12 +16,18 @@
 
         self._node = control.create_control_node(settings)
         app = control.ControlApi(self._node).create_app()
-        limits = control.FixedLimits(max_body_bytes=control.MAX_TICKET_BYTES)
         self._server = control.HttpServer(
             app,
             settings.http_address,
             'http_address',
-            control.ServerOptions(limits),
+            control.ServerOptions(
+                control.FixedLimits(
+                    max_body_bytes=control.MAX_TICKET_BYTES,
+                    body_timeout_s=control.TICKET_TIMEOUT_S,
+                ),
+                settings.max_connections,
+                refusals=self._node.metrics.refused_connections,
+            ),
         )
 
     async def start(self) -> None:
@@ -44,12 +50,22 @@
 
         self._node = entry.EntryNode(settings)
         app = entry.EntryApi(self._node).create_app()
-        limits = entry.FixedLimits(max_body_bytes=settings.max_body_bytes)
+        limits = entry.FixedLimits(
+            settings.max_header_bytes,
+            settings.max_body_bytes,
+            settings.header_timeout_s,
+            settings.idle_timeout_s,
+            settings.body_timeout_s,
+        )
         self._server = entry.HttpServer(
             app,
             settings.http_address,
             'http_address',
-            entry.ServerOptions(limits),
+            entry.ServerOptions(
+                limits,
+                settings.max_connections,
+                refusals=self._node.metrics.refused_connections,
+            ),
         )
 
     async def start(self) -> None:
--- a/greengagering/protocol/_settings.py
+++ b/greengagering/protocol/_settings.py
@@ -44,6 +44,7 @@
 ]
 LogLevel = Annotated[str, pydantic.AfterValidator(check_log_level)]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+ConnectionCount = Annotated[int, pydantic.Field(ge=1, le=100_000)]
 
 
 class ControlSettings(_validation.InputModel):
@@ -75,6 +76,8 @@
             leader.
         clock_drift_ratio: upper limit of the relative difference between the
             rates of two clocks.
+        max_connections: connections of operators and workers that may be open
+            at the same time.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
     """
@@ -96,6 +99,7 @@
     election_max_s: Seconds = 0.8
     entry_lease_s: Seconds = 1.8
     clock_drift_ratio: Annotated[float, pydantic.Field(ge=0, lt=0.5)] = 0.05
+    max_connections: ConnectionCount = 1600
     stop_timeout_s: Seconds = 10.0
     log_level: LogLevel = 'info'
 
@@ -138,6 +142,8 @@
         default_deadline_s: deadline of a call that names none.
         max_deadline_s: longest deadline that a caller may name.
         body_timeout_s: time in which a caller must have sent its body.
+        max_connections: connections of callers that may be open at the same
+            time.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
     """
@@ -153,6 +159,7 @@
     default_deadline_s: Seconds = 3.0
     max_deadline_s: Seconds = 60.0
     body_timeout_s: Seconds = 3.0
+    max_connections: ConnectionCount = 2000
     stop_timeout_s: Seconds = 4.0
     log_level: LogLevel = 'info'
 
@@ -183,6 +190,12 @@
         default_deadline_s: deadline of a call that names none.
         max_deadline_s: longest deadline that a caller may name.
         body_timeout_s: time in which a caller must have sent its body.
+        max_header_bytes: most bytes of a request line, and of all header
+            fields together.
+        header_timeout_s: time from the first byte of a head to its last.
+        idle_timeout_s: time between two requests, and before the first.
+        max_connections: connections of callers and upstreams that may be open
+            at the same time.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
     """
@@ -201,6 +214,10 @@
     default_deadline_s: Seconds = 10.0
     max_deadline_s: Seconds = 3600.0
     body_timeout_s: Seconds = 10.0
+    max_header_bytes: Annotated[int, pydantic.Field(ge=256, le=2**20)] = 2**14
+    header_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 120.0
+    max_connections: ConnectionCount = 2000
     stop_timeout_s: Seconds = 30.0
     log_level: LogLevel = 'info'
 
--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import cast
 
+import aioprometheus
 
 from greengagering import logs
 from greengagering.protocol import pages
@@ -22,16 +23,15 @@
 CHUNKS_AT_ONCE = 1_000_000
 """Chunks that are parsed as they come."""
 
-LINGER_S = 1.0
-"""Time in which a refused client can read why, as closing a connection that
-has unread bytes would drop the response."""
-
 MAX_LINGER_BYTES = 4 * 1024 * 1024
 """Bytes that are read and dropped after a refusal."""
 
 RETRY_AFTER_S = 1.0
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+_QUIET_CAUSES = (CloseCause.IDLE, CloseCause.LINGERED, CloseCause.STOPPING)
+"""Ends of connections that are no refusals."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionContext:
@@ -44,6 +44,7 @@
         create_handler: creates the HTTP protocol of a connection.
         handler_connections: connection of each such protocol.
         refuse: creates responses to requests that no handler sees.
+        refusals: counter of refusals, or None.
     """
 
     name: str
@@ -52,6 +53,7 @@
     create_handler: Callable[[], asyncio.Protocol]
     handler_connections: dict[Any, 'ClientConnection']
     refuse: _refusals.RefusalFormat
+    refusals: aioprometheus.Counter | None
 
 
 class ClientConnection(asyncio.Protocol):
@@ -76,9 +78,12 @@
         self._dropped_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to wait for a request."""
+        """Begin to wait for a request, if there is room for the connection."""
         self._transport = cast(asyncio.Transport, transport)
-        self._table.add(self)
+        if not self._table.add(self, self._loop.time()):
+            cause = CloseCause.TOO_MANY
+            self._refuse(_create_refusal(cause), cause)
+            self._transport.close()
 
     def data_received(self, data: bytes) -> None:
         """Add bytes to the request that is being read."""
@@ -89,6 +94,8 @@
         if self._stage in (Stage.RUNNING, Stage.UNREAD):
             self._hold_back()
             return
+        if self._stage is Stage.BODY:
+            self._table.note_progress(self)
         self._read(CHUNKS_AT_ONCE)
 
     def eof_received(self) -> bool | None:
@@ -144,7 +151,10 @@
             return
         if self._stage in (Stage.HEAD, Stage.BODY):
             self._refuse(_create_refusal(cause), cause)
-            return
+            if cause is not CloseCause.TOO_MANY:
+                return
+        elif self._stage is not Stage.CLOSING and cause not in _QUIET_CAUSES:
+            self._record(cause)
         self._table.remove(self)
         self._stage = Stage.CLOSING
         if transport.get_write_buffer_size():
@@ -205,24 +215,29 @@
         self._move(Stage.CLOSING)
         # Closing while the client sends on would drop the response.
         self._resume_reading()
-        self._loop.call_later(LINGER_S, self.give_up, CloseCause.LINGERED)
 
     def _drop(self, size_bytes: int) -> None:
         self._dropped_bytes += size_bytes
         if self._dropped_bytes > MAX_LINGER_BYTES:
             self.give_up(CloseCause.LINGERED)
 
-    def _record(self, cause: CloseCause, refusal: Refusal) -> None:
+    def _record(
+        self, cause: CloseCause, refusal: Refusal | None = None
+    ) -> None:
+        server = self._context.name
+        if self._context.refusals is not None:
+            labels = {'server': server, 'cause': str(cause)}
+            self._context.refusals.inc(labels)
         client = ''
         if self._transport is not None:
             peer = self._transport.get_extra_info('peername')
             client = peer[0] if peer else ''
         logs.info(
             'connection_refused',
-            server=self._context.name,
+            server=server,
             cause=cause,
-            status=refusal.status,
-            detail=refusal.message,
+            status=refusal.status if refusal else 0,
+            detail=refusal.message if refusal else '',
             client=client,
             stage=self._stage,
             received_bytes=self._framer.held_bytes,
@@ -232,7 +247,7 @@
     def _move(self, stage: Stage) -> None:
         if self._stage is not Stage.CLOSING:
             self._stage = stage
-            self._table.move(self, stage)
+            self._table.move(self, stage, self._loop.time())
 
     def _pause_reading(self) -> None:
         if not self._is_reading_paused and self._transport is not None:
@@ -280,9 +295,21 @@
 
 
 def _create_refusal(cause: CloseCause) -> Refusal:
+    if cause is CloseCause.SLOW_HEAD:
+        return Refusal(
+            408, pages.ErrorKind.TOO_SLOW, 'the head did not come in time'
+        )
+    if cause is CloseCause.SLOW_BODY:
+        return Refusal(
+            408, pages.ErrorKind.TOO_SLOW, 'the body did not come in time'
+        )
+    message = {
+        CloseCause.TOO_MANY: 'too many connections are open',
+        CloseCause.STOPPING: 'this process stops',
+    }[cause]
     return Refusal(
         503,
         pages.ErrorKind.OVERLOADED,
-        'this process stops',
+        message,
         retry_after_s=RETRY_AFTER_S,
     )
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -1,11 +1,13 @@
-"""An HTTP server that reads no more of a request than it serves."""
+"""An HTTP server that bounds what its clients may cost."""
 
 import asyncio
 import dataclasses
 from typing import Any
+from typing import Protocol
 
 from aiohttp import typedefs
 from aiohttp import web
+import aioprometheus
 
 from greengagering.transport import _addresses
 from greengagering.transport._client_connection import ClientConnection
@@ -13,13 +15,24 @@
 from greengagering.transport._connection_table import CloseCause
 from greengagering.transport._connection_table import ConnectionTable
 from greengagering.transport._connection_table import Stage
+from greengagering.transport._connection_table import TimeLimits
 from greengagering.transport import _refusals
 from greengagering.transport._request_framer import RequestLimits
 from greengagering.transport import errors
 
 CLOSE_TIMEOUT_S = 2.0
-BACKLOG = 1024
-"""Connections that the kernel accepts ahead of this process."""
+SWEEP_INTERVAL_S = 0.5
+"""Time between two searches for connections that have waited too long."""
+
+MAX_BACKLOG = 1024
+"""Connections that the kernel accepts ahead of this process. They are taken
+over all at once, so a server with few connections has a smaller backlog."""
+
+MAX_CHECK_CONNECTIONS = 64
+"""Connections to a server that few clients use: balancers, metrics."""
+
+MAX_CHECK_BYTES = 16 * 1024
+"""Largest body there; none is expected."""
 
 PARSER_LIMIT_BYTES = 1024 * 1024
 """Limit of the HTTP parser, which gets heads that are within the limits."""
@@ -28,7 +41,11 @@
 """Size of a header field with its line end; it bounds how many there are."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+class HttpLimits(RequestLimits, TimeLimits, Protocol):
+    """Limits on what a client sends, and on the time that it takes."""
+
+
+@dataclasses.dataclass
 class FixedLimits:
     """Limits that don't change at run time.
 
@@ -36,10 +53,16 @@
         max_header_bytes: most bytes of a request line, and of all header
             fields together.
         max_body_bytes: size of the largest body.
+        header_timeout_s: time from the first byte of a head to its last.
+        idle_timeout_s: time between two requests, and before the first.
+        body_timeout_s: time from the end of a head to the end of its body.
     """
 
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 8 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+    body_timeout_s: float = 10.0
 
     def find_max_body_bytes(self, path: str) -> int:
         """Return the size of the largest body of a request to a path."""
@@ -48,15 +71,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerOptions:
-    """What the clients of a server may send, and how it refuses them.
+    """What the clients of a server may cost, and how it refuses them.
 
     Attributes:
         limits: limits on each request.
+        max_connections: connections that may be open at the same time.
         refuse: creates responses to requests that no handler sees.
+        refusals: counter of refusals by server and cause, or None.
     """
 
-    limits: RequestLimits = FixedLimits()
+    limits: HttpLimits = dataclasses.field(default_factory=FixedLimits)
+    max_connections: int = 1024
     refuse: _refusals.RefusalFormat = _refusals.page_refusal
+    refusals: aioprometheus.Counter | None = None
+
+
+def create_check_options(
+    refusals: aioprometheus.Counter | None,
+) -> ServerOptions:
+    """Return the options of a server for readiness checks or metrics."""
+    return ServerOptions(
+        FixedLimits(max_body_bytes=MAX_CHECK_BYTES),
+        MAX_CHECK_CONNECTIONS,
+        refusals=refusals,
+    )
 
 
 class HttpServer:
@@ -84,9 +122,13 @@
         )
         self._address = address
         self._name = name
-        self._table = ConnectionTable()
+        self._table = ConnectionTable(
+            self._options.limits,
+            self._options.max_connections,
+        )
         self._connections: dict[Any, ClientConnection] = {}
         self._server: asyncio.Server | None = None
+        self._sweep: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start to listen.
@@ -105,25 +147,30 @@
             handlers,
             self._connections,
             self._options.refuse,
+            self._options.refusals,
         )
         loop = asyncio.get_running_loop()
+        backlog = min(MAX_BACKLOG, max(self._options.max_connections // 2, 1))
         try:
             self._server = await loop.create_server(
                 lambda: ClientConnection(context),
                 endpoint.host,
                 endpoint.port,
-                backlog=BACKLOG,
+                backlog=backlog,
             )
         except OSError as error:
             await self._runner.cleanup()
             raise errors.ListenError(
                 f'{self._name} {self._address}: {error}'
             ) from error
+        self._sweep = loop.create_task(self._close_overdue())
 
     async def close(self) -> None:
         """Stop listening, refuse what isn't complete, and end the rest."""
         if self._server is not None:
             self._server.close()
+        if self._sweep is not None:
+            self._sweep.cancel()
         for connection in self._table.connections(
             Stage.NEW, Stage.HEAD, Stage.BODY
         ):
@@ -145,3 +192,9 @@
                 # The response is written in this iteration of the loop.
                 loop = asyncio.get_running_loop()
                 loop.call_soon(connection.finish_request)
+
+    async def _close_overdue(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._table.close_overdue(loop.time())
--- a/greengagering/transport/_metrics.py
+++ b/greengagering/transport/_metrics.py
@@ -56,6 +56,7 @@
     late_job_seconds: aioprometheus.Gauge
     customers_at_limit: aioprometheus.Gauge
     held_tasks: aioprometheus.Gauge
+    refused_connections: aioprometheus.Counter
     loop_late_seconds: aioprometheus.Histogram
 
 
@@ -68,6 +69,7 @@
     call_seconds: aioprometheus.Histogram
     has_leader: aioprometheus.Gauge
     open_calls: aioprometheus.Gauge
+    refused_connections: aioprometheus.Counter
     loop_late_seconds: aioprometheus.Histogram
 
 
@@ -86,6 +88,7 @@
     in_flight: aioprometheus.Gauge
     queued: aioprometheus.Gauge
     upstreams: aioprometheus.Gauge
+    refused_connections: aioprometheus.Counter
     loop_late_seconds: aioprometheus.Histogram
 
 
@@ -178,6 +181,7 @@
             'held_tasks',
             'Waiting tasks that limits of customers hold back.',
         ),
+        refused_connections=_refused_connections(registry),
         loop_late_seconds=_loop_late_seconds(registry),
     )
 
@@ -198,6 +202,7 @@
         open_calls=_gauge(
             registry, 'open_calls', 'Calls that wait for the leader.'
         ),
+        refused_connections=_refused_connections(registry),
         loop_late_seconds=_loop_late_seconds(registry),
     )
 
@@ -232,6 +237,7 @@
         in_flight=_gauge(registry, 'in_flight', 'Calls at upstreams.'),
         queued=_gauge(registry, 'queued', 'Calls that wait, by service.'),
         upstreams=_gauge(registry, 'upstreams', 'Upstreams known.'),
+        refused_connections=_refused_connections(registry),
         loop_late_seconds=_loop_late_seconds(registry),
     )
 
@@ -244,6 +250,16 @@
     )
 
 
+def _refused_connections(
+    registry: aioprometheus.Registry,
+) -> aioprometheus.Counter:
+    return _counter(
+        registry,
+        'refused_connections_total',
+        'Clients refused before a handler saw a request, by server and cause.',
+    )
+
+
 def _counter(
     registry: aioprometheus.Registry, name: str, doc: str
 ) -> aioprometheus.Counter:
--- a/greengagering/transport/gateway.py
+++ b/greengagering/transport/gateway.py
@@ -2,6 +2,7 @@
 
 from greengagering.transport._gateway_node import GatewayNode
 from greengagering.transport._http import read_body
+from greengagering.transport._http_server import create_check_options
 from greengagering.transport._http_server import FixedLimits
 from greengagering.transport._http_server import HttpServer
 from greengagering.transport._http_server import ServerOptions
@@ -14,6 +15,7 @@
     'HttpServer',
     'Refusal',
     'ServerOptions',
+    'create_check_options',
     'create_metrics_app',
     'read_body',
 ]
