--- a/features/steps/request_limit_steps.py
+++ b/features/steps/request_limit_steps.py
@@ -18,6 +18,7 @@
 
 ANSWER_TIMEOUT_S = 20.0
 DEADLINE = 'Deadline-Ms: 15000\r\n'
+UNKNOWN_JOB = 0xABCD_0000_0000_0000
 TASK = {'count': 1, 'cpu': 500, 'memMb': 100, 'estMs': 400}
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 USUAL_LIMITS = {
@@ -295,7 +296,7 @@
     prefix = platform_world.PREFIX
     # Those with odd numbers are for jobs that nobody submitted.
     paths = [
-        prefix if number % 2 == 0 else f'{prefix}{number:016x}'
+        prefix if number % 2 == 0 else f'{prefix}{UNKNOWN_JOB + number:016x}'
         for number in range(count)
     ]
     requests = b''.join(
