Bound what the requests of a server may hold together

What callers saw: 480 clients with bodies of legal size, at once, in pieces or in chunks, most stopping just short of their end, took an entry to 207 to 275 MB of 128; clients with configurations and reports took a replica to 386 and 133 MB.

Cause: each body has a limit, all of them together had none.

Change: the bytes that a body will need are reserved once its head is read, and released when its request has been answered. If there is no room, the body that has been silent longest gives way: at once to a small one, after half a second to a large one. If all move on, the newcomer is refused at once. Both get 503 with Retry-After, and nothing of them has run. A body in chunks, whose size isn't stated, counts as small until it is larger.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -61,3 +61,48 @@
     And connection a has been running since 0 s
     When it is 1000 s
     Then nobody is given up
+
+  # Guards against bodies that are bounded one by one, but not all together.
+  Scenario: A large body is refused while others that move on hold the memory
+    Given a server whose requests may hold 400000 bytes
+    And connections a, b and c receive bodies of 100000 bytes since 0 s
+    When bytes of a come at 1 s
+    And bytes of b come at 1 s
+    And bytes of c come at 1 s
+    Then d has no room for a body of 100000 bytes at 1.2 s
+    And nobody is given up
+
+  # Guards against stalled bodies that keep out those that move on.
+  Scenario: A large body takes the place of the one that has stalled longest
+    Given a server whose requests may hold 400000 bytes
+    And connections a, b and c receive bodies of 100000 bytes since 0 s
+    When bytes of a come at 1 s
+    Then d has room for a body of 100000 bytes at 1.2 s
+    And b is given up as memory
+
+  # Guards against small requests that large bodies keep out.
+  Scenario: A small request has room beside large ones
+    Given a server whose requests may hold 400000 bytes
+    And connections a, b and c receive bodies of 100000 bytes since 0 s
+    Then d has room for a body of 4000 bytes at 0.1 s
+    And nobody is given up
+
+  # Guards against memory that stays reserved after its request.
+  Scenario: What a request held is free once its connection is gone or it has ended
+    Given a server whose requests may hold 400000 bytes
+    And connections a, b and c receive bodies of 100000 bytes since 0 s
+    When connection a is gone
+    And the request of b ends
+    Then the requests hold 100000 bytes
+    When connection b is gone
+    And connection c is gone
+    Then the requests hold 0 bytes
+
+  # Guards against a body that asks for more memory, and counts twice.
+  Scenario: A body whose size turns out larger reserves the difference
+    Given a server whose requests may hold 400000 bytes
+    And connections a, b and c receive bodies of 16000 bytes since 0 s
+    Then a has room for a body of 200000 bytes at 0.1 s
+    And the requests hold 232000 bytes
+    And b has no room for a body of 200000 bytes at 0.1 s
+    And the requests hold 232000 bytes
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -202,6 +202,7 @@
 def start_small(context: Any) -> None:
     world = world_of(context)
     world.limits = {
+        'memory_limit_mb': MEMORY_BOUND_MB,
         'file_limit': FILE_BOUND,
     }
     world.start_controls(1)
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -50,6 +50,7 @@
                 control.ServerOptions(
                     _client_limits.ControlLimits(),
                     settings.max_connections,
+                    settings.max_held_bytes,
                     _responses.refusal_response,
                     refusals,
                 ),
@@ -116,6 +117,7 @@
                 gateway.ServerOptions(
                     _client_limits.CallerLimits(self._node),
                     settings.max_connections,
+                    settings.max_held_bytes,
                     _responses.refusal_response,
                     refusals,
                 ),
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -42,7 +42,9 @@
 that is left out."""
 
 
+DEFAULT_MEMORY_LIMIT_MB = 200.0
 DEFAULT_FILE_LIMIT = 4096
+MemoryLimitMb = Annotated[float, pydantic.Field(ge=64, le=2**20)]
 FileLimit = Annotated[int, pydantic.Field(ge=128, le=2**20)]
 
 
@@ -57,6 +59,7 @@
         adviser_address: service that permits steps to run on workers.
         tolerated_losses: control machines that may be lost at the same time.
         metrics_port: port for metrics on this machine.
+        memory_limit_mb: memory that the process may use.
         file_limit: descriptors that the process may have open.
     """
 
@@ -71,6 +74,7 @@
     machine_service_address: str
     adviser_address: str
     metrics_port: bounds.Port
+    memory_limit_mb: MemoryLimitMb = DEFAULT_MEMORY_LIMIT_MB
     file_limit: FileLimit = DEFAULT_FILE_LIMIT
     log_level: str = 'info'
 
@@ -104,6 +108,7 @@
             voter_count=2 * self.tolerated_losses + 1,
             platform_url=f'http://{self.machine_service_address}',
             max_connections=int(self.file_limit * CONTROL_CLIENT_SHARE),
+            max_held_bytes=_find_held_bytes(self.memory_limit_mb),
             log_level=self.log_level,
         )
 
@@ -117,6 +122,7 @@
         seed_addresses: HTTP addresses of some control replicas.
         grace_s: time from SIGTERM until the platform kills the process.
         metrics_port: port for metrics on this machine.
+        memory_limit_mb: memory that the process may use.
         file_limit: descriptors that the process may have open.
     """
 
@@ -129,6 +135,7 @@
     seed_addresses: Seeds
     grace_s: float
     metrics_port: bounds.Port
+    memory_limit_mb: MemoryLimitMb = DEFAULT_MEMORY_LIMIT_MB
     file_limit: FileLimit = DEFAULT_FILE_LIMIT
     log_level: str = 'info'
 
@@ -149,6 +156,7 @@
             seeds=_link_addresses(self.seed_addresses, self.link_port),
             stop_timeout_s=self.grace_s * STOP_TIMEOUT_SHARE,
             max_connections=int(self.file_limit * CALLER_SHARE),
+            max_held_bytes=_find_held_bytes(self.memory_limit_mb),
             log_level=self.log_level,
         )
 
@@ -160,11 +168,19 @@
 """Share of a control replica's descriptors that connections of workers and
 the operator may take; a leader needs the rest for its own to the workers."""
 
+HELD_MEMORY_SHARE = 0.125
+"""Share of the memory that requests may hold. They are copied while they are
+read and parsed, and the process itself needs a third of the memory."""
+
 STOP_TIMEOUT_SHARE = 0.5
 """Share of the grace period after which a stopping entry abandons the calls
 that are still in flight, so that enough time is left to close in order."""
 
 
+def _find_held_bytes(memory_limit_mb: float) -> int:
+    return int(memory_limit_mb * 2**20 * HELD_MEMORY_SHARE)
+
+
 def load(kind: type[HostSettings]) -> HostSettings:
     """Read and validate the settings file.
 
--- a/greengagering/programs/_services.py
+++ b/greengagering/programs/_services.py
@@ -26,6 +26,7 @@
                     body_timeout_s=control.TICKET_TIMEOUT_S,
                 ),
                 settings.max_connections,
+                settings.max_held_bytes,
                 refusals=self._node.metrics.refused_connections,
             ),
         )
@@ -64,6 +65,7 @@
             entry.ServerOptions(
                 limits,
                 settings.max_connections,
+                settings.max_held_bytes,
                 refusals=self._node.metrics.refused_connections,
             ),
         )
--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -95,7 +95,7 @@
             self._hold_back()
             return
         if self._stage is Stage.BODY:
-            self._table.note_progress(self)
+            self._table.note_progress(self, self._loop.time())
         self._read(CHUNKS_AT_ONCE)
 
     def eof_received(self) -> bool | None:
@@ -139,6 +139,7 @@
         self._is_response_due = self._is_writing_paused
         if self._is_response_due:
             return
+        self._table.release(self)
         self._move(Stage.IDLE)
         self._resume_reading()
         self._read(CHUNKS_AT_ONCE)
@@ -176,7 +177,10 @@
         except FramingError as error:
             self._refuse(error.refusal, CloseCause.INVALID)
             return
-        if progress is Progress.COMPLETE:
+        if not self._reserve():
+            cause = CloseCause.MEMORY
+            self._refuse(_create_refusal(cause), cause)
+        elif progress is Progress.COMPLETE:
             self._run()
 
     def _begin_body(self) -> None:
@@ -184,6 +188,13 @@
         if self._framer.expects_continue and self._transport is not None:
             self._transport.write(CONTINUE)
 
+    def _reserve(self) -> bool:
+        """Reserve memory for the body, which may need more than before."""
+        if self._stage is not Stage.BODY:
+            return True
+        wanted_bytes = self._framer.wanted_body_bytes
+        return self._table.reserve(self, wanted_bytes, self._loop.time())
+
     def _run(self) -> None:
         """Pass the whole request to the handler's protocol."""
         self._move(Stage.RUNNING)
@@ -212,6 +223,7 @@
         response = self._context.refuse(refusal)
         transport.write(_refusals.encode_response(response))
         self._framer.clear()
+        self._table.release(self)
         self._move(Stage.CLOSING)
         # Closing while the client sends on would drop the response.
         self._resume_reading()
@@ -241,6 +253,7 @@
             client=client,
             stage=self._stage,
             received_bytes=self._framer.held_bytes,
+            held_bytes=self._table.held_bytes,
             connections=len(self._table),
         )
 
@@ -305,6 +318,7 @@
         )
     message = {
         CloseCause.TOO_MANY: 'too many connections are open',
+        CloseCause.MEMORY: 'too many large requests are under way',
         CloseCause.STOPPING: 'this process stops',
     }[cause]
     return Refusal(
--- a/greengagering/transport/_connection_table.py
+++ b/greengagering/transport/_connection_table.py
@@ -1,10 +1,19 @@
-"""Bounds the connections of a server, and how long each may wait."""
+"""Bounds the connections of a server, and what their requests may hold."""
 
 from collections import OrderedDict
 import dataclasses
 import enum
 from typing import Protocol
 
+SMALL_SHARE = 0.25
+"""Share of the bytes that requests may hold which is kept for small ones, so
+that large bodies of some clients don't keep all others out."""
+
+SMALL_REQUEST_BYTES = 16 * 1024
+
+STALLED_S = 0.5
+"""Silence after which a body that has begun gives way to another one."""
+
 LINGER_S = 1.0
 """Time in which a refused client can read why, as closing a connection that
 has unread bytes would drop the response."""
@@ -41,6 +50,7 @@
     SLOW_BODY = 'slow_body'
     SLOW_READER = 'slow_reader'
     TOO_MANY = 'too_many_connections'
+    MEMORY = 'memory'
     STOPPING = 'stopping'
     LINGERED = 'lingered'
 
@@ -91,18 +101,26 @@
     Attributes:
         stage: what the connection waits for.
         since_s: when that stage began.
+        progress_at_s: when the connection last moved on.
+        held_bytes: bytes reserved for its request.
     """
 
     stage: Stage
     since_s: float
+    progress_at_s: float
+    held_bytes: int = 0
 
 
 class ConnectionTable:
     """The connections of a server, ordered by how long they have waited."""
 
-    def __init__(self, limits: TimeLimits, max_connections: int) -> None:
+    def __init__(
+        self, limits: TimeLimits, max_connections: int, max_held_bytes: int
+    ) -> None:
+        self.held_bytes = 0
         self._limits = limits
         self._max_connections = max_connections
+        self._max_held_bytes = max_held_bytes
         self._entries: dict[Connection, _Entry] = {}
         # Those of a stage in the order in which they last moved on.
         self._stages: dict[Stage, OrderedDict[Connection, None]] = {
@@ -131,14 +149,15 @@
             if other is None:
                 return False
             other.give_up(CloseCause.TOO_MANY)
-        self._entries[connection] = _Entry(Stage.NEW, now_s)
+        self._entries[connection] = _Entry(Stage.NEW, now_s, now_s)
         self._stages[Stage.NEW][connection] = None
         return True
 
     def remove(self, connection: Connection) -> None:
-        """Forget a connection, if it is known."""
+        """Forget a connection, if it is known, and release what it holds."""
         entry = self._entries.pop(connection, None)
         if entry is not None:
+            self.held_bytes -= entry.held_bytes
             del self._stages[entry.stage][connection]
 
     def move(self, connection: Connection, stage: Stage, now_s: float) -> None:
@@ -150,13 +169,51 @@
         self._stages[stage][connection] = None
         entry.stage = stage
         entry.since_s = now_s
+        entry.progress_at_s = now_s
 
-    def note_progress(self, connection: Connection) -> None:
+    def note_progress(self, connection: Connection, now_s: float) -> None:
         """Record that bytes of a body have come."""
         entry = self._entries.get(connection)
         if entry is not None:
+            entry.progress_at_s = now_s
             self._stages[entry.stage].move_to_end(connection)
 
+    def reserve(
+        self, connection: Connection, wanted_bytes: int, now_s: float
+    ) -> bool:
+        """Reserve memory for a connection's request, in place of its former.
+
+        Bodies that have stalled are refused if that makes room.
+
+        Returns:
+            Whether there is room.
+        """
+        entry = self._entries.get(connection)
+        if entry is None:
+            return False
+        limit = self._max_held_bytes
+        is_small = wanted_bytes <= SMALL_REQUEST_BYTES
+        if not is_small:
+            limit = int(limit * (1 - SMALL_SHARE))
+        added_bytes = wanted_bytes - entry.held_bytes
+        while self.held_bytes + added_bytes > limit:
+            stalled = self._find_stalled(
+                connection, now_s, 0.0 if is_small else STALLED_S
+            )
+            if stalled is None:
+                return False
+            stalled.give_up(CloseCause.MEMORY)
+        self.held_bytes += added_bytes
+        entry.held_bytes = wanted_bytes
+        return True
+
+    def release(self, connection: Connection) -> None:
+        """Release the memory reserved for a connection's request."""
+        entry = self._entries.get(connection)
+        if entry is not None:
+            self.held_bytes -= entry.held_bytes
+            entry.held_bytes = 0
+
     def close_overdue(self, now_s: float) -> None:
         """Give up the connections that have waited longer than they may."""
         for stage, cause, limit_s in (
@@ -183,3 +240,15 @@
             for connection in self._stages[stage]:
                 return connection
         return None
+
+    def _find_stalled(
+        self, connection: Connection, now_s: float, silence_s: float
+    ) -> Connection | None:
+        for other in self._stages[Stage.BODY]:
+            entry = self._entries[other]
+            if other is connection or not entry.held_bytes:
+                continue
+            if now_s - entry.progress_at_s < silence_s:
+                return None
+            return other
+        return None
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -76,12 +76,15 @@
     Attributes:
         limits: limits on each request.
         max_connections: connections that may be open at the same time.
+        max_held_bytes: bytes that all bodies together may hold, whether they
+            are still coming or their requests run.
         refuse: creates responses to requests that no handler sees.
         refusals: counter of refusals by server and cause, or None.
     """
 
     limits: HttpLimits = dataclasses.field(default_factory=FixedLimits)
     max_connections: int = 1024
+    max_held_bytes: int = 64 * 1024 * 1024
     refuse: _refusals.RefusalFormat = _refusals.page_refusal
     refusals: aioprometheus.Counter | None = None
 
@@ -93,6 +96,7 @@
     return ServerOptions(
         FixedLimits(max_body_bytes=MAX_CHECK_BYTES),
         MAX_CHECK_CONNECTIONS,
+        MAX_CHECK_CONNECTIONS * MAX_CHECK_BYTES,
         refusals=refusals,
     )
 
@@ -125,6 +129,7 @@
         self._table = ConnectionTable(
             self._options.limits,
             self._options.max_connections,
+            self._options.max_held_bytes,
         )
         self._connections: dict[Any, ClientConnection] = {}
         self._server: asyncio.Server | None = None
