Close connections to a link port that don't become links

What callers saw: 600 silent connections to the link port of an entry or a replica take every descriptor of the process, and nothing ends them; an ordinary job is reset, or the replica's metrics are.

Cause: the gRPC server has no limit on connections and none on the time until a peer says something.

Change: a connection counts as a link once a whole frame with this system's cluster id has come. Links are never closed for others. What a link sends isn't bounded by this.

--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -108,6 +108,7 @@
             voter_count=2 * self.tolerated_losses + 1,
             platform_url=f'http://{self.machine_service_address}',
             max_connections=int(self.file_limit * CONTROL_CLIENT_SHARE),
+            max_link_connections=int(self.file_limit * LINK_SHARE),
             max_held_bytes=_find_held_bytes(self.memory_limit_mb),
             log_level=self.log_level,
         )
@@ -156,6 +157,7 @@
             seeds=_link_addresses(self.seed_addresses, self.link_port),
             stop_timeout_s=self.grace_s * STOP_TIMEOUT_SHARE,
             max_connections=int(self.file_limit * CALLER_SHARE),
+            max_link_connections=int(self.file_limit * LINK_SHARE),
             max_held_bytes=_find_held_bytes(self.memory_limit_mb),
             log_level=self.log_level,
         )
@@ -168,6 +170,9 @@
 """Share of a control replica's descriptors that connections of workers and
 the operator may take; a leader needs the rest for its own to the workers."""
 
+LINK_SHARE = 0.1
+"""Share of the descriptors that connections of other processes may take."""
+
 HELD_MEMORY_SHARE = 0.125
 """Share of the memory that requests may hold. They are copied while they are
 read and parsed, and the process itself needs a third of the memory."""
--- a/greengagering/protocol/_settings.py
+++ b/greengagering/protocol/_settings.py
@@ -79,6 +79,8 @@
             rates of two clocks.
         max_connections: connections of operators and workers that may be open
             at the same time.
+        max_link_connections: connections of other processes that may be open
+            at the same time.
         max_held_bytes: bytes that all requests together may hold.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
@@ -102,6 +104,7 @@
     entry_lease_s: Seconds = 1.8
     clock_drift_ratio: Annotated[float, pydantic.Field(ge=0, lt=0.5)] = 0.05
     max_connections: ConnectionCount = 1600
+    max_link_connections: ConnectionCount = 400
     max_held_bytes: HeldBytes = 36 * 2**20
     stop_timeout_s: Seconds = 10.0
     log_level: LogLevel = 'info'
@@ -147,6 +150,8 @@
         body_timeout_s: time in which a caller must have sent its body.
         max_connections: connections of callers that may be open at the same
             time.
+        max_link_connections: connections of other processes that may be open
+            at the same time.
         max_held_bytes: bytes that all requests together may hold.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
@@ -164,6 +169,7 @@
     max_deadline_s: Seconds = 60.0
     body_timeout_s: Seconds = 3.0
     max_connections: ConnectionCount = 2000
+    max_link_connections: ConnectionCount = 400
     max_held_bytes: HeldBytes = 24 * 2**20
     stop_timeout_s: Seconds = 4.0
     log_level: LogLevel = 'info'
@@ -201,6 +207,8 @@
         idle_timeout_s: time between two requests, and before the first.
         max_connections: connections of callers and upstreams that may be open
             at the same time.
+        max_link_connections: connections of other processes that may be open
+            at the same time.
         max_held_bytes: bytes that all requests together may hold.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
@@ -224,6 +232,7 @@
     header_timeout_s: Seconds = 10.0
     idle_timeout_s: Seconds = 120.0
     max_connections: ConnectionCount = 2000
+    max_link_connections: ConnectionCount = 400
     max_held_bytes: HeldBytes = 64 * 2**20
     stop_timeout_s: Seconds = 30.0
     log_level: LogLevel = 'info'
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -25,6 +25,7 @@
 from greengagering.transport._job_call_handler import JobCallHandler
 from greengagering.transport._leader_probing import LeaderProbing
 from greengagering.transport._limited_client import LimitedClient
+from greengagering.transport._link_server import LinkOptions
 from greengagering.transport._machine_client import MachineClient
 from greengagering.transport._machine_runner import MachineRunner
 from greengagering.transport._mesh import LinkSender
@@ -109,6 +110,11 @@
             ),
             settings.link_address,
             self._on_message,
+            LinkOptions(
+                settings.max_link_connections,
+                settings.max_held_bytes,
+                self.metrics.refused_connections,
+            ),
         )
         self._loop = StepLoop(
             self._step, self._set_metrics, self.metrics.loop_late_seconds
--- a/greengagering/transport/_entry_node.py
+++ b/greengagering/transport/_entry_node.py
@@ -14,6 +14,7 @@
 from greengagering import protocol
 from greengagering.protocol import links
 from greengagering.transport._claim_resolver import ClaimResolver
+from greengagering.transport._link_server import LinkOptions
 from greengagering.transport._mesh import LinkSender
 from greengagering.transport._mesh import Mesh
 from greengagering.transport import _metrics
@@ -56,6 +57,11 @@
             LinkIdentity(settings.cluster_id, settings.entry_id, boot_id),
             settings.link_address,
             self._on_message,
+            LinkOptions(
+                settings.max_link_connections,
+                settings.max_held_bytes,
+                self.metrics.refused_connections,
+            ),
         )
         self.retry_budget = coordination.RetryBudget()
         self._loop = StepLoop(
--- a/greengagering/transport/_gateway_node.py
+++ b/greengagering/transport/_gateway_node.py
@@ -10,6 +10,7 @@
 from greengagering.protocol import links
 from greengagering import state
 from greengagering.transport._agent_runner import AgentRunner
+from greengagering.transport._link_server import LinkOptions
 from greengagering.transport._mesh import LinkSender
 from greengagering.transport._mesh import Mesh
 from greengagering.transport import _metrics
@@ -53,6 +54,11 @@
             LinkIdentity(settings.cluster_id, settings.entry_id, boot_id),
             settings.link_address,
             self._on_message,
+            LinkOptions(
+                settings.max_link_connections,
+                settings.max_held_bytes,
+                self.metrics.refused_connections,
+            ),
         )
         self.agent = AgentRunner(
             settings.entry_id, boot_id, workers, self._send_answers
--- a/greengagering/transport/_mesh.py
+++ b/greengagering/transport/_mesh.py
@@ -7,7 +7,6 @@
 
 from grpclib import const
 from grpclib import exceptions as grpc_exceptions
-from grpclib.server import Server
 from grpclib.server import Stream
 
 from greengagering import logs
@@ -17,6 +16,8 @@
 from greengagering.protocol import links
 from greengagering.state import errors as state_errors
 from greengagering.transport import _addresses
+from greengagering.transport._link_server import LinkOptions
+from greengagering.transport._link_server import LinkServer
 from greengagering.transport._peer_link import LinkIdentity
 from greengagering.transport._peer_link import PeerLink
 from greengagering.transport import errors
@@ -47,7 +48,11 @@
     """Receives messages of other processes and sends to any address."""
 
     def __init__(
-        self, identity: LinkIdentity, address: str, handler: MessageHandler
+        self,
+        identity: LinkIdentity,
+        address: str,
+        handler: MessageHandler,
+        options: LinkOptions | None = None,
     ) -> None:
         self.identity = identity
         self.received_bytes = 0
@@ -55,7 +60,8 @@
         self._address = address
         self._handler = handler
         self._links: dict[str, PeerLink] = {}
-        self._server: Server | None = None
+        self._options = options or LinkOptions()
+        self._server: LinkServer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -65,9 +71,9 @@
             ListenError: the address is taken or isn't this machine's.
         """
         endpoint = _addresses.parse_address(self._address)
-        self._server = Server([self])
+        self._server = LinkServer(self, self._options)
         try:
-            await self._server.start(endpoint.host, endpoint.port)
+            await self._server.listen(endpoint.host, endpoint.port)
         except OSError as error:
             raise errors.ListenError(
                 f'link_address {self._address}: {error}'
@@ -136,6 +142,8 @@
                 if frame is None:
                     return
                 self._check_cluster(frame)
+                if self._server is not None:
+                    self._server.identify(stream.peer.addr())
                 acks.record_arrival(frame.sequence)
                 self._handle_frame(frame)
         finally:
