Keep the configuration's limits on heads and pauses

What callers saw: the configuration's maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were read by nobody; an entry refused a head by constants of its own, whatever the operator had set.

Change: a plan holds them, an entry learns them with the leader's status, as it learns the largest body, and a replica reads its own plan. They are in force as soon as an entry hears of the new plan. Fields that are missing or 0 mean the usual values, so an older configuration keeps its meaning, and a stored one with odd values stays in force with the usual ones; a new one with them is refused with field and value. A status of the former version lacks them and changes nothing.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -35,3 +35,13 @@
   Scenario: Requests sent ahead of their answers are answered in order
     When a client sends 40 requests at once on one connection
     Then it gets 40 answers in the order of its requests
+
+  # Guards against limits of the configuration that are read and not kept.
+  Scenario: A changed limit on heads is in force, and an older configuration keeps its default
+    When a configuration without limits is accepted
+    Then entry-1 answers 200 to a job sent with fields of 16384 bytes in all
+    When a configuration allows heads of 2000 bytes
+    Then entry-1 comes to refuse with 431 a job sent with fields of 3000 bytes in all
+    And entry-1 answers 200 to a job sent with fields of 2000 bytes in all
+    When a configuration allows heads of 20000 bytes
+    Then entry-1 comes to answer 200 to a job sent with fields of 20000 bytes in all
--- a/greengagering/coordination/jobs/_gateway.py
+++ b/greengagering/coordination/jobs/_gateway.py
@@ -90,6 +90,7 @@
         self.leader_id = ''
         self._leader_term = 0
         self.max_body_bytes = 0
+        self.client_limits = state.ClientLimits()
         self.open_calls: dict[str, OpenCall] = {}
         self._seeds = seeds
         self._members: tuple[str, ...] = ()
@@ -259,6 +260,8 @@
             self.leader_address = status.address
             self.leader_id = status.replica_id
             self.max_body_bytes = status.max_body_bytes
+            if status.client_limits is not None:
+                self.client_limits = status.client_limits
             self.heard_at_s = now_s
             return
         # The hint may be outdated: two processes may each name the other as
--- a/greengagering/coordination/jobs/_job_messages.py
+++ b/greengagering/coordination/jobs/_job_messages.py
@@ -143,6 +143,8 @@
         max_body_bytes: largest body that callers may send, or 0 while there
             is no route plan.
         number: number of the probe.
+        client_limits: further limits on what callers send, or None while
+            there is no route plan.
         term: the newest term that the answering process knows.
     """
 
@@ -155,6 +157,7 @@
     max_body_bytes: int
     number: int
     term: int = 0
+    client_limits: state.ClientLimits | None = None
 
 
 JobMessage = JobCall | JobAnswer | ControlProbe | ControlStatus
--- a/greengagering/platform/_client_limits.py
+++ b/greengagering/platform/_client_limits.py
@@ -1,19 +1,41 @@
-"""Limits on what clients send to the platform's programs."""
+"""The configuration's limits on what clients send, as servers ask for them."""
 
 from greengagering.platform import _control_app
+from greengagering import state
 from greengagering.transport import control
 from greengagering.transport import gateway
 
+MS_PER_S = 1000
+
 _LARGE_PATHS = ('/config/replace', '/wave-start', '/v1/tickets')
 
 
-class CallerLimits(gateway.FixedLimits):
+class CallerLimits:
     """Limits of an entry on its callers."""
 
     def __init__(self, node: gateway.GatewayNode) -> None:
-        super().__init__(body_timeout_s=node.settings.body_timeout_s)
         self._node = node
 
+    @property
+    def max_header_bytes(self) -> int:
+        """Most bytes of a request line, and of all header fields together."""
+        return self._node.core.client_limits.max_header_bytes
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Time from the first byte of a head to its last."""
+        return self._node.core.client_limits.header_timeout_ms / MS_PER_S
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Time between two requests, and before the first."""
+        return self._node.core.client_limits.idle_timeout_ms / MS_PER_S
+
+    @property
+    def body_timeout_s(self) -> float:
+        """Time from the end of a head to the end of its body."""
+        return self._node.settings.body_timeout_s
+
     def find_max_body_bytes(self, path: str) -> int:
         """Return the size of the largest body of a request to a path."""
         return (
@@ -22,14 +44,39 @@
         )
 
 
-class ControlLimits(control.FixedLimits):
+class ControlLimits:
     """Limits of a control replica on workers and the operator."""
 
-    def __init__(self) -> None:
-        super().__init__(body_timeout_s=_control_app.BODY_TIMEOUT_S)
+    def __init__(self, node: control.ControlNode) -> None:
+        self._node = node
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Most bytes of a request line, and of all header fields together."""
+        return self._limits.max_header_bytes
+
+    @property
+    def header_timeout_s(self) -> float:
+        """Time from the first byte of a head to its last."""
+        return self._limits.header_timeout_ms / MS_PER_S
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """Time between two requests, and before the first."""
+        return self._limits.idle_timeout_ms / MS_PER_S
+
+    @property
+    def body_timeout_s(self) -> float:
+        """Time from the end of a head to the end of its body."""
+        return _control_app.BODY_TIMEOUT_S
 
     def find_max_body_bytes(self, path: str) -> int:
         """Return the size of the largest body of a request to a path."""
         if path.startswith(_LARGE_PATHS):
             return _control_app.MAX_CONFIGURATION_BYTES
         return _control_app.MAX_HEARTBEAT_BYTES
+
+    @property
+    def _limits(self) -> state.ClientLimits:
+        plan = self._node.core.state.jobs.plan
+        return plan.client_limits if plan else state.ClientLimits()
--- a/greengagering/platform/_plans.py
+++ b/greengagering/platform/_plans.py
@@ -4,6 +4,8 @@
 import hashlib
 import math
 
+from typing import Any
+
 import msgspec
 
 from greengagering.platform import _formats
@@ -81,6 +83,10 @@
 
 class _Limits(_formats.WireModel):
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    # Former versions accepted any value of these, so a stored one may have it.
+    max_header_bytes: Any = 0
+    header_timeout_ms: Any = 0
+    idle_timeout_ms: Any = 0
 
 
 class _Configuration(_formats.WireModel):
@@ -134,9 +140,32 @@
         max_body_bytes=wire.limits.max_body_bytes,
         source=body,
         customers=tuple(_to_customer(tenant) for tenant in wire.tenants),
+        client_limits=_to_client_limits(wire.limits),
+    )
+
+
+def _to_client_limits(wire: _Limits) -> state.ClientLimits:
+    """Return the limits that are given, and the usual ones for the others."""
+    usual = state.ClientLimits()
+    return state.ClientLimits(
+        _read_limit(wire.max_header_bytes, usual.max_header_bytes),
+        _read_limit(wire.header_timeout_ms, usual.header_timeout_ms),
+        _read_limit(wire.idle_timeout_ms, usual.idle_timeout_ms),
     )
 
 
+def _read_limit(value: Any, usual: int) -> int:
+    if not _is_whole(value) or not 0 < value <= bounds.MAX_DURATION_MS:
+        return usual
+    return int(value)
+
+
+def _is_whole(value: Any) -> bool:
+    if type(value) is float:
+        return value.is_integer()
+    return type(value) is int
+
+
 def _check(wire: _Configuration) -> None:
     if wire.version < 1:
         raise _formats.invalid(
@@ -178,6 +207,17 @@
         0,
         bounds.MAX_EXACT,
     )
+    for name, value in (
+        ('maxHeaderBytes', wire.limits.max_header_bytes),
+        ('headerTimeoutMs', wire.limits.header_timeout_ms),
+        ('idleTimeoutMs', wire.limits.idle_timeout_ms),
+    ):
+        field = f'limits.{name}'
+        if not _is_whole(value):
+            raise _formats.invalid(
+                SOURCE, field, 'must be a whole number', value
+            )
+        check(field, value, 0, bounds.MAX_DURATION_MS)
     for number, route in enumerate(wire.routes):
         _check_route_ranges(f'routes.{number}', route)
     for number, service in enumerate(wire.services):
--- a/greengagering/platform/_services.py
+++ b/greengagering/platform/_services.py
@@ -48,7 +48,7 @@
                 settings.http_address,
                 'http_address',
                 control.ServerOptions(
-                    _client_limits.ControlLimits(),
+                    _client_limits.ControlLimits(self._node),
                     settings.max_connections,
                     settings.max_held_bytes,
                     _responses.refusal_response,
--- a/greengagering/state/__init__.py
+++ b/greengagering/state/__init__.py
@@ -31,6 +31,7 @@
 from greengagering.state._folder_identity import read_identity
 from greengagering.state._jobs_apply import apply_to_jobs
 from greengagering.state._jobs_model import AdvicePolicy
+from greengagering.state._jobs_model import ClientLimits
 from greengagering.state._jobs_model import Customer
 from greengagering.state._jobs_model import Duty
 from greengagering.state._jobs_model import DutyKind
@@ -144,6 +145,7 @@
     'ClaimVerdict',
     'CLAIM_RETENTION_MS',
     'Admission',
+    'ClientLimits',
     'Customer',
     'Applied',
     'Budget',
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -128,6 +128,22 @@
     limit: Room = Room()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """The operator's limits on what clients send, beside that on bodies.
+
+    Attributes:
+        max_header_bytes: most bytes of a request line, and of all header
+            fields together.
+        header_timeout_ms: time from the first byte of a head to its last.
+        idle_timeout_ms: time between two requests, and before the first.
+    """
+
+    max_header_bytes: int = 16_384
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutePlan:
     """The operator's numbered configuration of all queues and services.
@@ -140,6 +156,7 @@
         source: the configuration's bytes as the operator sent them, returned
             when it is read.
         customers: every customer; without any, calls need no key.
+        client_limits: further limits on what clients send.
     """
 
     number: int
@@ -148,6 +165,7 @@
     max_body_bytes: int
     source: bytes
     customers: tuple[Customer, ...] = ()
+    client_limits: ClientLimits = ClientLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -45,7 +45,7 @@
     """Limits on what a client sends, and on the time that it takes."""
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True, slots=True)
 class FixedLimits:
     """Limits that don't change at run time.
 
@@ -82,7 +82,7 @@
         refusals: counter of refusals by server and cause, or None.
     """
 
-    limits: HttpLimits = dataclasses.field(default_factory=FixedLimits)
+    limits: HttpLimits = FixedLimits()
     max_connections: int = 1024
     max_held_bytes: int = 64 * 1024 * 1024
     refuse: _refusals.RefusalFormat = _refusals.page_refusal
--- a/greengagering/transport/_leader_probing.py
+++ b/greengagering/transport/_leader_probing.py
@@ -144,6 +144,7 @@
             max_body_bytes=plan.max_body_bytes if plan else 0,
             number=number,
             term=self._replica.term,
+            client_limits=plan.client_limits if plan else None,
         )
         self._mesh.send(address, address, status)
 
