Parse small chunks by turns

What callers saw: 300 clients with bodies in chunks of one byte kept an entry from all else.

Cause: what a read brings, up to 256 KB and so some 40,000 chunks, was parsed at once, for one connection after the other.

Change: 64 chunks of a read are parsed at once, which most bodies don't have; the rest waits for its turn, a thousand chunks of all connections in an iteration of the event loop, and the connection isn't read meanwhile.

--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections import deque
 import dataclasses
 from typing import Any
 from typing import cast
@@ -20,8 +21,12 @@
 from greengagering.transport._request_framer import RequestFramer
 from greengagering.transport._request_framer import RequestLimits
 
-CHUNKS_AT_ONCE = 1_000_000
-"""Chunks that are parsed as they come."""
+CHUNKS_AT_ONCE = 64
+"""Chunks that are parsed as they come; most bodies have no more."""
+
+CHUNKS_PER_TURN = 1000
+"""Chunks of all connections that are parsed in one iteration of the event
+loop beyond that; it takes about a millisecond."""
 
 MAX_LINGER_BYTES = 4 * 1024 * 1024
 """Bytes that are read and dropped after a refusal."""
@@ -44,6 +49,7 @@
         create_handler: creates the HTTP protocol of a connection.
         handler_connections: connection of each such protocol.
         refuse: creates responses to requests that no handler sees.
+        slow_lane: parses what takes long.
         refusals: counter of refusals, or None.
     """
 
@@ -53,6 +59,7 @@
     create_handler: Callable[[], asyncio.Protocol]
     handler_connections: dict[Any, 'ClientConnection']
     refuse: _refusals.RefusalFormat
+    slow_lane: 'SlowLane'
     refusals: aioprometheus.Counter | None
 
 
@@ -164,6 +171,11 @@
         else:
             transport.close()
 
+    def read_on(self, max_chunks: int) -> None:
+        """Parse more of what was left because it takes long."""
+        if self._stage is Stage.BODY:
+            self._read(max_chunks)
+
     def _read(self, max_chunks: int) -> None:
         if not self._framer.has_begun:
             return
@@ -182,6 +194,11 @@
             self._refuse(_create_refusal(cause), cause)
         elif progress is Progress.COMPLETE:
             self._run()
+        elif progress is Progress.UNFINISHED:
+            self._pause_reading()
+            self._context.slow_lane.add(self)
+        else:
+            self._resume_reading()
 
     def _begin_body(self) -> None:
         self._move(Stage.BODY)
@@ -273,6 +290,31 @@
             self._transport.resume_reading()
 
 
+class SlowLane:
+    """Parses small chunks by turns, some in each iteration of the loop."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[ClientConnection] = deque()
+        self._is_scheduled = False
+
+    def add(self, connection: ClientConnection) -> None:
+        """Let a connection take its next turn."""
+        self._waiting.append(connection)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_scheduled = False
+        if not self._waiting:
+            return
+        connection = self._waiting.popleft()
+        connection.read_on(CHUNKS_PER_TURN)
+        if self._waiting and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._take_turn)
+
+
 class _WriteTransport(asyncio.Transport):
     """A transport whose reading isn't the handler's to pause."""
 
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -12,6 +12,7 @@
 from greengagering.transport import _addresses
 from greengagering.transport._client_connection import ClientConnection
 from greengagering.transport._client_connection import ConnectionContext
+from greengagering.transport._client_connection import SlowLane
 from greengagering.transport._connection_table import CloseCause
 from greengagering.transport._connection_table import ConnectionTable
 from greengagering.transport._connection_table import Stage
@@ -152,6 +153,7 @@
             handlers,
             self._connections,
             self._options.refuse,
+            SlowLane(),
             self._options.refusals,
         )
         loop = asyncio.get_running_loop()
