Count the memory of a request while it runs, and bound frames by size

What callers saw: 480 clients that each send one valid job of 262,144 bytes with a thousand steps took an entry to 279 MB and a replica to 286, of 128.

Cause: a job's parsed form takes up to seven times the memory of its body (1.8 MB, measured), and the entry holds it until the leader has answered, but only the body's bytes were reserved. A frame between processes took up to 128 messages of any size, so some 50 MB of such jobs came in one frame, which its receiver holds several times over while it reads it.

Change: while a request runs, a multiple of its size is reserved (8 for jobs, 4 for configurations). A request that is alone always has room, so a single one at the limit is served on a small machine, too. A frame takes messages of 1 MiB in all, or one that is larger, and 32 MiB may wait for a peer, besides 4,096 messages.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -37,6 +37,13 @@
       | bodies in pieces that stop short of their end |
       | large chunks that stop short of their end     |
 
+  # Guards against jobs whose parsed form takes many times the memory of their bytes.
+  Scenario: Large jobs: clients send whole jobs of many steps
+    Given a control replica and an entry on small machines
+    When clients send whole jobs of many steps to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
   # Guards against small chunks that take the process's time from all others.
   Scenario: Small chunks: clients send chunks of one byte
     Given a control replica and an entry on small machines
--- a/features/steps/chunk_turn_steps.py
+++ b/features/steps/chunk_turn_steps.py
@@ -62,6 +62,7 @@
             'address',
             _connection_table.ConnectionTable(limits, 100, 10**9),
             limits,
+            1,
             lambda: _Handler(self.requests),
             {},
             _refusals.page_refusal,
@@ -117,7 +118,8 @@
 
 @then('its handler has it at once')
 def check_ordinary(context: Any) -> None:
-    assert context.server.requests == [ORDINARY], context.server.requests
+    sizes = [len(request) for request in context.server.requests]
+    assert context.server.requests == [ORDINARY], sizes
 
 
 def _bodies(context: Any) -> list[int]:
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -1,6 +1,8 @@
 """Steps that send crowds of clients to the ports of running processes."""
 
+from collections.abc import Iterator
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -67,6 +69,37 @@
     return f'{size:x}\r\n'.encode() + b'x' * size + b'\r\n'
 
 
+def _large_job() -> bytes:
+    """Return a valid job of the largest size, with as many steps as allowed.
+
+    Its steps name earlier steps, which takes the most memory for its bytes.
+    """
+    steps = [
+        {'count': 1, 'cpu': 1, 'memMb': 1, 'after': list(range(number))[-55:]}
+        for number in range(1000)
+    ]
+    body = json.dumps({'spec': 'x', 'steps': steps}, separators=(',', ':'))
+    return body.encode().ljust(BODY_BYTES)
+
+
+def _large_jobs(count: int) -> crowds.Pieces:
+    """Return pieces that are other large jobs for each client.
+
+    Args:
+        count: number of jobs that a client sends, one after the other.
+    """
+    numbers = itertools.count(1)
+    body = _large_job()
+
+    def pieces() -> Iterator[bytes]:
+        for _ in range(count):
+            job_id = f'{0xFF00000000000000 + next(numbers):016x}'
+            line = f'POST {platform_world.PREFIX}{job_id} HTTP/1.1\r\n'
+            yield _sized(BODY_BYTES, line) + body
+
+    return pieces
+
+
 SHORT_BODY = _sized(BODY_BYTES) + b'x' * (BODY_BYTES - 1)
 
 CROWDS = {
@@ -92,6 +125,7 @@
     'whole bodies': crowds.Crowd(
         MANY, crowds.cut(SHORT_BODY + b'x', BODY_BYTES * 2)
     ),
+    'whole jobs of many steps': crowds.Crowd(MANY, _large_jobs(1)),
     'bodies that stop short of their end': crowds.Crowd(
         MANY, crowds.cut(SHORT_BODY, BODY_BYTES * 2)
     ),
--- a/greengagering/platform/_client_limits.py
+++ b/greengagering/platform/_client_limits.py
@@ -7,6 +7,13 @@
 
 MS_PER_S = 1000
 
+JOB_MEMORY_RATIO = 8
+"""Size of a parsed job as a multiple of its body's; it is largest for steps
+that name many earlier ones."""
+
+PLAN_MEMORY_RATIO = 4
+"""The same of a configuration."""
+
 _LARGE_PATHS = ('/config/replace', '/wave-start', '/v1/tickets')
 
 
--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -46,6 +46,8 @@
         name: setting that holds the server's address, for logs and metrics.
         table: every connection of the server.
         limits: limits on requests.
+        run_memory_ratio: memory that a request takes while it runs, as a
+            multiple of its size.
         create_handler: creates the HTTP protocol of a connection.
         handler_connections: connection of each such protocol.
         refuse: creates responses to requests that no handler sees.
@@ -56,6 +58,7 @@
     name: str
     table: ConnectionTable
     limits: RequestLimits
+    run_memory_ratio: int
     create_handler: Callable[[], asyncio.Protocol]
     handler_connections: dict[Any, 'ClientConnection']
     refuse: _refusals.RefusalFormat
@@ -214,8 +217,13 @@
 
     def _run(self) -> None:
         """Pass the whole request to the handler's protocol."""
-        self._move(Stage.RUNNING)
         request = self._framer.take_request()
+        wanted_bytes = len(request) * self._context.run_memory_ratio
+        if not self._table.reserve(self, wanted_bytes, self._loop.time()):
+            cause = CloseCause.MEMORY
+            self._refuse(_create_refusal(cause), cause)
+            return
+        self._move(Stage.RUNNING)
         if self._handler is None:
             assert self._transport is not None
             self._handler = self._context.create_handler()
--- a/greengagering/transport/_connection_table.py
+++ b/greengagering/transport/_connection_table.py
@@ -183,7 +183,8 @@
     ) -> bool:
         """Reserve memory for a connection's request, in place of its former.
 
-        Bodies that have stalled are refused if that makes room.
+        Bodies that have stalled are refused if that makes room. A request
+        that is alone always has room, however little memory there is.
 
         Returns:
             Whether there is room.
@@ -196,7 +197,10 @@
         if not is_small:
             limit = int(limit * (1 - SMALL_SHARE))
         added_bytes = wanted_bytes - entry.held_bytes
-        while self.held_bytes + added_bytes > limit:
+        while (
+            self.held_bytes > entry.held_bytes
+            and self.held_bytes + added_bytes > limit
+        ):
             stalled = self._find_stalled(
                 connection, now_s, 0.0 if is_small else STALLED_S
             )
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -79,6 +79,8 @@
         max_connections: connections that may be open at the same time.
         max_held_bytes: bytes that all bodies together may hold, whether they
             are still coming or their requests run.
+        run_memory_ratio: memory that a request takes while it runs, as a
+            multiple of its size: its parsed form is larger.
         refuse: creates responses to requests that no handler sees.
         refusals: counter of refusals by server and cause, or None.
     """
@@ -86,6 +88,7 @@
     limits: HttpLimits = FixedLimits()
     max_connections: int = 1024
     max_held_bytes: int = 64 * 1024 * 1024
+    run_memory_ratio: int = 1
     refuse: _refusals.RefusalFormat = _refusals.page_refusal
     refusals: aioprometheus.Counter | None = None
 
@@ -150,6 +153,7 @@
             self._name,
             self._table,
             self._options.limits,
+            self._options.run_memory_ratio,
             handlers,
             self._connections,
             self._options.refuse,
--- a/greengagering/transport/_peer_link.py
+++ b/greengagering/transport/_peer_link.py
@@ -19,6 +19,13 @@
 
 MAX_QUEUED_MESSAGES = 4096
 MAX_FRAME_MESSAGES = 128
+MAX_FRAME_BYTES = 1024 * 1024
+"""Size up to which messages are put into one frame. Its receiver holds it
+several times over while it reads it."""
+
+MAX_QUEUED_BYTES = 32 * 1024 * 1024
+"""Most bytes of messages that wait for a peer that doesn't take them."""
+
 CONNECT_TIMEOUT_S = 1.0
 ACK_TIMEOUT_S = 2.0
 ACK_CHECK_INTERVAL_S = 0.25
@@ -61,9 +68,8 @@
         self.connects = 0
         self.is_connected = False
         self._identity = identity
-        self._queue: collections.deque[link_pb2.Message] = collections.deque(
-            maxlen=MAX_QUEUED_MESSAGES
-        )
+        self._queue: collections.deque[link_pb2.Message] = collections.deque()
+        self._queued_bytes = 0
         self._wakeup = asyncio.Event()
         self._awaiting_ack_since_s: float | None = None
         self._sequence = 0
@@ -72,9 +78,15 @@
 
     def send(self, message: links.LinkMessage) -> None:
         """Queue a message; the oldest is dropped when the queue is full."""
-        if len(self._queue) == MAX_QUEUED_MESSAGES:
+        encoded = links.encode_message(message)
+        self._queue.append(encoded)
+        self._queued_bytes += len(encoded.body)
+        while (
+            len(self._queue) > MAX_QUEUED_MESSAGES
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        ) and len(self._queue) > 1:
             self.dropped_messages += 1
-        self._queue.append(links.encode_message(message))
+            self._take()
         self._wakeup.set()
 
     async def flush(self, timeout_s: float) -> None:
@@ -122,6 +134,7 @@
         self.is_connected = False
         self.dropped_messages += len(self._queue)
         self._queue.clear()
+        self._queued_bytes = 0
 
     async def _connect_and_send(self) -> None:
         try:
@@ -168,9 +181,23 @@
             await self._wakeup.wait()
             self._wakeup.clear()
             while self._queue:
-                count = min(len(self._queue), MAX_FRAME_MESSAGES)
-                batch = [self._queue.popleft() for _ in range(count)]
-                await self._send_frame(stream, batch)
+                await self._send_frame(stream, self._take_batch())
+
+    def _take(self) -> link_pb2.Message:
+        message = self._queue.popleft()
+        self._queued_bytes -= len(message.body)
+        return message
+
+    def _take_batch(self) -> list[link_pb2.Message]:
+        """Return the oldest messages, as many as fit in a frame."""
+        batch = [self._take()]
+        batch_bytes = len(batch[0].body)
+        while self._queue and len(batch) < MAX_FRAME_MESSAGES:
+            batch_bytes += len(self._queue[0].body)
+            if batch_bytes > MAX_FRAME_BYTES:
+                break
+            batch.append(self._take())
+        return batch
 
     async def _send_frame(
         self, stream: FrameStream, batch: list[link_pb2.Message]
