Bound the memory of stored jobs

What callers saw: four clients that sent 40 valid jobs of a thousand steps each, one after the other, took a replica to 752 MB of 128. Every replica holds every job, so such clients end all of them, and each start after it.

Cause: a job is accepted whatever is stored already. Nothing bounded how many jobs the state holds, nor how large they are together.

Three tenths of a replica's memory may be taken.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -44,6 +44,13 @@
     Then an ordinary job is accepted beside them
     And every process has stayed within its machine
 
+  # Guards against accepted jobs that fill the memory of all control replicas.
+  Scenario: Accepted jobs: clients send large jobs one after the other
+    Given a control replica and an entry on small machines
+    When clients send large jobs one after the other to the port for callers
+    Then an ordinary job is accepted beside them
+    And every process has stayed within its machine
+
   # Guards against small chunks that take the process's time from all others.
   Scenario: Small chunks: clients send chunks of one byte
     Given a control replica and an entry on small machines
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -126,6 +126,7 @@
         MANY, crowds.cut(SHORT_BODY + b'x', BODY_BYTES * 2)
     ),
     'whole jobs of many steps': crowds.Crowd(MANY, _large_jobs(1)),
+    'large jobs one after the other': crowds.Crowd(4, _large_jobs(40)),
     'bodies that stop short of their end': crowds.Crowd(
         MANY, crowds.cut(SHORT_BODY, BODY_BYTES * 2)
     ),
--- a/greengagering/coordination/__init__.py
+++ b/greengagering/coordination/__init__.py
@@ -93,6 +93,7 @@
 from greengagering.coordination.jobs import OpenCall
 from greengagering.coordination.jobs import RefusalCause
 from greengagering.coordination.jobs import RoutedPath
+from greengagering.coordination.jobs import StoredJobs
 from greengagering.coordination.scheduling import Advice
 from greengagering.coordination.scheduling import AdviceRequest
 from greengagering.coordination.scheduling import Decision
@@ -163,6 +164,7 @@
     'PaceOrder',
     'StartOrder',
     'StopOrder',
+    'StoredJobs',
     'WorkerReport',
     'find_excess',
     'find_queue',
--- a/greengagering/coordination/jobs/__init__.py
+++ b/greengagering/coordination/jobs/__init__.py
@@ -17,6 +17,7 @@
 from greengagering.coordination.jobs._job_messages import RefusalCause
 from greengagering.coordination.jobs._routing import find_queue
 from greengagering.coordination.jobs._routing import RoutedPath
+from greengagering.coordination.jobs._stored_jobs import StoredJobs
 from greengagering.coordination.jobs._work_index import CHAIN_TIME_FACTOR
 from greengagering.coordination.jobs._work_index import find_chain_s
 from greengagering.coordination.jobs._work_index import find_objective_s
@@ -41,6 +42,7 @@
     'RefusalCause',
     'RoutedPath',
     'StepWork',
+    'StoredJobs',
     'WORTHLESS_RATIO',
     'WorkIndex',
     'describe_change',
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -109,7 +109,12 @@
             platform_url=f'http://{self.machine_service_address}',
             max_connections=int(self.file_limit * CONTROL_CLIENT_SHARE),
             max_link_connections=int(self.file_limit * LINK_SHARE),
-            max_held_bytes=_find_held_bytes(self.memory_limit_mb),
+            max_held_bytes=_find_bytes(
+                self.memory_limit_mb, HELD_MEMORY_SHARE
+            ),
+            max_stored_bytes=_find_bytes(
+                self.memory_limit_mb, STORED_MEMORY_SHARE
+            ),
             log_level=self.log_level,
         )
 
@@ -158,7 +163,9 @@
             stop_timeout_s=self.grace_s * STOP_TIMEOUT_SHARE,
             max_connections=int(self.file_limit * CALLER_SHARE),
             max_link_connections=int(self.file_limit * LINK_SHARE),
-            max_held_bytes=_find_held_bytes(self.memory_limit_mb),
+            max_held_bytes=_find_bytes(
+                self.memory_limit_mb, HELD_MEMORY_SHARE
+            ),
             log_level=self.log_level,
         )
 
@@ -177,13 +184,16 @@
 """Share of the memory that requests may hold. They are copied while they are
 read and parsed, and the process itself needs a third of the memory."""
 
+STORED_MEMORY_SHARE = 0.3
+"""Share of a control replica's memory that stored jobs may take."""
+
 STOP_TIMEOUT_SHARE = 0.5
 """Share of the grace period after which a stopping entry abandons the calls
 that are still in flight, so that enough time is left to close in order."""
 
 
-def _find_held_bytes(memory_limit_mb: float) -> int:
-    return int(memory_limit_mb * 2**20 * HELD_MEMORY_SHARE)
+def _find_bytes(memory_limit_mb: float, share: float) -> int:
+    return int(memory_limit_mb * 2**20 * share)
 
 
 def load(kind: type[HostSettings]) -> HostSettings:
--- a/greengagering/protocol/_settings.py
+++ b/greengagering/protocol/_settings.py
@@ -82,6 +82,7 @@
         max_link_connections: connections of other processes that may be open
             at the same time.
         max_held_bytes: bytes that all requests together may hold.
+        max_stored_bytes: memory that stored jobs may take, as estimated.
         stop_timeout_s: longest graceful shutdown.
         log_level: debug, info, warning or error.
     """
@@ -106,6 +107,7 @@
     max_connections: ConnectionCount = 1600
     max_link_connections: ConnectionCount = 400
     max_held_bytes: HeldBytes = 36 * 2**20
+    max_stored_bytes: HeldBytes = 128 * 2**20
     stop_timeout_s: Seconds = 10.0
     log_level: LogLevel = 'info'
 
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -135,6 +135,7 @@
             self.now_ms,
             self.metrics,
             self._plan_review.is_fully_read,
+            settings.max_stored_bytes,
         )
         self._agents: AgentClient | None = None
         self._order_runner: OrderRunner | None = None
--- a/greengagering/transport/_job_call_handler.py
+++ b/greengagering/transport/_job_call_handler.py
@@ -19,6 +19,11 @@
 """Time after which a caller may retry while no plan is accepted yet, or if its
 entry doesn't pass keys on: a retry reaches another entry."""
 
+STORE_RETRY_AFTER_S = 2.0
+"""Time after which a caller may retry for whose job there is no memory."""
+
+DEFAULT_MAX_STORED_BYTES = 128 * 2**20
+
 CommitResult = Result[None, coordination_errors.CoordinationError]
 Commit = Callable[[state.JobRecord], Awaitable[CommitResult]]
 
@@ -47,6 +52,7 @@
         now_ms: Callable[[], int],
         metrics: _metrics.ControlMetrics,
         is_plan_fully_read: Callable[[], bool] = lambda: True,
+        max_stored_bytes: int = DEFAULT_MAX_STORED_BYTES,
     ) -> None:
         self._core = core
         self._commit = commit
@@ -55,6 +61,7 @@
         self._is_plan_fully_read = is_plan_fully_read
         self._customers = coordination.CustomerTable()
         self._submitting: dict[str, _Submission] = {}
+        self._stored = coordination.StoredJobs(max_stored_bytes)
 
     async def answer(
         self, call: coordination.JobCall
@@ -123,8 +130,10 @@
             refusal = self._find_excess(call, customer) or self._judge_rate(
                 call, spec, routed.queue, customer
             )
+            refusal = refusal or self._find_memory_refusal(call, spec)
             if refusal is not None:
                 return refusal
+            self._stored.add(spec)
             submission = self._start_submission(spec, routed.queue, customer)
         else:
             owner = submission.customer
@@ -174,6 +183,27 @@
             cause=coordination.RefusalCause.OVER_RATE,
         )
 
+    def _find_memory_refusal(
+        self, call: coordination.JobCall, spec: state.JobSpec
+    ) -> coordination.JobAnswer | None:
+        """Return the refusal of a job that there is no memory for, or None."""
+        jobs = self._core.state.jobs.jobs
+        if self._stored.has_room(spec, jobs, clock.steady_s()):
+            return None
+        logs.info(
+            'job_store_full',
+            job=spec.job_id,
+            steps=len(spec.steps),
+            stored_bytes=self._stored.stored_bytes,
+            jobs=len(jobs),
+        )
+        return coordination.JobAnswer(
+            call.call_id,
+            coordination.JobOutcome.OVERLOADED,
+            retry_after_s=STORE_RETRY_AFTER_S,
+            detail='there is no memory for another job of this size',
+        )
+
     def _find_excess(
         self, call: coordination.JobCall, customer: str
     ) -> coordination.JobAnswer | None:
