Bound what responses hold that nobody reads

What callers saw: 150 clients that ask a replica for a configuration of 4 MiB, and don't read the answer, took it to 689 MB of 128.

Cause: a response is copied into the connection's write buffer and kept there until its client has read it, and nothing counted that.

Change: memory is reserved for a response of more than 16 KiB, beside its request's. A response of which nothing was read for half a second gives way first. If there is no room, a question is refused with 503; an answer that may be the only word on what has run is sent all the same.

The operator, who asks again after a 503, reads the whole configuration beside the crowd.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -106,3 +106,15 @@
     And the requests hold 232000 bytes
     And b has no room for a body of 200000 bytes at 0.1 s
     And the requests hold 232000 bytes
+
+  # Guards against large answers that are kept for clients that don't read them.
+  Scenario: A response that nobody reads gives way to another one, and one that is being read doesn't
+    Given a server whose requests may hold 400000 bytes
+    And connections a, b and c receive bodies of 100000 bytes since 0 s
+    And connection a has come to be unread at 0 s
+    And connection b has come to be unread at 0 s
+    When bytes of a come at 1 s
+    And bytes of c come at 1 s
+    Then d has room for a body of 100000 bytes at 1.2 s
+    And b is given up as memory
+    And e has no room for a body of 100000 bytes at 1.2 s
--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -96,6 +96,15 @@
       | requests ahead of their answers         |
       | requests whose answers they do not read |
 
+  # Guards against large answers that are kept for clients that don't read them.
+  Scenario: Unread answers: clients ask for a large configuration
+    Given a control replica and an entry on small machines
+    And a configuration of 4194304 bytes is in force
+    When clients send questions for the configuration whose answers they do not read to the port for workers and operators
+    Then an ordinary job is accepted beside them
+    And the operator, who asks again after a 503, reads the configuration beside them
+    And every process has stayed within its machine
+
   # Guards against a bound that only the port for callers has.
   Scenario Outline: Other ports: <where>, clients send <what>
     Given a control replica and an entry on small machines
--- a/features/steps/connection_limit_steps.py
+++ b/features/steps/connection_limit_steps.py
@@ -88,6 +88,13 @@
         assert context.connection_table.reserve(connection, size, 0)
 
 
+@given('connection {name} has come to be unread at {at_s:g} s')
+def stop_reading(context: Any, name: str, at_s: float) -> None:
+    context.connection_table.move(
+        context.connections[name], _connection_table.Stage.UNREAD, at_s
+    )
+
+
 @when('connection {name} arrives at {at_s:g} s')
 def arrive(context: Any, name: str, at_s: float) -> None:
     _add(context, name, at_s)
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -45,6 +45,7 @@
 MANY = 480
 MORE_THAN_FILES = 600
 FEW = 60
+QUIET_READERS = 150
 DEADLINE = {'Deadline-Ms': '30000'}
 
 PLAN_BYTES = 4 * 1024 * 1024
@@ -171,6 +172,15 @@
     'one request and then nothing': crowds.Crowd(
         MORE_THAN_FILES, crowds.cut(READ, 4096)
     ),
+    'questions for the configuration whose answers they do not read': (
+        crowds.Crowd(
+            QUIET_READERS,
+            crowds.cut(
+                b'GET /config/read HTTP/1.1\r\nHost: control\r\n\r\n', 4096
+            ),
+            reads=False,
+        )
+    ),
     'requests ahead of their answers': crowds.Crowd(
         FEW, crowds.repeat(b'', READ, 16 * 1024)
     ),
@@ -257,6 +267,17 @@
     )
 
 
+@given('a configuration of {size:d} bytes is in force')
+def put_large(context: Any, size: int) -> None:
+    world = world_of(context)
+    wire = json.loads(_configuration())
+    wire['version'] += 1
+    body = json.dumps(wire).encode().ljust(size)
+    context.configuration = body
+    answer = world.call_leader('POST', '/config/replace', body)
+    assert answer.status == 200, answer
+
+
 @when('clients send {what} to {where}')
 def send(context: Any, what: str, where: str) -> None:
     world = world_of(context)
@@ -310,6 +331,16 @@
     assert answer.body == _configuration()
 
 
+@then(
+    'the operator, who asks again after a 503, reads the configuration beside '
+    'them'
+)
+def come_to_read(context: Any) -> None:
+    answer = world_of(context).call_leader('GET', '/config/read')
+    assert answer.status == 200, answer
+    assert answer.body == context.configuration
+
+
 @then('the readiness check and the metrics are answered beside them')
 def check_others(context: Any) -> None:
     world = world_of(context)
--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -86,13 +86,14 @@
         self._is_reading_paused = False
         self._is_response_due = False
         self._dropped_bytes = 0
+        self._unsent_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request, if there is room for the connection."""
         self._transport = cast(asyncio.Transport, transport)
         if not self._table.add(self, self._loop.time()):
             cause = CloseCause.TOO_MANY
-            self._refuse(_create_refusal(cause), cause)
+            self._refuse(create_refusal(cause), cause)
             self._transport.close()
 
     def data_received(self, data: bytes) -> None:
@@ -154,6 +155,20 @@
         self._resume_reading()
         self._read(CHUNKS_AT_ONCE)
 
+    def reserve_response(self, size_bytes: int) -> bool:
+        """Reserve memory for a response, and return whether there is room."""
+        now_s = self._loop.time()
+        return self._table.reserve_more(self, size_bytes, now_s)
+
+    def note_sent(self) -> None:
+        """Record whether the client has read more of its response."""
+        if self._transport is None:
+            return
+        former_bytes = self._unsent_bytes
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        if self._unsent_bytes < former_bytes:
+            self._table.note_progress(self, self._loop.time())
+
     def give_up(self, cause: CloseCause) -> None:
         """Close the connection; a request that hasn't run is refused."""
         transport = self._transport
@@ -161,7 +176,7 @@
             self._table.remove(self)
             return
         if self._stage in (Stage.HEAD, Stage.BODY):
-            self._refuse(_create_refusal(cause), cause)
+            self._refuse(create_refusal(cause), cause)
             if cause is not CloseCause.TOO_MANY:
                 return
         elif self._stage is not Stage.CLOSING and cause not in _QUIET_CAUSES:
@@ -194,7 +209,7 @@
             return
         if not self._reserve():
             cause = CloseCause.MEMORY
-            self._refuse(_create_refusal(cause), cause)
+            self._refuse(create_refusal(cause), cause)
         elif progress is Progress.COMPLETE:
             self._run()
         elif progress is Progress.UNFINISHED:
@@ -221,7 +236,7 @@
         wanted_bytes = len(request) * self._context.run_memory_ratio
         if not self._table.reserve(self, wanted_bytes, self._loop.time()):
             cause = CloseCause.MEMORY
-            self._refuse(_create_refusal(cause), cause)
+            self._refuse(create_refusal(cause), cause)
             return
         self._move(Stage.RUNNING)
         if self._handler is None:
@@ -357,7 +372,8 @@
         self._transport.abort()
 
 
-def _create_refusal(cause: CloseCause) -> Refusal:
+def create_refusal(cause: CloseCause) -> Refusal:
+    """Return the refusal of a request that a server gives up."""
     if cause is CloseCause.SLOW_HEAD:
         return Refusal(
             408, pages.ErrorKind.TOO_SLOW, 'the head did not come in time'
--- a/greengagering/transport/_connection_table.py
+++ b/greengagering/transport/_connection_table.py
@@ -12,7 +12,8 @@
 SMALL_REQUEST_BYTES = 16 * 1024
 
 STALLED_S = 0.5
-"""Silence after which a body that has begun gives way to another one."""
+"""Time without progress after which a body that has begun, or a response that
+its client doesn't read, gives way to another large one."""
 
 LINGER_S = 1.0
 """Time in which a refused client can read why, as closing a connection that
@@ -172,18 +173,31 @@
         entry.progress_at_s = now_s
 
     def note_progress(self, connection: Connection, now_s: float) -> None:
-        """Record that bytes of a body have come."""
+        """Record that bytes of a body have come, or of a response gone."""
         entry = self._entries.get(connection)
         if entry is not None:
             entry.progress_at_s = now_s
             self._stages[entry.stage].move_to_end(connection)
 
+    def reserve_more(
+        self, connection: Connection, added_bytes: int, now_s: float
+    ) -> bool:
+        """Reserve memory for a response beside that for its request.
+
+        Returns:
+            Whether there is room.
+        """
+        entry = self._entries.get(connection)
+        held_bytes = entry.held_bytes if entry is not None else 0
+        return self.reserve(connection, held_bytes + added_bytes, now_s)
+
     def reserve(
         self, connection: Connection, wanted_bytes: int, now_s: float
     ) -> bool:
         """Reserve memory for a connection's request, in place of its former.
 
-        Bodies that have stalled are refused if that makes room. A request
+        Responses that nobody reads and bodies that have stalled are given up
+        if that makes room. A request
         that is alone always has room, however little memory there is.
 
         Returns:
@@ -248,11 +262,12 @@
     def _find_stalled(
         self, connection: Connection, now_s: float, silence_s: float
     ) -> Connection | None:
-        for other in self._stages[Stage.BODY]:
-            entry = self._entries[other]
-            if other is connection or not entry.held_bytes:
-                continue
-            if now_s - entry.progress_at_s < silence_s:
-                return None
-            return other
+        for stage in (Stage.UNREAD, Stage.BODY):
+            for other in self._stages[stage]:
+                entry = self._entries[other]
+                if other is connection or not entry.held_bytes:
+                    continue
+                if now_s - entry.progress_at_s >= silence_s:
+                    return other
+                break
         return None
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -9,9 +9,12 @@
 from aiohttp import web
 import aioprometheus
 
+from greengagering import logs
+from greengagering.protocol import headers
 from greengagering.transport import _addresses
 from greengagering.transport._client_connection import ClientConnection
 from greengagering.transport._client_connection import ConnectionContext
+from greengagering.transport._client_connection import create_refusal
 from greengagering.transport._client_connection import SlowLane
 from greengagering.transport._connection_table import CloseCause
 from greengagering.transport._connection_table import ConnectionTable
@@ -38,6 +41,12 @@
 PARSER_LIMIT_BYTES = 1024 * 1024
 """Limit of the HTTP parser, which gets heads that are within the limits."""
 
+SMALL_RESPONSE_BYTES = 16 * 1024
+"""Size up to which a response needs no reservation."""
+
+SAFE_METHODS = ('GET', 'HEAD')
+"""Methods of requests that change nothing."""
+
 SMALLEST_FIELD_BYTES = 4
 """Size of a header field with its line end; it bounds how many there are."""
 
@@ -197,15 +206,47 @@
         """Let a connection read on once its response has been written."""
         connection = self._connections.get(request.protocol)
         try:
-            return await handler(request)
+            response = await handler(request)
+            if connection is not None:
+                return self._check_response(request, response, connection)
+            return response
         finally:
             if connection is not None:
                 # The response is written in this iteration of the loop.
                 loop = asyncio.get_running_loop()
                 loop.call_soon(connection.finish_request)
 
+    def _check_response(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        connection: ClientConnection,
+    ) -> web.StreamResponse:
+        """Return a response, or a refusal in its place if it is too large.
+
+        Only a question is refused: the answer to anything else may be the
+        only word on what has run.
+        """
+        body = getattr(response, 'body', None)
+        if not isinstance(body, bytes) or len(body) <= SMALL_RESPONSE_BYTES:
+            return response
+        has_room = connection.reserve_response(len(body))
+        tells_outcome = (
+            request.method not in SAFE_METHODS
+            or headers.OUTCOME in response.headers
+        )
+        if has_room or tells_outcome:
+            return response
+        refusal = create_refusal(CloseCause.MEMORY)
+        logs.info(
+            'response_refused', server=self._name, response_bytes=len(body)
+        )
+        return self._options.refuse(refusal)
+
     async def _close_overdue(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            for connection in self._connections.values():
+                connection.note_sent()
             self._table.close_overdue(loop.time())
