Send the crowds to the product's own programs, too

The bounds are in the server that all programs share, so greengagering-entry and greengagering-control have them; nothing showed it. Six scenarios send crowds to their ports and ask for an ordinary call and ticket beside them.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -128,3 +128,20 @@
       | a field value without end                   | the entry's link port              |
       | nothing                                     | the entry's link port              |
       | nothing                                     | the control replica's link port    |
+
+  # Guards against bounds that only the programs on the platform have.
+  Scenario Outline: Own programs: <name>, clients send <what>
+    Given a control replica and an entry of the product's own programs
+    When clients send <what> to the own program of <name>
+    Then an ordinary call is answered beside them
+    And an ordinary ticket is accepted beside them
+    And every process has stayed within its machine
+
+    Examples:
+      | what                                 | name      |
+      | a field value without end            | entry-1   |
+      | calls that stop short of their end   | entry-1   |
+      | nothing                              | entry-1   |
+      | a field value without end            | control-1 |
+      | tickets that stop short of their end | control-1 |
+      | nothing                              | control-1 |
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -8,6 +8,7 @@
 import pathlib
 import re
 import resource
+import subprocess
 import time
 from typing import Any
 
@@ -18,8 +19,14 @@
 from features.steps.platform_path_steps import create_job
 from features.steps.platform_path_steps import wait_ready
 from features.steps.platform_path_steps import world_of
+from features.steps.whole_path_steps import call_url
+from features.steps.whole_path_steps import pool_ticket
+from features.steps.whole_path_steps import put_pool_in_force
+from features.steps.whole_path_steps import start_upstreams
 from features.support import crowds
+from features.support import loop_thread
 from features.support import platform_world
+from features.support import web
 
 MEMORY_BOUND_MB = 128
 """Most memory that a process may have used: that of a small machine."""
@@ -50,6 +57,10 @@
 
 PLAN_BYTES = 4 * 1024 * 1024
 REPORT_BYTES = 64 * 1024
+CALL_BYTES = 8 * 1024 * 1024
+TICKET_BYTES = 1024 * 1024
+CALL_LINE = 'POST /call/dispatch/x HTTP/1.1\r\n'
+TICKET_LINE = 'POST /v1/tickets HTTP/1.1\r\n'
 PLAN_LINE = 'POST /config/replace HTTP/1.1\r\n'
 REPORT_LINE = 'POST /instances/i-1/heartbeat HTTP/1.1\r\n'
 LINE = f'POST {platform_world.PREFIX}00000000000000ff HTTP/1.1\r\n'
@@ -161,6 +172,16 @@
         FEW,
         crowds.repeat(_sized(PLAN_BYTES, PLAN_LINE), b'x', PLAN_BYTES - 1),
     ),
+    'calls that stop short of their end': crowds.Crowd(
+        FEW,
+        crowds.repeat(_sized(CALL_BYTES, CALL_LINE), b'x', CALL_BYTES - 1),
+    ),
+    'tickets that stop short of their end': crowds.Crowd(
+        MANY // 2,
+        crowds.repeat(
+            _sized(TICKET_BYTES, TICKET_LINE), b'x', TICKET_BYTES - 1
+        ),
+    ),
     'reports that stop short of their end': crowds.Crowd(
         MANY,
         crowds.repeat(
@@ -220,6 +241,21 @@
     return json.dumps(wire).encode()
 
 
+def _processes(context: Any) -> dict[str, subprocess.Popen[bytes]]:
+    """Return the processes of the scenario, on the platform or not."""
+    if hasattr(context, 'platform_world'):
+        return dict(context.platform_world.processes)
+    return {
+        name: process.popen
+        for name, process in context.system.processes.items()
+    }
+
+
+def _log_tails(context: Any) -> str:
+    world = getattr(context, 'platform_world', context.system)
+    return str(world.log_tails())
+
+
 def _wait_idle(pid: int) -> None:
     """Wait until a process has read what the crowd's kernels hold for it."""
     ends_s = time.monotonic() + IDLE_TIMEOUT_S
@@ -267,6 +303,55 @@
     )
 
 
+@given("a control replica and an entry of the product's own programs")
+def start_own(context: Any) -> None:
+    system = context.system
+    limits = {
+        'max_connections': FILE_BOUND // 2,
+        'max_link_connections': FILE_BOUND // 10,
+        'max_held_bytes': MEMORY_BOUND_MB * 2**20 // 8,
+    }
+    system.start_controls(1, **limits)
+    system.start_entry('entry-1', **limits)
+    context.entries = ['entry-1']
+    for process in system.processes.values():
+        files = (FILE_BOUND, FILE_BOUND)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, files)
+    system.wait_ready('entry-1')
+    start_upstreams(context, 'dispatch-pool')
+    put_pool_in_force(context)
+
+
+@when('clients send {what} to the own program of {name}')
+def send_to_own(context: Any, what: str, name: str) -> None:
+    host, _, port = context.system.http[name].partition(':')
+    # The scenario's system closes its event loop before any cleanup.
+    thread = loop_thread.LoopThread()
+    context.add_cleanup(thread.close)
+    crowd = thread.start(
+        crowds.send_crowd(CROWDS[what], host, int(port))
+    ).result()
+    context.crowd = crowd
+    context.add_cleanup(lambda: thread.run(crowd.close()))
+
+
+@then('an ordinary call is answered beside them')
+def call_ordinary(context: Any) -> None:
+    answer = context.system.thread.run(
+        web.request(
+            'POST', call_url(context, 'entry-1', 'dispatch'), b'ordinary'
+        )
+    )
+    assert answer.status == 200, f'{answer} {_log_tails(context)}'
+    assert answer.body == b'ordinary'
+
+
+@then('an ordinary ticket is accepted beside them')
+def submit_ticket(context: Any) -> None:
+    answer = context.system.submit(pool_ticket(2, context.vms))
+    assert answer.status == 200, f'{answer} {_log_tails(context)}'
+
+
 @given('a configuration of {size:d} bytes is in force')
 def put_large(context: Any, size: int) -> None:
     world = world_of(context)
@@ -293,10 +378,9 @@
 
 @then('every process has stayed within its machine')
 def check_processes(context: Any) -> None:
-    world = world_of(context)
     found = []
-    for name, process in world.processes.items():
-        assert process.poll() is None, f'{name} ended: {world.log_tails()}'
+    for name, process in _processes(context).items():
+        assert process.poll() is None, f'{name} ended: {_log_tails(context)}'
         _wait_idle(process.pid)
         files = len(os.listdir(f'/proc/{process.pid}/fd'))
         found.append((name, round(_peak_memory_mb(process.pid)), files))
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -33,6 +33,11 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
+    @property
+    def popen(self) -> 'subprocess.Popen[bytes]':
+        """The process itself."""
+        return self._process
+
     @property
     def pid(self) -> int:
         """Process id."""
