Let the soak send crowds beside its other faults

The soak kills, pauses, restarts, reloads and cuts processes while callers work; it had no client that keeps to no limit. A crowd at a caller's or a worker's port now begins and leaves like any other fault, up to three at a time, and stays connected while its process is killed or stopped.

--- a/features/soak/_faults.py
+++ b/features/soak/_faults.py
@@ -20,6 +20,22 @@
 OVERLAPPING_FAULTS = 3
 """Most faults that are active at the same time."""
 
+CROWDS = (
+    'a field value without end',
+    'fields without end',
+    'empty lines without end',
+    'bytes that are not HTTP',
+    'whole bodies',
+    'bodies in pieces that stop short of their end',
+    'chunks of one byte that stop short of their end',
+    'trailers without end',
+    'nothing',
+    'half a head',
+    'one request and then nothing',
+    'requests whose answers they do not read',
+)
+"""Crowds that hand in no job, as the callers know of theirs only."""
+
 JUNK_BYTES = 37
 """Length of the random bytes that simulate a write torn by a power loss."""
 
@@ -79,6 +95,8 @@
             self._reset_link,
             self._silence_link,
             self._silence_link,
+            self._send_crowd,
+            self._send_crowd,
         ]
 
     def _record(self, text: str) -> None:
@@ -228,6 +246,14 @@
 
         self._begin(f'silence {name}', LONG_S, heal)
 
+    def _send_crowd(self) -> None:
+        name = self._pick_running()
+        if name is None:
+            return
+        what = self._rng.choice(CROWDS)
+        leave = self._system.start_crowd(name, what)
+        self._begin(f'crowd at {name}: {what}', LONG_S, leave)
+
     def _pick_link(self) -> tuple[str, link_proxy.LinkProxy]:
         name = self._rng.choice(sorted(self._system.proxies))
         return name, self._system.proxies[name]
--- a/features/soak/_system.py
+++ b/features/soak/_system.py
@@ -1,9 +1,12 @@
 """Processes, workers and proxied links of the soak test."""
 
+from collections.abc import Callable
 import pathlib
 import random
 import signal
 
+from features.support import crowd_kinds
+from features.support import crowds
 from features.support import link_proxy
 from features.support import platform_workers
 from features.support import platform_world
@@ -143,6 +146,23 @@
         """Close the connections through a proxy."""
         self.thread.run(link_proxy.cut_connections(self.proxies[name]))
 
+    def start_crowd(self, name: str, what: str) -> Callable[[], None]:
+        """Send a crowd to a process, and return what makes it leave."""
+        is_entry = name.startswith('entry')
+        port = self.entry_port if is_entry else self.control_port
+        crowd = crowd_kinds.CROWDS[what]
+        sending = self.thread.start(
+            crowds.send_crowd(crowd, self.hosts[name], port)
+        )
+
+        def leave() -> None:
+            if sending.done():
+                self.thread.run(sending.result().close())
+            else:
+                sending.cancel()
+
+        return leave
+
     def _open_proxy(self, target: str) -> link_proxy.LinkProxy:
         return self.thread.run(link_proxy.open_proxy(target))
 
--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -107,14 +107,19 @@
 async def send_crowd(crowd: Crowd, host: str, port: int) -> OpenCrowd:
     """Connect all clients of a crowd, and send until all are done."""
     clients: list[_Client] = []
-    await asyncio.gather(
-        *(_connect(crowd, host, port, clients) for _ in range(crowd.count))
-    )
-    done = asyncio.gather(*(client.is_done.wait() for client in clients))
-    # The server may not read from some clients.
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(done, SENDING_TIMEOUT_S)
-    return OpenCrowd(clients)
+    open_crowd = OpenCrowd(clients)
+    try:
+        await asyncio.gather(
+            *(_connect(crowd, host, port, clients) for _ in range(crowd.count))
+        )
+        done = asyncio.gather(*(client.is_done.wait() for client in clients))
+        # The server may not read from some clients.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(done, SENDING_TIMEOUT_S)
+    except asyncio.CancelledError:
+        await open_crowd.close()
+        raise
+    return open_crowd
 
 
 async def _connect(
