Save an iteration of the event loop, and two stages, for each request

A request that comes whole moves straight to its handler, and its connection waits for the next one as soon as the handler has its response; only a large response, or a request sent ahead, takes another iteration.

--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -140,8 +140,23 @@
             self._handler.connection_lost(exc)
             self._handler = None
 
+    def end_request(self, *, is_response_large: bool) -> None:
+        """Wait for the next request, as the handler has its response.
+
+        Args:
+            is_response_large: whether the memory for the response must stay
+                reserved until it has been written, which happens in this
+                iteration of the event loop.
+        """
+        if is_response_large or self._framer.has_begun:
+            self._loop.call_soon(self.finish_request)
+        else:
+            self._table.release(self)
+            self._move(Stage.IDLE)
+            self._resume_reading()
+
     def finish_request(self) -> None:
-        """Begin with the next request, as the handler has responded."""
+        """Begin with the next request, as the response has been written."""
         transport = self._transport
         if self._stage is Stage.CLOSING or transport is None:
             return
@@ -197,46 +212,46 @@
     def _read(self, max_chunks: int) -> None:
         if not self._framer.has_begun:
             return
-        if self._stage in (Stage.NEW, Stage.IDLE):
-            self._move(Stage.HEAD)
         try:
             progress = self._framer.advance(max_chunks)
             if progress is Progress.BODY_BEGINS:
-                self._begin_body()
                 progress = self._framer.advance(max_chunks)
         except FramingError as error:
             self._refuse(error.refusal, CloseCause.INVALID)
             return
-        if not self._reserve():
-            cause = CloseCause.MEMORY
-            self._refuse(create_refusal(cause), cause)
-        elif progress is Progress.COMPLETE:
+        if progress is Progress.COMPLETE:
             self._run()
-        elif progress is Progress.UNFINISHED:
+        elif not self._framer.has_head:
+            self._move(Stage.HEAD)
+        else:
+            self._wait_for_body(progress)
+
+    def _wait_for_body(self, progress: Progress) -> None:
+        """Reserve memory for the body, which may need more than before."""
+        if self._stage is not Stage.BODY:
+            self._move(Stage.BODY)
+            if self._framer.expects_continue and self._transport is not None:
+                self._transport.write(CONTINUE)
+        if not self._reserve(self._framer.wanted_body_bytes):
+            return
+        if progress is Progress.UNFINISHED:
             self._pause_reading()
             self._context.slow_lane.add(self)
         else:
             self._resume_reading()
 
-    def _begin_body(self) -> None:
-        self._move(Stage.BODY)
-        if self._framer.expects_continue and self._transport is not None:
-            self._transport.write(CONTINUE)
-
-    def _reserve(self) -> bool:
-        """Reserve memory for the body, which may need more than before."""
-        if self._stage is not Stage.BODY:
+    def _reserve(self, wanted_bytes: int) -> bool:
+        """Reserve memory, or refuse the request if there is none."""
+        if self._table.reserve(self, wanted_bytes, self._loop.time()):
             return True
-        wanted_bytes = self._framer.wanted_body_bytes
-        return self._table.reserve(self, wanted_bytes, self._loop.time())
+        cause = CloseCause.MEMORY
+        self._refuse(create_refusal(cause), cause)
+        return False
 
     def _run(self) -> None:
         """Pass the whole request to the handler's protocol."""
         request = self._framer.take_request()
-        wanted_bytes = len(request) * self._context.run_memory_ratio
-        if not self._table.reserve(self, wanted_bytes, self._loop.time()):
-            cause = CloseCause.MEMORY
-            self._refuse(create_refusal(cause), cause)
+        if not self._reserve(len(request) * self._context.run_memory_ratio):
             return
         self._move(Stage.RUNNING)
         if self._handler is None:
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from typing import Any
+from typing import cast
 from typing import Protocol
 
 from aiohttp import typedefs
@@ -205,16 +206,19 @@
     ) -> web.StreamResponse:
         """Let a connection read on once its response has been written."""
         connection = self._connections.get(request.protocol)
+        is_large = False
         try:
             response = await handler(request)
-            if connection is not None:
+            body = getattr(response, 'body', None)
+            is_large = (
+                isinstance(body, bytes) and len(body) > SMALL_RESPONSE_BYTES
+            )
+            if is_large and connection is not None:
                 return self._check_response(request, response, connection)
             return response
         finally:
             if connection is not None:
-                # The response is written in this iteration of the loop.
-                loop = asyncio.get_running_loop()
-                loop.call_soon(connection.finish_request)
+                connection.end_request(is_response_large=is_large)
 
     def _check_response(
         self,
@@ -222,14 +226,13 @@
         response: web.StreamResponse,
         connection: ClientConnection,
     ) -> web.StreamResponse:
-        """Return a response, or a refusal in its place if it is too large.
+        """Return a large response, or a refusal if there is no memory for it.
 
         Only a question is refused: the answer to anything else may be the
         only word on what has run.
         """
-        body = getattr(response, 'body', None)
-        if not isinstance(body, bytes) or len(body) <= SMALL_RESPONSE_BYTES:
-            return response
+        body = cast(web.Response, response).body
+        assert isinstance(body, bytes)
         has_room = connection.reserve_response(len(body))
         tells_outcome = (
             request.method not in SAFE_METHODS
--- a/greengagering/transport/_request_framer.py
+++ b/greengagering/transport/_request_framer.py
@@ -111,6 +111,11 @@
             self._buffer or self._head is not None or self._skipped_bytes
         )
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head is complete, and the rest of a body isn't."""
+        return self._head is not None
+
     @property
     def expects_continue(self) -> bool:
         """Whether the client sends the body only after a 100 response."""
