--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -145,3 +145,20 @@
       | a field value without end            | control-1 |
       | tickets that stop short of their end | control-1 |
       | nothing                              | control-1 |
+
+  # Guards against clients that keep a process from stopping.
+  Scenario Outline: Stops: <where>, clients send <what>
+    Given a control replica and an entry on small machines
+    When clients send <what> to <where>
+    And the process of <where> is asked to stop
+    Then it ends with code 0
+
+    Examples:
+      | what                                                           | where                              |
+      | bodies in pieces that stop short of their end                  | the port for callers               |
+      | chunks of one byte that stop short of their end                | the port for callers               |
+      | half a head                                                    | the port for callers               |
+      | requests whose answers they do not read                        | the port for callers               |
+      | nothing                                                        | the entry's link port              |
+      | reports that stop short of their end                           | the port for workers and operators |
+      | questions for the configuration whose answers they do not read | the port for workers and operators |
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -216,6 +216,16 @@
     context.add_cleanup(lambda: world.thread.run(crowd.close()))
 
 
+@when('the process of {where} is asked to stop')
+def stop(context: Any, where: str) -> None:
+    context.code = world_of(context).terminate(PORTS[where].process)
+
+
+@then('it ends with code {code:d}')
+def check_code(context: Any, code: int) -> None:
+    assert context.code == code, f'{context.code} {_log_tails(context)}'
+
+
 @then('every process has stayed within its machine')
 def check_processes(context: Any) -> None:
     found = []
