Go on with a connection whose client has read its response late

What callers would have seen: a client whose response filled the write buffer after its handler had ended got no answer on that connection any more, once it had read. The other way round, a response that wasn't read yet didn't keep the next request from its handler.

Cause: found in reading. When writing went on, the connection counted as running a request, whether or not one ran.

Change: it remembers whether a handler has a request without a response.

--- a/features/steps/chunk_turn_steps.py
+++ b/features/steps/chunk_turn_steps.py
@@ -49,6 +49,12 @@
     def data_received(self, data: bytes) -> None:
         self._requests.append(data)
 
+    def pause_writing(self) -> None:
+        """Do nothing."""
+
+    def resume_writing(self) -> None:
+        """Do nothing."""
+
 
 class _Server:
     """Connections that share a table, on an event loop run by steps."""
@@ -150,3 +156,44 @@
 def check_one(context: Any, turns: int, size: int) -> None:
     context.server.turn(turns)
     assert _bodies(context) == [size], _bodies(context)
+
+
+@given('a connection whose handler has its first request')
+def run_first(context: Any) -> None:
+    context.server = _Server()
+    context.add_cleanup(context.server.loop.close)
+    context.server.send(ORDINARY)
+
+
+@when('the handler has its response')
+def respond(context: Any) -> None:
+    context.server.connections[0].end_request(is_response_large=False)
+
+
+@when('the handler has a large response')
+def respond_large(context: Any) -> None:
+    context.server.connections[0].end_request(is_response_large=True)
+
+
+@when('the client stops to read')
+def stop_reading(context: Any) -> None:
+    context.server.connections[0].pause_writing()
+    context.server.turn(2)
+
+
+@when('the client has read its response')
+def read_on(context: Any) -> None:
+    context.server.connections[0].resume_writing()
+    context.server.turn(2)
+
+
+@when('another request comes')
+def send_another(context: Any) -> None:
+    context.server.connections[0].data_received(ORDINARY)
+    context.server.turn(2)
+
+
+@then('the handler has {count:d} request')
+@then('the handler has {count:d} requests')
+def check_count(context: Any, count: int) -> None:
+    assert len(context.server.requests) == count, len(context.server.requests)
--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -84,7 +84,7 @@
         self._stage = Stage.NEW
         self._is_writing_paused = False
         self._is_reading_paused = False
-        self._is_response_due = False
+        self._is_running = False
         self._dropped_bytes = 0
         self._unsent_bytes = 0
 
@@ -125,8 +125,9 @@
         self._is_writing_paused = False
         if self._handler is not None:
             self._handler.resume_writing()
-        self._move(Stage.RUNNING)
-        if self._is_response_due:
+        if self._is_running:
+            self._move(Stage.RUNNING)
+        else:
             self.finish_request()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -148,7 +149,12 @@
                 reserved until it has been written, which happens in this
                 iteration of the event loop.
         """
-        if is_response_large or self._framer.has_begun:
+        self._is_running = False
+        if (
+            is_response_large
+            or self._is_writing_paused
+            or self._framer.has_begun
+        ):
             self._loop.call_soon(self.finish_request)
         else:
             self._table.release(self)
@@ -156,14 +162,11 @@
             self._resume_reading()
 
     def finish_request(self) -> None:
-        """Begin with the next request, as the response has been written."""
+        """Begin with the next request, if the client has read the response."""
         transport = self._transport
         if self._stage is Stage.CLOSING or transport is None:
             return
-        if transport.is_closing():
-            return
-        self._is_response_due = self._is_writing_paused
-        if self._is_response_due:
+        if transport.is_closing() or self._is_writing_paused:
             return
         self._table.release(self)
         self._move(Stage.IDLE)
@@ -254,6 +257,7 @@
         if not self._reserve(len(request) * self._context.run_memory_ratio):
             return
         self._move(Stage.RUNNING)
+        self._is_running = True
         if self._handler is None:
             assert self._transport is not None
             self._handler = self._context.create_handler()
