Find the limit of a body by the path of a whole URL, too

A client may write a request's target as a whole URL. The limit of its body was looked up by that, so a configuration above 64 KiB sent to http://HOST/config/replace was refused with 413; the scenario failed before.

Also tested now: the largest configuration on a machine of 128 MB, the count of refusals on the metrics address, and the log line of one.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -30,6 +30,14 @@
     And entry-1 refuses with 501 a job sent with a compressed transfer coding
     And entry-1 refuses with 400 a job sent after 20000 bytes of empty lines
     And entry-1 refuses with 400 a job sent after bytes that are not HTTP
+    And the metrics of entry-1 count at least 11 connections refused as invalid
+    And the log of entry-1 tells the client, the cause and the size of a refusal
+
+  # Guards against a large configuration that is refused for how its path is written.
+  Scenario: A configuration of the largest size is acknowledged on a small machine
+    Then control-1 answers 200 to a configuration of 4194304 bytes at /config/replace
+    And control-1 answers 200 to a configuration of 4194304 bytes at http://control/config/replace
+    And control-1 answers 413 to a configuration of 4194305 bytes at /config/replace
 
   # Guards against answers that are lost or mixed up when requests are sent ahead.
   Scenario: Requests sent ahead of their answers are answered in order
--- a/features/steps/request_limit_steps.py
+++ b/features/steps/request_limit_steps.py
@@ -240,6 +240,7 @@
 def start_usual(
     context: Any, controls: int, entries: int, workers: int
 ) -> None:
+    world_of(context).limits = {'memory_limit_mb': 128, 'file_limit': 512}
     start_all(context, controls, entries, workers)
     _configure(context, USUAL_LIMITS)
     world = world_of(context)
@@ -333,3 +334,52 @@
 def check_order(context: Any, count: int) -> None:
     expected = [200 if number % 2 == 0 else 410 for number in range(count)]
     assert context.statuses == expected, context.statuses
+
+
+@then(
+    'the metrics of {entry} count at least {count:d} connections refused as '
+    '{cause}'
+)
+def check_metrics(context: Any, entry: str, count: int, cause: str) -> None:
+    world = world_of(context)
+    url = f'http://{world.hosts[entry]}:{world.metrics_port}/metrics'
+    text = world.call('GET', url).body.decode()
+    found = re.search(
+        rf'refused_connections_total{{cause="{cause}",server="http_address"}} '
+        r'(\d+)',
+        text,
+    )
+    assert found is not None and int(found[1]) >= count, text[:3000]
+
+
+@then(
+    'the log of {entry} tells the client, the cause and the size of a refusal'
+)
+def check_log(context: Any, entry: str) -> None:
+    log = world_of(context).log_of(entry)
+    lines = [n for n in log.splitlines() if 'event=connection_refused' in n]
+    for field in ('client=127.0.0.1', 'cause=invalid', 'received_bytes='):
+        assert any(field in line for line in lines), lines[:3]
+
+
+@then(
+    '{name} answers {status:d} to a configuration of {size:d} bytes at '
+    '{target}'
+)
+def send_configuration(
+    context: Any, name: str, status: int, size: int, target: str
+) -> None:
+    world = world_of(context)
+    context.version += 1
+    wire = json.loads(platform_world.configuration(context.version))
+    body = json.dumps(wire).encode().ljust(size)
+    head = (
+        f'POST {target} HTTP/1.1\r\nHost: control\r\n'
+        f'Content-Length: {size}\r\n\r\n'
+    )
+    answer = world.thread.run(
+        _exchange(
+            world.hosts[name], world.control_port, [head.encode() + body]
+        )
+    )
+    assert int(answer.split()[1]) == status, answer
--- a/greengagering/transport/_request_framer.py
+++ b/greengagering/transport/_request_framer.py
@@ -254,7 +254,7 @@
                     'method CONNECT is not served',
                 )
             )
-        path = line[2].decode('latin-1')
+        path = _find_path(line[2].decode('latin-1'))
         limit = self._limits.find_max_body_bytes(path)
         found: dict[bytes, bytes] = {}
         for field in _FRAMING_FIELD.finditer(content, line_bytes):
@@ -341,6 +341,14 @@
         return Progress.COMPLETE
 
 
+def _find_path(target: str) -> str:
+    """Return the path of a request's target, which may be a whole URL."""
+    if target.startswith('/'):
+        return target
+    _, _, rest = target.partition('://')
+    return f'/{rest.partition("/")[2]}'
+
+
 def _read_length(fields: dict[bytes, bytes], limit: int) -> int | None:
     """Return the stated size of a body, or None if it is in chunks."""
     coding = fields.get(b'transfer-encoding')
