Don't take a response that is being read for one that nobody reads

Whether a client reads on is looked at twice a second, and a response gave way after half a second without: one that was read slowly could count as stalled between two looks. It has 2.5 s now, at one look a second, for small newcomers, too. The looks cost a process half as many wake-ups.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -114,7 +114,7 @@
     And connection a has come to be unread at 0 s
     And connection b has come to be unread at 0 s
     When bytes of a come at 1 s
-    And bytes of c come at 1 s
-    Then d has room for a body of 100000 bytes at 1.2 s
+    And bytes of c come at 2.5 s
+    Then d has room for a body of 100000 bytes at 2.6 s
     And b is given up as memory
-    And e has no room for a body of 100000 bytes at 1.2 s
+    And e has no room for a body of 100000 bytes at 2.6 s
--- a/greengagering/transport/_connection_table.py
+++ b/greengagering/transport/_connection_table.py
@@ -12,8 +12,11 @@
 SMALL_REQUEST_BYTES = 16 * 1024
 
 STALLED_S = 0.5
-"""Time without progress after which a body that has begun, or a response that
-its client doesn't read, gives way to another large one."""
+"""Silence after which a body that has begun gives way to another large one."""
+
+UNREAD_STALLED_S = 2.5
+"""Time after which a response of which nothing was read gives way; each is
+looked at once a second."""
 
 LINGER_S = 1.0
 """Time in which a refused client can read why, as closing a connection that
@@ -262,12 +265,15 @@
     def _find_stalled(
         self, connection: Connection, now_s: float, silence_s: float
     ) -> Connection | None:
-        for stage in (Stage.UNREAD, Stage.BODY):
+        for stage, least_s in (
+            (Stage.UNREAD, UNREAD_STALLED_S),
+            (Stage.BODY, silence_s),
+        ):
             for other in self._stages[stage]:
                 entry = self._entries[other]
                 if other is connection or not entry.held_bytes:
                     continue
-                if now_s - entry.progress_at_s >= silence_s:
+                if now_s - entry.progress_at_s >= least_s:
                     return other
                 break
         return None
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -26,7 +26,7 @@
 from greengagering.transport import errors
 
 CLOSE_TIMEOUT_S = 2.0
-SWEEP_INTERVAL_S = 0.5
+SWEEP_INTERVAL_S = 1.0
 """Time between two searches for connections that have waited too long."""
 
 MAX_BACKLOG = 1024
--- a/greengagering/transport/_link_server.py
+++ b/greengagering/transport/_link_server.py
@@ -17,7 +17,7 @@
 from greengagering.transport._connection_table import Stage
 
 SERVER_NAME = 'link_address'
-SWEEP_INTERVAL_S = 0.5
+SWEEP_INTERVAL_S = 1.0
 FIRST_FRAME_TIMEOUT_S = 10.0
 """Time from connecting to the first whole frame of this system's."""
 
