Give a response time as long as its client reads on

A response was closed 15 s after its client first fell behind, although it read on: the time counted from the beginning.

A request counts as small up to 64 KiB, not 16, of what it holds while it runs, so that a job with a text of some thousand bytes doesn't compete with large bodies for memory.

--- a/features/connection_limits.feature
+++ b/features/connection_limits.feature
@@ -55,6 +55,19 @@
     And it is 10 s
     Then a is given up as slow_body
 
+  # Guards against a slow reader that is taken for one that doesn't read.
+  Scenario: A response that is being read may take its time
+    Given a server of at most 9 connections
+    And connection a has been unread since 0 s
+    And connection b has been unread since 1 s
+    When bytes of a come at 10 s
+    And it is 16 s
+    Then b is given up as slow_reader
+    When it is 24.9 s
+    Then nobody is given up
+    When it is 25 s
+    Then a is given up as slow_reader
+
   # Guards against a client that waits for its answer being given up.
   Scenario: A request that runs is never overdue
     Given a server of at most 9 connections
--- a/greengagering/transport/_connection_table.py
+++ b/greengagering/transport/_connection_table.py
@@ -9,7 +9,9 @@
 """Share of the bytes that requests may hold which is kept for small ones, so
 that large bodies of some clients don't keep all others out."""
 
-SMALL_REQUEST_BYTES = 16 * 1024
+SMALL_REQUEST_BYTES = 64 * 1024
+"""Size up to which what a request holds counts as small: that of a job whose
+text and steps have some thousand bytes, while it runs."""
 
 STALLED_S = 0.5
 """Silence after which a body that has begun gives way to another large one."""
@@ -105,7 +107,8 @@
     Attributes:
         stage: what the connection waits for.
         since_s: when that stage began.
-        progress_at_s: when the connection last moved on.
+        progress_at_s: when bytes of a body last came, or of a response went,
+            in that stage; else as since_s.
         held_bytes: bytes reserved for its request.
     """
 
@@ -200,8 +203,8 @@
         """Reserve memory for a connection's request, in place of its former.
 
         Responses that nobody reads and bodies that have stalled are given up
-        if that makes room. A request
-        that is alone always has room, however little memory there is.
+        if that makes room. A request that is alone always has room, however
+        little memory there is.
 
         Returns:
             Whether there is room.
@@ -250,10 +253,13 @@
             (Stage.CLOSING, CloseCause.LINGERED, LINGER_S),
         ):
             for connection in list(self._stages[stage]):
-                if now_s - self._entries[connection].since_s >= limit_s:
+                entry = self._entries[connection]
+                # A body must end in time, even if bytes of it still come.
+                is_body = stage is Stage.BODY
+                from_s = entry.since_s if is_body else entry.progress_at_s
+                if now_s - from_s >= limit_s:
                     connection.give_up(cause)
-                elif stage is not Stage.BODY:
-                    # Only bodies move on within their stage.
+                elif not is_body:
                     break
 
     def _find_evicted(self) -> Connection | None:
