Name the queue of chunks by what it holds, and log an error in closing connections

Found in reading the change as a newcomer: SlowLane is ChunkQueue, the middleware is called by what it does, and read_body says when its time still counts. An error while overdue connections are closed is logged and doesn't end the search for them. A machine may tell less than 64 MB, or than 128 descriptors, and its process starts all the same.

--- a/features/steps/chunk_turn_steps.py
+++ b/features/steps/chunk_turn_steps.py
@@ -72,7 +72,7 @@
             lambda: _Handler(self.requests),
             {},
             _refusals.page_refusal,
-            _client_connection.SlowLane(),
+            _client_connection.ChunkQueue(),
             None,
         )
 
--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -44,8 +44,8 @@
 
 DEFAULT_MEMORY_LIMIT_MB = 200.0
 DEFAULT_FILE_LIMIT = 4096
-MemoryLimitMb = Annotated[float, pydantic.Field(ge=64, le=2**20)]
-FileLimit = Annotated[int, pydantic.Field(ge=128, le=2**20)]
+MemoryLimitMb = Annotated[float, pydantic.Field(ge=1, le=2**20)]
+FileLimit = Annotated[int, pydantic.Field(ge=16, le=2**20)]
 
 
 class ControlHost(InputModel):
--- a/greengagering/transport/_client_connection.py
+++ b/greengagering/transport/_client_connection.py
@@ -51,7 +51,7 @@
         create_handler: creates the HTTP protocol of a connection.
         handler_connections: connection of each such protocol.
         refuse: creates responses to requests that no handler sees.
-        slow_lane: parses what takes long.
+        chunk_queue: parses small chunks of all connections by turns.
         refusals: counter of refusals, or None.
     """
 
@@ -62,7 +62,7 @@
     create_handler: Callable[[], asyncio.Protocol]
     handler_connections: dict[Any, 'ClientConnection']
     refuse: _refusals.RefusalFormat
-    slow_lane: 'SlowLane'
+    chunk_queue: 'ChunkQueue'
     refusals: aioprometheus.Counter | None
 
 
@@ -208,7 +208,7 @@
             transport.close()
 
     def read_on(self, max_chunks: int) -> None:
-        """Parse more of what was left because it takes long."""
+        """Parse chunks in this connection's turn."""
         if self._stage is Stage.BODY:
             self._read(max_chunks)
 
@@ -239,7 +239,7 @@
             return
         if progress is Progress.UNFINISHED:
             self._pause_reading()
-            self._context.slow_lane.add(self)
+            self._context.chunk_queue.add(self)
         else:
             self._resume_reading()
 
@@ -338,8 +338,8 @@
             self._transport.resume_reading()
 
 
-class SlowLane:
-    """Parses small chunks by turns, some in each iteration of the loop."""
+class ChunkQueue:
+    """Connections whose chunks are parsed by turns: all at once take long."""
 
     def __init__(self) -> None:
         self._waiting: deque[ClientConnection] = deque()
--- a/greengagering/transport/_http.py
+++ b/greengagering/transport/_http.py
@@ -64,6 +64,9 @@
 ) -> bytes | web.Response:
     """Read a request's body within limits of size and time.
 
+    The server passes whole requests on, so the time only ends a request whose
+    framing the HTTP parser reads in another way than the server does.
+
     Returns:
         The body, or the response that names the exceeded limit.
     """
--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -13,10 +13,10 @@
 from greengagering import logs
 from greengagering.protocol import headers
 from greengagering.transport import _addresses
+from greengagering.transport._client_connection import ChunkQueue
 from greengagering.transport._client_connection import ClientConnection
 from greengagering.transport._client_connection import ConnectionContext
 from greengagering.transport._client_connection import create_refusal
-from greengagering.transport._client_connection import SlowLane
 from greengagering.transport._connection_table import CloseCause
 from greengagering.transport._connection_table import ConnectionTable
 from greengagering.transport._connection_table import Stage
@@ -126,7 +126,7 @@
         options: ServerOptions | None = None,
     ) -> None:
         self._options = options or ServerOptions()
-        app.middlewares.append(self._finish_request)
+        app.middlewares.append(self._track_request)
         self._runner = web.AppRunner(
             app,
             access_log=None,
@@ -167,7 +167,7 @@
             handlers,
             self._connections,
             self._options.refuse,
-            SlowLane(),
+            ChunkQueue(),
             self._options.refusals,
         )
         loop = asyncio.get_running_loop()
@@ -201,7 +201,7 @@
             connection.give_up(CloseCause.STOPPING)
 
     @web.middleware
-    async def _finish_request(
+    async def _track_request(
         self, request: web.Request, handler: typedefs.Handler
     ) -> web.StreamResponse:
         """Let a connection read on once its response has been written."""
@@ -252,4 +252,10 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             for connection in self._connections.values():
                 connection.note_sent()
-            self._table.close_overdue(loop.time())
+            try:
+                self._table.close_overdue(loop.time())
+            except Exception as error:
+                # The next connections that wait too long must be closed, too.
+                logs.error(
+                    'overdue_failed', server=self._name, cause=repr(error)
+                )
--- a/greengagering/transport/_link_server.py
+++ b/greengagering/transport/_link_server.py
@@ -101,7 +101,13 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._table.close_overdue(loop.time())
+            try:
+                self._table.close_overdue(loop.time())
+            except Exception as error:
+                # The next connections that wait too long must be closed, too.
+                logs.error(
+                    'overdue_failed', server=SERVER_NAME, cause=repr(error)
+                )
 
 
 class _LinkConnection(asyncio.Protocol):
