Keep the templates of the settings as they were

The limits of memory and descriptors are those of the platform's smallest machines for each role now (200 and 296 MB, 4,096), unless settings say otherwise, so the templates need no new field.

--- a/greengagering/platform/_settings.py
+++ b/greengagering/platform/_settings.py
@@ -42,8 +42,11 @@
 that is left out."""
 
 
-DEFAULT_MEMORY_LIMIT_MB = 200.0
-DEFAULT_FILE_LIMIT = 4096
+ENTRY_MEMORY_LIMIT_MB = 200.0
+CONTROL_MEMORY_LIMIT_MB = 296.0
+FILE_LIMIT = 4096
+"""These are the smallest machines that the platform has for each role."""
+
 MemoryLimitMb = Annotated[float, pydantic.Field(ge=1, le=2**20)]
 FileLimit = Annotated[int, pydantic.Field(ge=16, le=2**20)]
 
@@ -74,8 +77,8 @@
     machine_service_address: str
     adviser_address: str
     metrics_port: bounds.Port
-    memory_limit_mb: MemoryLimitMb = DEFAULT_MEMORY_LIMIT_MB
-    file_limit: FileLimit = DEFAULT_FILE_LIMIT
+    memory_limit_mb: MemoryLimitMb = CONTROL_MEMORY_LIMIT_MB
+    file_limit: FileLimit = FILE_LIMIT
     log_level: str = 'info'
 
     @pydantic.model_validator(mode='after')
@@ -141,8 +144,8 @@
     seed_addresses: Seeds
     grace_s: float
     metrics_port: bounds.Port
-    memory_limit_mb: MemoryLimitMb = DEFAULT_MEMORY_LIMIT_MB
-    file_limit: FileLimit = DEFAULT_FILE_LIMIT
+    memory_limit_mb: MemoryLimitMb = ENTRY_MEMORY_LIMIT_MB
+    file_limit: FileLimit = FILE_LIMIT
     log_level: str = 'info'
 
     @property
