--- a/greengagering/transport/_http.py
+++ b/greengagering/transport/_http.py
@@ -92,8 +92,9 @@
     return bytes(chunks)
 
 
-def _too_large(size_bytes: int, max_bytes: int) -> web.Response:
-    page = pages.ErrorPage(
+def too_large_page(size_bytes: int, max_bytes: int) -> pages.ErrorPage:
+    """Return the error of a body that exceeds its limit."""
+    return pages.ErrorPage(
         pages.ErrorKind.TOO_LARGE,
         f'the body has at least {size_bytes} bytes, and {max_bytes} are '
         'allowed',
@@ -103,6 +104,10 @@
             ),
         ),
     )
+
+
+def _too_large(size_bytes: int, max_bytes: int) -> web.Response:
+    page = too_large_page(size_bytes, max_bytes)
     return _force_close(error_response(413, page, headers.CallOutcome.NOT_RUN))
 
 
--- a/greengagering/transport/_request_framer.py
+++ b/greengagering/transport/_request_framer.py
@@ -5,8 +5,8 @@
 import re
 from typing import Protocol
 
-from greengagering.protocol import errors as protocol_errors
 from greengagering.protocol import pages
+from greengagering.transport import _http
 from greengagering.transport._refusals import Refusal
 
 HEAD_END = b'\r\n\r\n'
@@ -382,16 +382,7 @@
 
 
 def _too_large(size_bytes: int, max_bytes: int) -> FramingError:
+    page = _http.too_large_page(size_bytes, max_bytes)
     return FramingError(
-        Refusal(
-            413,
-            pages.ErrorKind.TOO_LARGE,
-            f'the body has at least {size_bytes} bytes, and {max_bytes} are '
-            'allowed',
-            (
-                protocol_errors.FieldError(
-                    'body', f'{size_bytes} bytes', f'at most {max_bytes} bytes'
-                ),
-            ),
-        )
+        Refusal(413, pages.ErrorKind.TOO_LARGE, page.message, page.fields)
     )
