Search for overdue connections by one loop for both kinds of server

The HTTP server and the link server had the same loop, with the same handling of errors; the former also notes what clients have read before each search. Found in a last reading of the change; behaviour stays as it is.

--- a/greengagering/transport/_http_server.py
+++ b/greengagering/transport/_http_server.py
@@ -21,14 +21,12 @@
 from greengagering.transport._connection_table import ConnectionTable
 from greengagering.transport._connection_table import Stage
 from greengagering.transport._connection_table import TimeLimits
+from greengagering.transport import _overdue_sweep
 from greengagering.transport import _refusals
 from greengagering.transport._request_framer import RequestLimits
 from greengagering.transport import errors
 
 CLOSE_TIMEOUT_S = 2.0
-SWEEP_INTERVAL_S = 1.0
-"""Time between two searches for connections that have waited too long."""
-
 MAX_BACKLOG = 1024
 """Connections that the kernel accepts ahead of this process. They are taken
 over all at once, so a server with few connections has a smaller backlog."""
@@ -184,7 +182,11 @@
             raise errors.ListenError(
                 f'{self._name} {self._address}: {error}'
             ) from error
-        self._sweep = loop.create_task(self._close_overdue())
+        self._sweep = loop.create_task(
+            _overdue_sweep.close_overdue(
+                self._table, self._name, self._note_sent
+            )
+        )
 
     async def close(self) -> None:
         """Stop listening, refuse what isn't complete, and end the rest."""
@@ -246,16 +248,6 @@
         )
         return self._options.refuse(refusal)
 
-    async def _close_overdue(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            for connection in self._connections.values():
-                connection.note_sent()
-            try:
-                self._table.close_overdue(loop.time())
-            except Exception as error:
-                # The next connections that wait too long must be closed, too.
-                logs.error(
-                    'overdue_failed', server=self._name, cause=repr(error)
-                )
+    def _note_sent(self) -> None:
+        for connection in self._connections.values():
+            connection.note_sent()
--- a/greengagering/transport/_link_server.py
+++ b/greengagering/transport/_link_server.py
@@ -15,9 +15,9 @@
 from greengagering.transport._connection_table import CloseCause
 from greengagering.transport._connection_table import ConnectionTable
 from greengagering.transport._connection_table import Stage
+from greengagering.transport import _overdue_sweep
 
 SERVER_NAME = 'link_address'
-SWEEP_INTERVAL_S = 1.0
 FIRST_FRAME_TIMEOUT_S = 10.0
 """Time from connecting to the first whole frame of this system's."""
 
@@ -75,7 +75,9 @@
         backlog = min(MAX_BACKLOG, max(self._options.max_connections // 2, 1))
         await self.start(host, port, backlog=backlog)
         loop = asyncio.get_running_loop()
-        self._sweep = loop.create_task(self._close_overdue())
+        self._sweep = loop.create_task(
+            _overdue_sweep.close_overdue(self._table, SERVER_NAME)
+        )
 
     def close(self) -> None:
         """Stop listening and end the streams."""
@@ -97,18 +99,6 @@
         # The server hands this to the event loop and keeps no reference.
         return cast(H2Protocol, connection)
 
-    async def _close_overdue(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            try:
-                self._table.close_overdue(loop.time())
-            except Exception as error:
-                # The next connections that wait too long must be closed, too.
-                logs.error(
-                    'overdue_failed', server=SERVER_NAME, cause=repr(error)
-                )
-
 
 class _LinkConnection(asyncio.Protocol):
     """A connection, counted until it is known as a link."""
