review: case 12, a job never starts beside sound workers

Cause: place_step (scheduling/_placement.py) and WorkerView.may_probe. A worker with two failures in a row gets a run only as a probe, and a probe only while it has no runs. One that holds a lasting task is never tried again, and the exception for pools without a healthy worker asks for a worker that is large enough, not for one with room.

--- /dev/null
+++ b/review/12/case.py
@@ -0,0 +1,131 @@
+"""A job never starts, as workers that failed once are never tried again."""
+
+import asyncio
+import pathlib
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+import standins_3 as rig  # noqa: E402
+
+WORKERS = 8
+FILLED = 5
+FILLING_CPU = 9000
+NEEDED_CPU = 7000
+GREY_S = 3.0
+PAUSE_S = 1.0
+CALM_S = 8.0
+WATCHED_S = 25.0
+ALLOWED_WAIT_S = 3.0
+WORKER_CPU = 16000
+
+
+def lasting(count, cpu, **fields):
+    return {
+        'spec': f'{{"cpu": {cpu}}}',
+        'steps': [
+            {
+                'count': count,
+                'cpu': cpu,
+                'memMb': 512,
+                'estMs': 700,
+                'persistent': True,
+                **fields,
+            }
+        ],
+    }
+
+
+def quick(count, cpu):
+    return {
+        'spec': f'{{"run_ms": 300, "cpu": {cpu}}}',
+        'steps': [{'count': count, 'cpu': cpu, 'memMb': 512, 'estMs': 300}],
+    }
+
+
+async def play(folder, has_trouble):
+    async with rig.World(folder) as world:
+        await world.start_system()
+        await world.configure(
+            rig.configuration(
+                1,
+                [
+                    rig.route('/lasting/', 'alpha'),
+                    rig.route('/quick/', 'alpha'),
+                ],
+                ['alpha'],
+            )
+        )
+        await world.add_workers('alpha', WORKERS)
+        await world.wait_ready()
+        await asyncio.sleep(4.0)
+        # A small lasting task on each worker, and a larger one on five.
+        await world.submit(
+            f'/lasting/{rig.new_id()}', lasting(WORKERS, 1000, maxPerServer=1)
+        )
+        await asyncio.sleep(1.0)
+        await world.submit(f'/lasting/{rig.new_id()}', lasting(FILLED, FILLING_CPU))
+        await asyncio.sleep(2.0)
+        others = [w for w in world.workers if used_cpu(w) < FILLING_CPU]
+        if len(others) != WORKERS - FILLED:
+            raise rig.CaseError('the lasting tasks are not where they belong')
+        for worker in others:
+            await be_grey(world, worker, has_trouble)
+        await asyncio.sleep(CALM_S)
+        return await is_left_waiting(world)
+
+
+async def be_grey(world, worker, has_trouble):
+    """Let a worker fail what it starts for a while, as jobs come."""
+    if has_trouble:
+        worker.is_grey = True
+        world.record.add(worker.worker_id, 'grey')
+    for _ in range(int(GREY_S / 0.5)):
+        await world.submit(f'/quick/{rig.new_id()}', quick(WORKERS - FILLED, 8000))
+        await asyncio.sleep(0.5)
+    worker.is_grey = False
+    world.record.add(worker.worker_id, 'sound')
+    await asyncio.sleep(PAUSE_S)
+
+
+def used_cpu(worker):
+    return sum(row['cpu'] for row in worker.running.values())
+
+
+async def is_left_waiting(world):
+    """Hand a small job in, and tell whether it is left waiting."""
+    path = f'/quick/{rig.new_id()}'
+    await world.submit(path, quick(1, NEEDED_CPU))
+    accepted_at_s = world.record.now_s()
+    task = f'{path[-16:]}.0.0.0'
+    begun_at_s = None
+    lowest_places, highest_used_cpu = WORKERS, 0
+    while begun_at_s is None:
+        now_s = world.record.now_s()
+        if now_s >= accepted_at_s + WATCHED_S:
+            break
+        begun = [at for at, _, t, _, _ in world.starts if t == task]
+        begun_at_s = begun[0] if begun else None
+        used = [used_cpu(worker) for worker in world.workers]
+        # Places for the job's task, each on a worker with room for it.
+        places = sum((WORKER_CPU - cpu) // NEEDED_CPU for cpu in used)
+        lowest_places = min(places, lowest_places)
+        highest_used_cpu = max(sum(used), highest_used_cpu)
+        await asyncio.sleep(0.1)
+    state = await world.call_entry('GET', path)
+    waited_s = (begun_at_s or world.record.now_s()) - accepted_at_s
+    has_room = lowest_places >= 2
+    is_pool_idle = highest_used_cpu < WORKERS * WORKER_CPU / 2
+    shown = (
+        f'waited {waited_s:.1f} s, begun: {begun_at_s is not None}, shown: '
+        f'{state}, places for it: {lowest_places}, in use at most '
+        f'{highest_used_cpu} of '
+        f'{WORKERS * WORKER_CPU} millicores'
+    )
+    world.record.add('case', 'result', shown=shown)
+    print(shown)
+    return waited_s > ALLOWED_WAIT_S and has_room and is_pool_idle
+
+
+rig.run_case(play, FOLDER)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -361,8 +361,11 @@
         self.world = world
         self.address = address
         self.fences = {}
-        self.pools = {}
         self.states = {}
+        self.waves = {}
+        self.kept_up = set()
+        self.count = 0
+        self._tasks = set()
         self._runner = None
 
     async def start(self):
@@ -404,13 +407,69 @@
 
     async def on_move(self, request):
         body = await request.json()
-        self.world.record.add('cloud', 'move', **body)
-        return web.json_response({'reason': 'busy'}, status=409)
+        worker = self._find_worker(body['machine'])
+        if worker is None or body['pool'] not in self.world.pools:
+            return self._answer('move', body, 400)
+        if not self._check_fence(request, body['machine']):
+            return self._answer('move', body, 409, 'fence')
+        if worker.service == body['pool']:
+            return self._answer('move', body, 200)
+        if self.states.get(body['machine'], 'up') != 'up':
+            return self._answer('move', body, 409, 'busy')
+        self._take_down(worker, 'moving', body['pool'], BOUNDS['moveS'])
+        return self._answer('move', body, 200)
 
     async def on_upkeep(self, request):
         body = await request.json()
-        self.world.record.add('cloud', 'upkeep', **body)
-        return web.json_response({'reason': 'wave'}, status=409)
+        worker = self._find_worker(body['machine'])
+        if worker is None:
+            return self._answer('upkeep', body, 400)
+        if not self._check_fence(request, body['machine']):
+            return self._answer('upkeep', body, 409, 'fence')
+        if body['machine'] not in self.waves.get(body['wave'], ()):
+            return self._answer('upkeep', body, 409, 'wave')
+        if (body['wave'], body['machine']) in self.kept_up:
+            return self._answer('upkeep', body, 200)
+        if self.states.get(body['machine'], 'up') != 'up':
+            return self._answer('upkeep', body, 409, 'busy')
+        self.kept_up.add((body['wave'], body['machine']))
+        self._take_down(worker, 'upkeep', worker.service, BOUNDS['upkeepS'])
+        return self._answer('upkeep', body, 200)
+
+    def _find_worker(self, machine):
+        found = [w for w in self.world.workers if w.machine == machine]
+        return found[0] if found else None
+
+    def _check_fence(self, request, machine):
+        fence = int(request.headers.get('Fence-Token', '0'))
+        if fence < self.fences.get(machine, 0):
+            return False
+        self.fences[machine] = fence
+        return True
+
+    def _answer(self, kind, body, status, reason=''):
+        self.world.record.add(
+            'cloud', kind, **body, status=status, reason=reason
+        )
+        fields = {'reason': reason} if reason else {}
+        return web.json_response(fields, status=status)
+
+    def _take_down(self, worker, state, pool, away_s):
+        """End a worker; a new one joins the pool on its machine later."""
+
+        async def bring_back():
+            await worker.crash()
+            await asyncio.sleep(away_s)
+            self.count += 1
+            worker.worker_id = f'{worker.machine[2:]}-{self.count}'
+            worker.service = pool
+            await worker.start()
+            self.states[worker.machine] = 'up'
+
+        self.states[worker.machine] = state
+        task = asyncio.ensure_future(bring_back())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
 
 class Answer:
@@ -435,6 +494,7 @@
         self.record = Record(pathlib.Path(case_folder) / 'record.txt')
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-3-'))
         self.workers = []
+        self.pools = set()
         self.processes = {}
         self.starts = []
         self.ends = []
@@ -735,8 +795,23 @@
         )
         if answer.status != 200:
             raise CaseError(f'no configuration: {answer}')
+        self.pools = {item['name'] for item in configuration['services']}
         return answer
 
+    async def start_wave(self, number, machines, deadline_s, max_count):
+        """Ask for the upkeep of machines, as the operator does."""
+        self.cloud.waves[number] = set(machines)
+        body = {
+            'wave': number,
+            'machines': list(machines),
+            'deadlineS': deadline_s,
+            'maxCount': max_count,
+        }
+        answer = await self.call_control('POST', '/wave-start', body)
+        self.record.add('operator', 'wave-start', **body, answer=answer)
+        if answer.status != 200:
+            raise CaseError(f'no wave: {answer}')
+
 
 def new_id():
     """Return a job's id as clients choose them."""
