--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,94 +1,129 @@
-"""One job with many due times leaves the control processes without a leader."""
+"""A job waits beside idle machines that wait to move to another pool."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import standins_3 as rig  # noqa: E402
 
-STEPS = 16
-TIMES_DUE = 10_000
-TIMES_CALM = 10
-HOUR_MS = 3_600_000
-REST_S = 15.0
-WATCHED_S = 30.0
-FINISH_S = 14.0
+ALPHA_WORKERS = 6
+BETA_WORKERS = 4
+SHORT_MS = 3_000
+LONG_MS = 70_000
+BURST_MS = 15_000
+BURST_TASKS = 40
+FILLING_MS = 30_000
+FILLING_CPU = 10_000
+NEEDED_CPU = 7000
+REST_S = 14.0
+SETTLE_S = 8.0
+WATCHED_S = 20.0
+ALLOWED_WAIT_S = 3.0
+WORKER_CPU = 16000
 
 
-def scheduled(times):
-    """Return an hourly job whose times are all due by now."""
-    now_ms = int(time.time() * 1000)
+def job(count, cpu, run_ms, **fields):
+    """Return a job of one step."""
     return {
-        'spec': '{"run_ms": 300}',
+        'spec': f'{{"run_ms": {run_ms}, "cpu": {cpu}}}',
         'steps': [
-            {'count': 1, 'cpu': 500, 'memMb': 64, 'estMs': 300}
-            for _ in range(STEPS)
+            {
+                'count': count,
+                'cpu': cpu,
+                'memMb': 512,
+                'estMs': run_ms,
+                **fields,
+            }
         ],
-        'times': times,
-        'firstMs': now_ms - times * HOUR_MS,
-        'intervalMs': HOUR_MS,
     }
 
 
+def used_cpu(worker):
+    """Return the thousandths of cores that a worker has in use."""
+    return sum(row['cpu'] for row in worker.running.values())
+
+
 async def play(folder, has_trouble):
+    """Play the case; return whether the rule was broken."""
     async with rig.World(folder) as world:
         await world.start_system()
         await world.configure(
-            rig.configuration(1, [rig.route('/jobs/', 'alpha')], ['alpha'])
+            rig.configuration(
+                1,
+                [rig.route('/alpha/', 'alpha'), rig.route('/beta/', 'beta')],
+                ['alpha', 'beta'],
+            )
         )
-        await world.add_workers('alpha', 8)
+        await world.add_workers('alpha', ALPHA_WORKERS)
+        await world.add_workers('beta', BETA_WORKERS)
         await world.wait_ready()
-        await asyncio.sleep(4.0)
-        # The job that is asked for afterwards.
-        watched = f'/jobs/{rig.new_id()}'
+        await asyncio.sleep(5.0)
+        # The other pool holds a lasting task on each of its machines.
+        lasting = job(BETA_WORKERS, 1000, 0, maxPerServer=1, persistent=True)
+        lasting['spec'] = '{"cpu": 1000}'
+        await world.submit(f'/beta/{rig.new_id()}', lasting)
+        # A short job and a long one, each with a task on every machine.
         await world.submit(
-            watched,
-            {
-                'spec': '{}',
-                'steps': [
-                    {'count': 2, 'cpu': 1000, 'memMb': 64, 'estMs': 700,
-                     'persistent': True}
-                ],
-            },
-        )  # fmt: skip
-        times = TIMES_DUE if has_trouble else TIMES_CALM
-        path = f'/jobs/{rig.new_id()}'
-        for _ in range(3):
-            # After no answer or a 504 the same job is sent again.
-            answer = await world.call_entry('POST', path, scheduled(times))
-            if answer.status not in (0, 502, 504):
-                break
-        await asyncio.sleep(REST_S)
-        return await is_unanswered(world, watched, answer)
+            f'/alpha/{rig.new_id()}', job(ALPHA_WORKERS, 9000, SHORT_MS)
+        )
+        await asyncio.sleep(0.7)
+        await world.submit(
+            f'/alpha/{rig.new_id()}', job(ALPHA_WORKERS, 3600, LONG_MS)
+        )
+        await asyncio.sleep(SHORT_MS / 1000 + REST_S)
+        pool = [w for w in world.workers if w.service == 'alpha']
+        if any(used_cpu(worker) != 3600 for worker in pool):
+            raise rig.CaseError('the long tasks are not where they belong')
+        if has_trouble:
+            # Large jobs come at once to the other pool.
+            await world.submit(
+                f'/beta/{rig.new_id()}', job(BURST_TASKS, 4000, BURST_MS)
+            )
+        await asyncio.sleep(SETTLE_S)
+        for _ in range(2):
+            await world.submit(
+                f'/alpha/{rig.new_id()}', job(1, FILLING_CPU, FILLING_MS)
+            )
+        await asyncio.sleep(1.0)
+        return await is_left_waiting(world)
 
 
-async def is_unanswered(world, watched, handed_in):
-    """Tell whether an accepted job gets no answer for FINISH_S and more."""
-    began_s = world.record.now_s()
-    answered_s, longest_s, asked, answers = began_s, 0.0, 0, 0
-    while world.record.now_s() < began_s + WATCHED_S:
-        answer = await world.call_entry('GET', watched)
-        asked += 1
+async def is_left_waiting(world):
+    """Hand a small job in, and tell whether it is left waiting."""
+    path = f'/alpha/{rig.new_id()}'
+    await world.submit(path, job(1, NEEDED_CPU, 300))
+    accepted_at_s = world.record.now_s()
+    task = f'{path[-16:]}.0.0.0'
+    begun_at_s = None
+    lowest_places, highest_share = 100, 0.0
+    while begun_at_s is None:
         now_s = world.record.now_s()
-        if answer.status == 200:
-            answers += 1
-            answered_s = now_s
-        longest_s = max(longest_s, now_s - answered_s)
-        await asyncio.sleep(0.5)
-    codes = [p.returncode for p in world.processes.values()]
-    leads = sum(world.log_of(n).count('role=leader') for n in world.controls)
+        if now_s >= accepted_at_s + WATCHED_S:
+            break
+        begun = [at for at, _, t, _, _ in world.starts if t == task]
+        begun_at_s = begun[0] if begun else None
+        pool = [w for w in world.workers if w.service == 'alpha' and w.is_up]
+        used = [used_cpu(worker) for worker in pool]
+        # Places for the job's task, each on a worker with room for it.
+        places = sum((WORKER_CPU - cpu) // NEEDED_CPU for cpu in used)
+        lowest_places = min(places, lowest_places)
+        share = sum(used) / max(len(pool) * WORKER_CPU, 1)
+        highest_share = max(share, highest_share)
+        await asyncio.sleep(0.1)
+    state = await world.call_entry('GET', path)
+    waited_s = (begun_at_s or world.record.now_s()) - accepted_at_s
     shown = (
-        f'the large job was answered {handed_in}; an accepted job was asked '
-        f'for {asked} times, {answers} answers, none for '
-        f'{longest_s:.1f} s; {leads} terms; exit codes {codes}'
+        f'waited {waited_s:.1f} s, begun: {begun_at_s is not None}, shown: '
+        f'{state}, places for it: {lowest_places}, in use at most '
+        f'{highest_share:.0%}'
     )
     world.record.add('case', 'result', shown=shown)
     print(shown)
-    return longest_s > FINISH_S
+    is_idle = lowest_places >= 2 and highest_share < 0.5
+    return waited_s > ALLOWED_WAIT_S and is_idle
 
 
 rig.run_case(play, FOLDER)
