review: case 12, a late poll makes a task that is done run again

Cause: ackCursor counts the ends of one incarnation of a worker. A poll without an answer that is carried out after the worker has restarted under its id drops an end of the new incarnation that nobody has read; the run then counts as absent, and its task is started again.

Evidence: review/12/run.sh, on the programs as deployed: one crash of an idle worker for 0.6 s, 2 of some 70 orders without an answer, one of them carried out 3.5 s late. standins_3.py has a worker's kind and the part of a poll that is carried out without an answer.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -100,6 +100,7 @@
         self.worker_id = worker_id
         self.service = service
         self.rack = rack
+        self.kind = 'a'
         self.address = f'{host}:{port}'
         self.zone = 'z-1'
         self.machine = f'm-{worker_id}'
@@ -211,7 +212,7 @@
     async def on_start(self, request):
         """Answer an order to start a task."""
         body = await request.json()
-        await self.world.before_order(self, 'start', body)
+        await self.world.before_order(self, 'start', body, request)
         response = self.carry_out_start(request, body)
         return await self.world.after_order(self, 'start', body, response)
 
@@ -246,7 +247,7 @@
     async def on_stop(self, request):
         """Answer an order to stop a run."""
         body = await request.json()
-        await self.world.before_order(self, 'stop', body)
+        await self.world.before_order(self, 'stop', body, request)
         refusal = self._find_refusal(request, body)
         if refusal is not None:
             return refusal
@@ -275,17 +276,10 @@
     async def on_hold(self, request):
         """Answer a poll with both lists, after a wait for an end."""
         body = await request.json()
-        await self.world.before_order(self, 'hold', body)
-        refusal = self._find_refusal(request, body)
+        await self.world.before_order(self, 'hold', body, request)
+        refusal = self.carry_out_poll(request, body)
         if refusal is not None:
             return refusal
-        if body.get('untilMs'):
-            self._extend(body['untilMs'])
-        cursor = body.get('ackCursor', 0)
-        for row in self.ended:
-            if row[0] <= cursor:
-                self.world.note_acked(self, row)
-        self.ended = [row for row in self.ended if row[0] > cursor]
         ends_s = time.monotonic() + min(body.get('waitMs', 0), 2000) / 1000
         while not self.ended:
             left_s = ends_s - time.monotonic()
@@ -307,6 +301,20 @@
         )
         return await self.world.after_order(self, 'hold', body, response)
 
+    def carry_out_poll(self, request, body):
+        """Do what a poll asks for but its answer, or say why not."""
+        refusal = self._find_refusal(request, body)
+        if refusal is not None:
+            return refusal
+        if body.get('untilMs'):
+            self._extend(body['untilMs'])
+        cursor = body.get('ackCursor', 0)
+        for row in self.ended:
+            if row[0] <= cursor:
+                self.world.note_acked(self, row)
+        self.ended = [row for row in self.ended if row[0] > cursor]
+        return None
+
     def _end(self, key, how):
         row = self.running.pop(key)
         task, run = key
@@ -342,7 +350,7 @@
             'state': 'draining' if self.drains else 'ready',
             'coldLeftMs': 0,
             'capacity': self.capacity,
-            'labels': ['a', self.rack],
+            'labels': [self.kind, self.rack],
             'wallClockMs': self.clock_ms(),
             'seq': self.seq,
             'born': self.born,
@@ -415,7 +423,7 @@
                     'pool': worker.service,
                     'state': state,
                     'zone': worker.zone,
-                    'labels': ['a', worker.rack],
+                    'labels': [worker.kind, worker.rack],
                     'capacity': worker.capacity,
                     'id': worker.worker_id,
                 }
@@ -563,7 +571,7 @@
 
     # What a case may change.
 
-    async def before_order(self, worker, kind, body):
+    async def before_order(self, worker, kind, body, request):
         """Called before a worker carries out an order."""
 
     async def after_order(self, worker, kind, body, response):
@@ -795,7 +803,7 @@
 
     # Parts of a deployment.
 
-    async def add_workers(self, service, count, rack_size=4):
+    async def add_workers(self, service, count, rack_size=4, kind='a'):
         """Start workers of a service."""
         host = '127.0.0.1'
         for _ in range(count):
@@ -808,6 +816,7 @@
                 host,
                 free_port([host]),
             )
+            worker.kind = kind
             self.workers.append(worker)
             await worker.start()
 
