--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A job never starts, as machines wait for their upkeep for ever."""
+"""A job never starts, as workers that failed once are never tried again."""
 
 import asyncio
 import pathlib
@@ -10,11 +10,11 @@
 import standins_3 as rig  # noqa: E402
 
 WORKERS = 8
-FILLED = 6
-MAX_COUNT = 2
-FILLING_CPU = 8500
+FILLED = 5
+FILLING_CPU = 9000
 NEEDED_CPU = 7000
-DEADLINE_S = 20
+GREY_S = 3.0
+PAUSE_S = 1.0
 CALM_S = 8.0
 WATCHED_S = 25.0
 ALLOWED_WAIT_S = 3.0
@@ -32,16 +32,18 @@
                 'memMb': 512,
                 'estMs': 700,
                 'persistent': True,
-                'mayMiss': 1,
                 **fields,
             }
         ],
     }
 
 
-def used_cpu(worker):
-    """Return the thousandths of cores that a worker has in use."""
-    return sum(row['cpu'] for row in worker.running.values())
+def quick(count, cpu):
+    """Return a job of short tasks."""
+    return {
+        'spec': f'{{"run_ms": 300, "cpu": {cpu}}}',
+        'steps': [{'count': count, 'cpu': cpu, 'memMb': 512, 'estMs': 300}],
+    }
 
 
 async def play(folder, has_trouble):
@@ -61,7 +63,7 @@
         await world.add_workers('alpha', WORKERS)
         await world.wait_ready()
         await asyncio.sleep(4.0)
-        # A small lasting task on each worker, and a larger one on some.
+        # A small lasting task on each worker, and a larger one on five.
         await world.submit(
             f'/lasting/{rig.new_id()}', lasting(WORKERS, 1000, maxPerServer=1)
         )
@@ -70,38 +72,43 @@
             f'/lasting/{rig.new_id()}', lasting(FILLED, FILLING_CPU)
         )
         await asyncio.sleep(2.0)
-        # Half of the machines are due, and two may be down at once.
-        by_use = sorted(world.workers, key=used_cpu)
-        if used_cpu(by_use[WORKERS - FILLED]) < FILLING_CPU:
+        others = [w for w in world.workers if used_cpu(w) < FILLING_CPU]
+        if len(others) != WORKERS - FILLED:
             raise rig.CaseError('the lasting tasks are not where they belong')
-        due = [worker.machine for worker in by_use[: WORKERS // 2]]
-        if has_trouble:
-            await world.start_wave(1, due, DEADLINE_S, MAX_COUNT)
-        await asyncio.sleep(DEADLINE_S + CALM_S)
-        is_broken = await is_left_waiting(world)
-        if has_trouble:
-            wave = await world.call_control('GET', '/wave-get/1', None)
-            world.record.add('operator', 'wave-get', answer=wave)
-            print(f'wave: {wave}, {len(world.cloud.kept_up)} of {len(due)}')
-        return is_broken
+        for worker in others:
+            await be_grey(world, worker, has_trouble)
+        await asyncio.sleep(CALM_S)
+        return await is_left_waiting(world)
+
+
+async def be_grey(world, worker, has_trouble):
+    """Let a worker fail what it starts for a while, as jobs come."""
+    if has_trouble:
+        worker.is_grey = True
+        world.record.add(worker.worker_id, 'grey')
+    for _ in range(int(GREY_S / 0.5)):
+        await world.submit(
+            f'/quick/{rig.new_id()}', quick(WORKERS - FILLED, 8000)
+        )
+        await asyncio.sleep(0.5)
+    worker.is_grey = False
+    world.record.add(worker.worker_id, 'sound')
+    await asyncio.sleep(PAUSE_S)
+
+
+def used_cpu(worker):
+    """Return the thousandths of cores that a worker has in use."""
+    return sum(row['cpu'] for row in worker.running.values())
 
 
 async def is_left_waiting(world):
     """Hand a small job in, and tell whether it is left waiting."""
     path = f'/quick/{rig.new_id()}'
-    await world.submit(
-        path,
-        {
-            'spec': f'{{"run_ms": 300, "cpu": {NEEDED_CPU}}}',
-            'steps': [
-                {'count': 1, 'cpu': NEEDED_CPU, 'memMb': 512, 'estMs': 300}
-            ],
-        },
-    )
+    await world.submit(path, quick(1, NEEDED_CPU))
     accepted_at_s = world.record.now_s()
     task = f'{path[-16:]}.0.0.0'
     begun_at_s = None
-    lowest_places, highest_used_cpu = 100, 0
+    lowest_places, highest_used_cpu = WORKERS, 0
     while begun_at_s is None:
         now_s = world.record.now_s()
         if now_s >= accepted_at_s + WATCHED_S:
@@ -121,7 +128,8 @@
     shown = (
         f'waited {waited_s:.1f} s, begun: {begun_at_s is not None}, shown: '
         f'{state}, places for it: {lowest_places}, in use at most '
-        f'{highest_used_cpu} of {WORKERS * WORKER_CPU} millicores'
+        f'{highest_used_cpu} of '
+        f'{WORKERS * WORKER_CPU} millicores'
     )
     world.record.add('case', 'result', shown=shown)
     print(shown)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -214,7 +214,9 @@
         body = await request.json()
         await self.world.before_order(self, 'start', body, request)
         response = self.carry_out_start(request, body)
-        return await self.world.after_order(self, 'start', body, response)
+        return await self.world.after_order(
+            self, 'start', body, response, request
+        )
 
     def carry_out_start(self, request, body):
         """Start a task, or say why not."""
@@ -260,7 +262,9 @@
                 self.worker_id, 'stop_ordered', task=task, run=run
             )
         response = self.answer(200)
-        return await self.world.after_order(self, 'stop', body, response)
+        return await self.world.after_order(
+            self, 'stop', body, response, request
+        )
 
     async def on_pace(self, request):
         """Answer an order to pace a run."""
@@ -299,7 +303,9 @@
             ],
             ended=self.ended[:ENDS_PER_LIST],
         )
-        return await self.world.after_order(self, 'hold', body, response)
+        return await self.world.after_order(
+            self, 'hold', body, response, request
+        )
 
     def carry_out_poll(self, request, body):
         """Do what a poll asks for but its answer, or say why not."""
@@ -574,7 +580,7 @@
     async def before_order(self, worker, kind, body, request):
         """Called before a worker carries out an order."""
 
-    async def after_order(self, worker, kind, body, response):
+    async def after_order(self, worker, kind, body, response, request):
         """Called with a worker's answer before it is sent."""
         return response
 
