--- a/review/12/case.py
+++ b/review/12/case.py
@@ -186,15 +186,18 @@
 
 async def has_run_twice(world, path, task, orders, asked_s):
     """Tell whether a start came after an end that was taken note of."""
-    noted = [
-        (worker, run)
-        for _, worker, (_, t, run, how, _) in world.acked_ends
+    noted = {
+        (worker, run): lapsed_s
+        for lapsed_s, worker, (_, t, run, how, _) in world.acked_ends
         if t == task and how == 'done'
-    ]
+    }
+    # An end doesn't count if the lease lapsed before ackCursor reached it.
     done = [
         (at_s, run)
         for at_s, worker, t, run, how in world.ends
-        if t == task and (worker, run) in noted and how == 'done'
+        if t == task
+        and how == 'done'
+        and noted.get((worker, run), at_s) < at_s
     ]
     starts = [(at_s, run) for at_s, _, t, run, _ in world.starts if t == task]
     again = [
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -122,6 +122,7 @@
         self.seq = 0
         self.fence = 0
         self.until_ms = 0
+        self.lapsed_s = 0.0
         self.running = {}
         self.blocked = {}
         self.ended = []
@@ -312,6 +313,8 @@
         refusal = self._find_refusal(request, body)
         if refusal is not None:
             return refusal
+        if self.clock_ms() >= self.until_ms:
+            self.lapsed_s = self.world.record.now_s()
         if body.get('untilMs'):
             self._extend(body['untilMs'])
         cursor = body.get('ackCursor', 0)
@@ -333,6 +336,8 @@
     async def _tick(self):
         while True:
             now_s = time.monotonic()
+            if self.clock_ms() >= self.until_ms:
+                self.lapsed_s = self.world.record.now_s()
             for key, row in list(self.running.items()):
                 if self.clock_ms() >= self.until_ms:
                     self._end(key, 'lapsed')
@@ -604,8 +609,8 @@
         )
 
     def note_acked(self, worker, row):
-        """Note an end that ackCursor has reached."""
-        self.acked_ends.append((self.record.now_s(), worker, row))
+        """Note an end that ackCursor has reached, and the last lapse."""
+        self.acked_ends.append((worker.lapsed_s, worker, row))
 
     # The project's programs.
 
