Give each process of a worker a fence of its own

Cause: the fence of orders was the leader's term, so orders for a former process of the same term were not refused.

Change: the fence is made of the term and a number that rises with each process that becomes known in the term. A restarted process is polled at once with its own fence, in every term. Where terms are meant, terms are compared (order.term); tests and the search's agents that used a fence as a term are corrected, with no bound changed.

--- a/features/search/late_start_fakes.py
+++ b/features/search/late_start_fakes.py
@@ -49,7 +49,7 @@
     Attributes:
         agent: the agent that carries it.
         boot: number of the agent's process.
-        fence: the leader's term.
+        term: the leader's term.
         number: number of the sending; later ones are higher.
         sent_at_s: when the leader sent it.
         waits_since_s: when the agent received it.
@@ -59,7 +59,7 @@
 
     agent: FakeAgent
     boot: int
-    fence: int
+    term: int
     number: int
     sent_at_s: float
     waits_since_s: float = 0.0
--- a/features/search/late_start_search.py
+++ b/features/search/late_start_search.py
@@ -241,7 +241,7 @@
             agent = self._late_rng.choice(self._agents)
         self._sending_count += 1
         sending = late_start_fakes.Sending(
-            agent, agent.boot, order.fence, self._sending_count, self.now_s
+            agent, agent.boot, order.term, self._sending_count, self.now_s
         )
         if isinstance(order, coordination.StartOrder):
             self._sendings.setdefault(order.key.name, []).append(sending)
@@ -281,7 +281,7 @@
     def _queue_at_agent(self, transit: late_start_fakes.AgentTransit) -> None:
         sending, order = transit.sending, transit.order
         agent = sending.agent
-        agent.term = max(agent.term, order.fence)
+        agent.term = max(agent.term, order.term)
         if _name_order(order) in agent.waiting:
             self.result.twins += 1
             self._answer_not_sent(transit)
@@ -302,7 +302,7 @@
         if (
             self.now_s > sending.waits_since_s + MAX_WAIT_S
             or self.now_s > sending.sent_at_s + MAX_PERMIT_S
-            or order.fence < agent.term
+            or order.term < agent.term
         ):
             self._answer_not_sent(transit)
             return
@@ -403,7 +403,7 @@
             )
         if fields['cause'] == 'absent':
             self.result.absent_under_way += any(
-                sending.fence < core.jobs.fence for sending in under_way
+                sending.term < core.jobs.fence for sending in under_way
             )
 
     def _count_refusal(self, transit: late_start_fakes.AgentTransit) -> None:
--- a/features/steps/agent_rule_steps.py
+++ b/features/steps/agent_rule_steps.py
@@ -12,6 +12,7 @@
 
 from greengagering import clock
 from greengagering import coordination
+from greengagering.coordination import workers
 from greengagering import state
 from greengagering.transport._agent_client import AgentClient
 from greengagering.transport._agent_runner import AgentRunner
@@ -42,10 +43,11 @@
 
 
 def _start(
-    number: int, data_centre: str = 'dc-1', fence: int = TERM
+    number: int, data_centre: str = 'dc-1', term: int = TERM
 ) -> coordination.StartOrder:
     key = state.RunKey(f'job-{number}', '0.0.0', 1)
     life = _life(number, data_centre)
+    fence = workers.create_fence(term, 1)
     return coordination.StartOrder(life, key, 'text', 5000, fence, '')
 
 
@@ -415,7 +417,8 @@
         leader.client.receive_offer(name, name, offer, VirtualClock.now_s)
         VirtualClock.now_s += later_s
         leader.lease_end_s = VirtualClock.now_s + context.permit_s
-        order = coordination.LookOrder(_life(0), TERM, NOTED_END, 0, 0)
+        fence = workers.create_fence(TERM, 1)
+        order = coordination.LookOrder(_life(0), fence, NOTED_END, 0, 0)
         poll = asyncio.ensure_future(leader.client.poll(order))
         await _run_loop()
         (context.batch,) = leader.sent[name]
@@ -448,7 +451,7 @@
 @when("a newer leader's orders arrive before an older one's")
 def replace_leader(context: Any) -> None:
     async def act(runner: AgentRunner) -> None:
-        newer = _start(1, fence=TERM + 1)
+        newer = _start(1, term=TERM + 1)
         runner.receive(_batch(context, newer, term=TERM + 1))
         runner.receive(_batch(context, _start(0)))
         await _run_loop()
@@ -458,7 +461,7 @@
 
 @then("the older leader's order is not sent, and the leader is notified")
 def check_older(context: Any) -> None:
-    assert [o.fence for o in context.workers.taken] == [TERM + 1]
+    assert [o.term for o in context.workers.taken] == [TERM + 1]
     outcomes = [answer.outcome for _, answer in context.answers]
     assert coordination.OrderOutcome.NOT_SENT in outcomes
 
--- a/features/steps/late_poll_steps.py
+++ b/features/steps/late_poll_steps.py
@@ -110,6 +110,47 @@
     context.late_poll = poll
 
 
+@when('the worker restarts again, and reports at {now_s:g} s')
+def restart_again(context: Any, now_s: float) -> None:
+    late_start_steps.return_as(context, 2, now_s)
+
+
+@given(
+    'a worker that has restarted, and whose process in between is seen after '
+    'that'
+)
+def see_between(context: Any) -> None:
+    context.worker = unanswered_order_steps.OrderedWorker(1)
+    late_start_steps.return_as(context, 2, 1.0)
+    late_start_steps.return_as(context, 1, 1.5)
+
+
+@then('the orders to its processes have fences that never fall')
+def check_fences(context: Any) -> None:
+    fences = find_fences(context.worker.scheduler)
+    assert len(fences) == 3, fences
+    assert fences == sorted(fences), fences
+    assert fences[0] < fences[-1], fences
+
+
+@then("a new leader's fences are above them all")
+def check_later_term(context: Any) -> None:
+    scheduler = coordination.JobScheduler(context.worker.scheduler.jobs)
+    scheduler.start_leading(context.worker.scheduler.fence + 1, 2.0, 0)
+    fences = find_fences(scheduler)
+    former = find_fences(context.worker.scheduler)
+    assert fences == sorted(fences), fences
+    assert fences[0] > former[-1], (former, fences)
+
+
+def find_fences(scheduler: coordination.JobScheduler) -> list[int]:
+    """Return the fences of orders to processes, by the start of these."""
+    views = sorted(
+        scheduler.workers.values(), key=lambda view: view.facts.born_ms
+    )
+    return [view.fence for view in views]
+
+
 @when('a new task is handed in, and the worker works until {until_s:g} s')
 def hand_in(context: Any, until_s: float) -> None:
     worker = context.worker
--- a/features/steps/late_reader_steps.py
+++ b/features/steps/late_reader_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from greengagering import coordination
+from greengagering.coordination import workers
 from greengagering import state
 
 TERM = 1
@@ -55,7 +56,8 @@
     running: tuple[coordination.ListedRun, ...] = (),
 ) -> None:
     """Pass a worker's answer to a poll to the leader."""
-    poll = coordination.LookOrder(_life(name), TERM, 0, 0, 0)
+    fence = workers.create_fence(TERM, 1)
+    poll = coordination.LookOrder(_life(name), fence, 0, 0, 0)
     done = coordination.OrderOutcome.DONE
     answer = coordination.LookAnswer(done, clock_ms, 1, running, ())
     context.scheduler.handle_poll_answer(
--- a/features/steps/late_start_steps.py
+++ b/features/steps/late_start_steps.py
@@ -437,7 +437,7 @@
     view = worker.scheduler.workers[key]
     poll = worker.scheduler.next_poll(key, worker.now_s)
     assert poll is not None
-    assert poll.fence == worker.scheduler.fence == 2, poll
+    assert poll.term == worker.scheduler.fence == 2, poll
     assert (poll.noted_end, poll.until_ms, poll.wait_ms) == (0, 0, 0), poll
     answer_poll_of(worker, worker.restarted, worker.now_s)
     assert not view.is_read
--- a/features/steps/late_task_steps.py
+++ b/features/steps/late_task_steps.py
@@ -11,6 +11,7 @@
 from features.steps import worker_order_steps
 from greengagering import coordination
 from greengagering.coordination import workers
+from greengagering.coordination import workers
 from greengagering import state
 
 LATE_EVENTS = ('start_late', 'end_late', 'job_late')
@@ -81,7 +82,8 @@
         answer: coordination.LookAnswer | None = None,
     ) -> None:
         """Poll the worker; by default it lists nothing."""
-        order = coordination.LookOrder(self.facts, 1, 0, 0, 0)
+        fence = workers.create_fence(1, 1)
+        order = coordination.LookOrder(self.facts, fence, 0, 0, 0)
         if answer is None:
             answer = self.lists(now_s)
         self.scheduler.handle_poll_answer(order, 0, answer, sent_at_s, now_s)
--- a/features/steps/reply_rule_steps.py
+++ b/features/steps/reply_rule_steps.py
@@ -14,6 +14,7 @@
 
 from features.steps import gateway_steps
 from greengagering import coordination
+from greengagering.coordination import workers
 from greengagering import state
 from greengagering.transport._agent_client import AgentClient
 from greengagering.transport._agent_runner import AgentRunner
@@ -191,7 +192,8 @@
             state.Room(1000, 1000),
         )
         key = state.RunKey(f'job-{number}', '0.0.0', 1)
-        order = coordination.StartOrder(life, key, 'text', 5000, term, '')
+        fence = workers.create_fence(term, 1)
+        order = coordination.StartOrder(life, key, 'text', 5000, fence, '')
         return asyncio.ensure_future(self.client.start(order))
 
 
--- a/greengagering/coordination/scheduling/_late_starts.py
+++ b/greengagering/coordination/scheduling/_late_starts.py
@@ -137,6 +137,6 @@
             return
         view.blocks_sent_at_s = now_s
         self._core.orders += [
-            StopOrder(view.facts, key, self._core.fence)
+            StopOrder(view.facts, key, view.fence)
             for key in view.blocked_runs.values()
         ]
--- a/greengagering/coordination/scheduling/_leader_core.py
+++ b/greengagering/coordination/scheduling/_leader_core.py
@@ -48,7 +48,8 @@
 
     Attributes:
         jobs: the committed state.
-        fence: the leader's term, or 0 while this replica does not lead.
+        fence: the leader's term, or 0 while this replica does not lead. Orders
+            to workers have the fence of their view.
         leading_since_s: when this term began.
         now_s: time of the current step.
         now_ms: wall-clock time of the current step.
@@ -225,7 +226,7 @@
 
     def order_stop(self, view: WorkerView, run: RunView) -> None:
         """Queue an order to stop a run."""
-        self.orders.append(StopOrder(view.facts, run.key, self.fence))
+        self.orders.append(StopOrder(view.facts, run.key, view.fence))
 
     def find_withdrawal(self, view: WorkerView, run: RunView) -> str:
         """Return why a run's start must not be sent, or not again, or ''.
--- a/greengagering/coordination/scheduling/_run_orders.py
+++ b/greengagering/coordination/scheduling/_run_orders.py
@@ -152,7 +152,7 @@
         """
         view = self._core.workers.get(order.life.key)
         self._late_starts.close_answered(order, answer, view, now_s)
-        if view is None or order.fence != self._core.fence:
+        if view is None or order.term != self._core.fence:
             return
         if sent_at_s is not None:
             self._times.add(answer, now_s - sent_at_s)
@@ -226,7 +226,7 @@
         self._late_starts.close(order)
         view = self._core.workers.get(order.life.key)
         run = view.runs.get(order.key.name) if view is not None else None
-        if view is None or run is None or order.fence != self._core.fence:
+        if view is None or run is None or order.term != self._core.fence:
             return
         _note_start_answered(order, run)
         self._core.log_decision(
@@ -299,7 +299,7 @@
                 key=run.key,
                 text=job.spec.text,
                 until_ms=clock_ms + to_ms(LEASE_S),
-                fence=self._core.fence,
+                fence=view.fence,
                 saved=task.saved if run.step.saves_progress else '',
                 permit=permit,
             )
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -263,7 +263,7 @@
         Workers get no runs before their lists have been read.
 
         Args:
-            term: the leader's term, which is the fence of its orders.
+            term: the leader's term.
             now_s: the leader's clock.
             now_ms: wall-clock time.
             leaderless_s: how long nobody may have led for long enough, so
@@ -275,7 +275,9 @@
         self._core.now_ms = now_ms
         self._core.limits.follow_plan(self.jobs.plan)
         self._logged_plan = self.jobs.plan
-        for life in self.jobs.lives.values():
+        for life in sorted(
+            self.jobs.lives.values(), key=lambda life: life.facts.born_ms
+        ):
             self._add_worker(life, now_s)
         for view in self.workers.values():
             # This leader has no report of it yet.
@@ -511,7 +513,7 @@
                 self._seen_times.find_latest_s(view.key, now_s),
             )
             view.former_orders_until_s = stopped_at_s + MAX_ORDER_AGE_S
-        self._core.incarnations.add(view)
+        self._core.incarnations.add(view, self._core.fence)
         self._core.poll_candidates.add(view.key)
         for key in life.runs.values():
             job = self.jobs.jobs.get(key.job_id)
--- a/greengagering/coordination/scheduling/_worker_poller.py
+++ b/greengagering/coordination/scheduling/_worker_poller.py
@@ -18,7 +18,6 @@
 from greengagering.coordination.workers import ListedRun
 from greengagering.coordination.workers import LookAnswer
 from greengagering.coordination.workers import LookOrder
-from greengagering.coordination.workers import MAX_ORDER_AGE_S
 from greengagering.coordination.workers import OrderOutcome
 from greengagering.coordination.workers import POLL_WAIT_S
 from greengagering.coordination.workers import RunPhase
@@ -108,18 +107,17 @@
     def _next_fence_poll(
         self, view: WorkerView, now_s: float
     ) -> LookOrder | None:
-        """Return a poll that gives a restarted worker the fence, if due.
+        """Return a poll that gives a restarted worker its fence, if due.
 
-        Nobody knows which starts former leaders have sent; without the fence
-        it carries them out. It is too early for its lists to count.
+        Without that it carries out what was sent to earlier processes under
+        its name, by former leaders too. It is too early for its lists to
+        count.
         """
         if view.has_fence:
             return None
-        if now_s >= self._core.leading_since_s + MAX_ORDER_AGE_S:
-            return None
         if not view.polls.may_send(now_s, is_long=False):
             return None
-        return LookOrder(view.facts, self._core.fence, 0, 0, 0)
+        return LookOrder(view.facts, view.fence, 0, 0, 0)
 
     def _create_poll(
         self, view: WorkerView, life: state.WorkerLife, now_s: float
@@ -159,9 +157,7 @@
         noted_end = 0
         if is_responsive and not is_missing:
             noted_end = view.last_end_to_drop(life.noted_end, now_s)
-        return LookOrder(
-            view.facts, self._core.fence, noted_end, until_ms, wait_ms
-        )
+        return LookOrder(view.facts, view.fence, noted_end, until_ms, wait_ms)
 
     def open_poll_grant(self, order: LookOrder, now_s: float) -> int:
         """Register a poll about to be sent; return its grant's number or 0."""
@@ -201,7 +197,7 @@
         if is_other and order.until_ms:
             self._core.note_mixed_grant(order.life.worker_id, now_s)
         view = self._core.workers.get(order.life.key)
-        if view is None or order.fence != self._core.fence:
+        if view is None or order.term != self._core.fence:
             return
         view.polls.remove(order, sent_at_s)
         if answer.outcome is OrderOutcome.NOT_SENT:
@@ -277,7 +273,7 @@
         # may have ended since, or have started since without being listed.
         if is_newest:
             self._reconcile_runs(view, answer, sent_at_s, now_s)
-            self._core.orders += find_paces(view, self._core.fence, now_s)
+            self._core.orders += find_paces(view, now_s)
         self._core.is_plan_due = True
 
     def _delay_next_poll(
@@ -315,9 +311,7 @@
         if answer.outcome is kinds.OTHER_LIFE:
             self._tracker.handle_other_incarnation(view, now_s)
         elif answer.outcome is kinds.FENCED:
-            self._core.log_decision(
-                'fenced', life=view.key, fence=self._core.fence
-            )
+            self._core.log_decision('fenced', life=view.key, fence=view.fence)
             view.mark_suspect(now_s)
         elif answer.outcome is kinds.NO_ANSWER:
             if not view.polls.mark_failed(sent_at_s):
@@ -447,9 +441,7 @@
             life=view.key,
             left=self._core.removed_runs.find(item.key.name),
         )
-        self._core.orders.append(
-            StopOrder(view.facts, item.key, self._core.fence)
-        )
+        self._core.orders.append(StopOrder(view.facts, item.key, view.fence))
 
     def _stop_if_unwanted(
         self, view: WorkerView, run: RunView, now_s: float
--- a/greengagering/coordination/workers/__init__.py
+++ b/greengagering/coordination/workers/__init__.py
@@ -11,6 +11,7 @@
 from greengagering.coordination.workers._agents import AgentRegistry
 from greengagering.coordination.workers._answer_times import FleetAnswerTimes
 from greengagering.coordination.workers._answer_times import MAX_REPEAT_S
+from greengagering.coordination.workers._fences import create_fence
 from greengagering.coordination.workers import _incarnation_table
 from greengagering.coordination.workers._open_polls import LossMeter
 from greengagering.coordination.workers._order_times import OrderTimes
@@ -96,6 +97,7 @@
     'WorkerView',
     'bound_poll',
     'counted_cpu',
+    'create_fence',
     'find_paces',
     'group_starts',
     'handle_pace_answer',
--- a/greengagering/coordination/workers/_agents.py
+++ b/greengagering/coordination/workers/_agents.py
@@ -212,6 +212,6 @@
         elif batch.term == self.term:
             self.ends_s = max(self.ends_s, ends_s)
 
-    def allows(self, fence: int, now_s: float) -> bool:
-        """Tell whether an order with a leader's fence may be sent now."""
-        return fence == self.term and now_s < self.ends_s
+    def allows(self, term: int, now_s: float) -> bool:
+        """Tell whether an order of a leader's term may be sent now."""
+        return term == self.term and now_s < self.ends_s
--- a/greengagering/coordination/workers/_incarnation_table.py
+++ b/greengagering/coordination/workers/_incarnation_table.py
@@ -1,5 +1,6 @@
 """Table of the workers' incarnations that the leader knows."""
 
+from greengagering.coordination.workers import _fences
 from greengagering.coordination.workers._run_view import RunObserver
 from greengagering.coordination.workers._worker_view import WorkerView
 from greengagering import state
@@ -19,6 +20,7 @@
         self.views: dict[str, WorkerView] = {}
         self._by_worker: dict[str, list[WorkerView]] = {}
         self._by_address: dict[str, list[WorkerView]] = {}
+        self._process_count = 0
 
     def clear(self) -> None:
         """Remove every incarnation."""
@@ -27,9 +29,11 @@
         self.views.clear()
         self._by_worker.clear()
         self._by_address.clear()
+        self._process_count = 0
 
-    def add(self, view: WorkerView) -> None:
-        """Add an incarnation."""
+    def add(self, view: WorkerView, term: int) -> None:
+        """Add an incarnation, and give it its fence in the leader's term."""
+        view.fence = self._choose_fence(view.facts, term)
         self.views[view.key] = view
         view.observer = self._observer
         if self._observer is not None:
@@ -39,6 +43,23 @@
         self._by_worker.setdefault(facts.worker_id, []).append(view)
         self._by_address.setdefault(facts.address, []).append(view)
 
+    def _choose_fence(self, facts: state.WorkerFacts, term: int) -> int:
+        """Return a fence above those of the worker's earlier incarnations.
+
+        An incarnation that becomes known after a later one must not get a
+        higher fence than that: whoever has the name would refuse the later
+        one's orders.
+        """
+        later = [
+            other.fence
+            for other in self._by_worker.get(facts.worker_id, ())
+            if other.facts.born_ms > facts.born_ms
+        ]
+        if later:
+            return min(later)
+        self._process_count += 1
+        return _fences.create_fence(term, self._process_count)
+
     def remove(self, key: str) -> WorkerView | None:
         """Remove an incarnation; return its view, or None if unknown."""
         view = self.views.pop(key, None)
--- a/greengagering/coordination/workers/_orders.py
+++ b/greengagering/coordination/workers/_orders.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from greengagering.coordination.workers import _fences
 from greengagering import state
 
 
@@ -17,7 +18,8 @@
 
     NO_ANSWER: it may have been carried out, or may still be.
     NOT_SENT: it was never sent to the worker.
-    FENCED: the worker has accepted an order of a newer leader.
+    FENCED: the worker has accepted an order of a newer leader, or one that
+        was meant for a later incarnation.
     OLD_RUN: this run, or a later one, has ended or was stopped there.
     LATE: the lease in the order has expired already.
     NO_ROOM: the worker enforces its capacity, which is used up.
@@ -40,8 +42,21 @@
     INVALID = 'invalid'
 
 
+class _FencedOrder:
+    """An order that its worker refuses if it has seen a higher fence."""
+
+    __slots__ = ()
+
+    fence: int
+
+    @property
+    def term(self) -> int:
+        """Term of the leader that gives the order."""
+        return _fences.term_of(self.fence)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class StartOrder:
+class StartOrder(_FencedOrder):
     """An order to start a run.
 
     Attributes:
@@ -49,7 +64,7 @@
         key: the run.
         text: the job's text.
         until_ms: end of the worker's lease, on the worker's clock.
-        fence: number of the leader's term.
+        fence: fence of the orders to this incarnation.
         saved: saved progress to resume from, or ''.
         permit: the adviser's permit, or ''.
     """
@@ -64,7 +79,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StopOrder:
+class StopOrder(_FencedOrder):
     """An order to stop a run, or to refuse it if its start arrives later."""
 
     life: state.WorkerFacts
@@ -73,7 +88,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PaceOrder:
+class PaceOrder(_FencedOrder):
     """An order to run at a percentage of full speed."""
 
     life: state.WorkerFacts
@@ -86,12 +101,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LookOrder:
+class LookOrder(_FencedOrder):
     """A long poll for a worker's lists, which may extend its lease.
 
     Attributes:
         life: incarnation of the worker that gets the order.
-        fence: number of the leader's term.
+        fence: fence of the orders to this incarnation.
         noted_end: the worker may drop run ends up to this number.
         until_ms: end of the lease on the worker's clock, or 0 for no change.
         wait_ms: how long the worker may wait for a run to end before it
--- a/greengagering/coordination/workers/_sharing.py
+++ b/greengagering/coordination/workers/_sharing.py
@@ -41,14 +41,11 @@
     )
 
 
-def find_paces(
-    view: WorkerView, fence: int, now_s: float
-) -> list[orders.PaceOrder]:
+def find_paces(view: WorkerView, now_s: float) -> list[orders.PaceOrder]:
     """Return the orders that set the filling tasks to their pace.
 
     Args:
         view: a worker that was just polled.
-        fence: number of the leader's term.
         now_s: the leader's clock.
     """
     running = [
@@ -65,7 +62,7 @@
             if _is_pace_settled(run, now_s):
                 run.pace_due_until_s = None
             pace_orders.append(
-                orders.PaceOrder(view.facts, run.key, percent, fence)
+                orders.PaceOrder(view.facts, run.key, percent, view.fence)
             )
     return pace_orders
 
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -100,7 +100,8 @@
         free_memory: megabytes that no run uses.
         free_gpu: accelerators that no run uses.
         is_read: its lists were read under this leader's fence.
-        has_fence: it is known to refuse what former leaders sent, though it
+        fence: fence of the orders to it.
+        has_fence: it is known to refuse orders with a lower fence, though it
             may not be read yet.
         is_draining: it takes no new run.
         is_reserved: its machine is being emptied for upkeep or a move.
@@ -157,6 +158,7 @@
         self.free_memory = facts.room.memory_mb
         self.free_gpu = facts.room.gpu_count
         self.is_read = False
+        self.fence = 0
         self.has_fence = False
         self.is_draining = False
         self.is_reserved = False
--- a/greengagering/transport/_agent_client.py
+++ b/greengagering/transport/_agent_client.py
@@ -199,8 +199,8 @@
                     self._fail(number, _outcomes.NOT_SENT)
                 continue
             permit_s = agent.permit_s(lease_end_s, now_s)
-            for fence in {order.fence for _, order in batch}:
-                message = self._create_message(agent, fence, permit_s, batch)
+            for term in {order.term for _, order in batch}:
+                message = self._create_message(agent, term, permit_s, batch)
                 self._send(
                     agent,
                     dataclasses.replace(
@@ -211,13 +211,13 @@
     def _create_message(
         self,
         agent: coordination.Agent,
-        fence: int,
+        term: int,
         permit_s: float,
         batch: list[tuple[int, Any]],
     ) -> coordination.AgentOrders:
         kinds: dict[type, list[tuple[int, Any]]] = {}
         for number, order in batch:
-            if order.fence == fence:
+            if order.term == term:
                 kinds.setdefault(type(order), []).append((number, order))
         starts = tuple(kinds.get(coordination.StartOrder, ()))
         job_starts: tuple[coordination.JobStarts, ...] = ()
@@ -227,8 +227,7 @@
             address=self._address,
             leader_boot_id=self._boot_id,
             boot_id=agent.offer.boot_id,
-            # An order's fence is the term of the leader that gives it.
-            term=fence,
+            term=term,
             offered_at_s=agent.offer.sent_at_s,
             permit_s=permit_s,
             starts=starts,
--- a/greengagering/transport/_agent_runner.py
+++ b/greengagering/transport/_agent_runner.py
@@ -75,8 +75,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._client.close()
 
-    def _may_send(self, fence: int) -> bool:
-        return self.permit.allows(fence, clock.steady_s())
+    def _may_send(self, term: int) -> bool:
+        return self.permit.allows(term, clock.steady_s())
 
     def _poll_in_time(
         self, batch: coordination.AgentOrders
@@ -123,7 +123,8 @@
                 'order_not_sent',
                 life=order.life.key,
                 fence=order.fence,
-                term=self.permit.term,
+                term=order.term,
+                permit_term=self.permit.term,
                 permit_left_s=round(self.permit.ends_s - clock.steady_s(), 3),
             )
         is_poll = isinstance(order, coordination.LookOrder)
--- a/greengagering/transport/_control_node.py
+++ b/greengagering/transport/_control_node.py
@@ -274,8 +274,8 @@
         is_scheduler_leading = self.core.jobs.is_leading
         return is_scheduler_leading and self.replica.has_lease(self.now_s())
 
-    def _may_send(self, fence: int) -> bool:
-        return fence == self.core.jobs.fence and self.has_lease()
+    def _may_send(self, term: int) -> bool:
+        return term == self.core.jobs.fence and self.has_lease()
 
     def _send_to_agent(
         self, agent: coordination.Agent, batch: coordination.AgentOrders
--- a/greengagering/transport/_limited_client.py
+++ b/greengagering/transport/_limited_client.py
@@ -80,7 +80,7 @@
         self, order: coordination.LookOrder
     ) -> coordination.LookAnswer:
         """Return a worker's lists of running and ended runs."""
-        if not self._may_send(order.fence):
+        if not self._may_send(order.term):
             return coordination.LookAnswer(coordination.OrderOutcome.NOT_SENT)
         try:
             return await self._client.poll(order)
@@ -115,7 +115,7 @@
             if queued_s > MAX_WAIT_S:
                 return dataclasses.replace(_NOT_SENT, queued_s=queued_s)
             # The permission may have expired while the order waited.
-            if not self._may_send(order.fence):
+            if not self._may_send(order.term):
                 return dataclasses.replace(_NOT_SENT, queued_s=queued_s)
             try:
                 answer = await call(order)
