Open few due times of a job at a time, and store no tasks of done ones

Cause: every due time was opened at once, when accepted and by each new leader, and done ones stayed in the state and the index.

--- a/features/support/job_life.py
+++ b/features/support/job_life.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 
 from features.support import work_counter
 from greengagering import coordination
@@ -20,10 +21,12 @@
 
     Attributes:
         work: executed instructions by part.
+        started: the runs that were ordered to start.
     """
 
     def __init__(self, spec: state.JobSpec) -> None:
         self.work: dict[str, int] = {}
+        self.started: list[state.RunKey] = []
         self._spec = spec
         self._now_s = 1.0
         self._state = state.JobsState()
@@ -60,13 +63,25 @@
         """Status of the job."""
         return self._state.jobs[self._spec.job_id].status
 
-    def play(self) -> None:
-        """Accept the job, and run it until it ends or is cancelled."""
+    @property
+    def job(self) -> state.Job:
+        """The job as it is stored."""
+        return self._state.jobs[self._spec.job_id]
+
+    def play(self, leader_change_s: float = math.inf) -> None:
+        """Accept the job, and run it until it ends or is cancelled.
+
+        Args:
+            leader_change_s: time after which another replica leads.
+        """
         accepted = state.JobAccepted(self._spec, _QUEUE, self._now_ms)
         self._commit('accept', [accepted])
         self._start_later_leader('lead before the first run')
         while self.status is state.JobStatus.ACTIVE:
             self._now_s += ROUND_S
+            if self._now_s >= leader_change_s:
+                leader_change_s = math.inf
+                self._change_leader()
             self._start_runs()
             self._start_later_leader('lead')
             if any(step.is_lasting for step in self._spec.steps):
@@ -81,6 +96,8 @@
         self._commit('starts', records)
         with work_counter.count_work() as work:
             for order in self._scheduler.take_orders():
+                if isinstance(order, coordination.StartOrder):
+                    self.started.append(order.key)
                 answer = coordination.OrderAnswer(
                     coordination.OrderOutcome.DONE, self._now_ms
                 )
@@ -128,11 +145,18 @@
             poll, 0, answer, self._now_s, self._now_s
         )
 
+    def _change_leader(self) -> None:
+        """Let another replica with the same state lead from now on."""
+        self._scheduler = coordination.JobScheduler(self._state)
+        self._scheduler.start_leading(2, self._now_s, self._now_ms)
+        for key in list(self._scheduler.workers):
+            self._poll(key, (), ())
+
     def _start_later_leader(self, part: str) -> None:
         """Let another replica with the same state start to lead."""
         other = coordination.JobScheduler(self._state)
         with work_counter.count_work() as work:
-            other.start_leading(2, self._now_s, self._now_ms)
+            other.start_leading(3, self._now_s, self._now_ms)
         self._add(part, work)
 
     def _commit(self, part: str, records: Sequence[state.JobRecord]) -> None:
--- a/greengagering/coordination/jobs/_work_index.py
+++ b/greengagering/coordination/jobs/_work_index.py
@@ -1,8 +1,8 @@
 """Index of the tasks that wait for a worker, built from committed jobs."""
 
 import dataclasses
-import heapq
 
+from greengagering.coordination.jobs._due_occurrences import DueOccurrences
 from greengagering.coordination.jobs._step_graph import build_graph
 from greengagering.coordination.jobs._step_graph import StepGraph
 from greengagering.coordination.workers import RunView
@@ -100,45 +100,37 @@
     def __init__(self) -> None:
         self.steps: dict[str, dict[str, StepWork]] = {}
         self._jobs: dict[str, _IndexedJob] = {}
-        self._scheduled: list[tuple[int, str, int]] = []
+        self._due = DueOccurrences()
         # Names of tasks whose next run is proposed and not yet committed.
         self._proposed: set[str] = set()
 
     def add_job(self, job: state.Job, now_s: float, now_ms: int) -> None:
-        """Add a job; occurrences that are not due yet are scheduled."""
+        """Add a job; add_due adds the occurrences of one with due times."""
         spec = job.spec
         self.steps.setdefault(spec.job_id, {})
         self._jobs[spec.job_id] = _IndexedJob(
             build_graph(spec), find_objective_s(job)
         )
-        for occurrence in range(spec.occurrence_count):
-            due_ms = spec.first_due_ms + occurrence * spec.interval_ms
-            if spec.first_due_ms and due_ms > now_ms:
-                heapq.heappush(
-                    self._scheduled, (due_ms, spec.job_id, occurrence)
-                )
-            else:
-                since_ms = due_ms if spec.first_due_ms else job.accepted_at_ms
-                age_s = max(0.0, (now_ms - since_ms) / 1000)
-                self._add_occurrence(job, occurrence, now_s - age_s, now_s)
-
-    def add_due(
-        self, jobs: dict[str, state.Job], now_s: float, now_ms: int
-    ) -> bool:
-        """Add scheduled occurrences that are due; tell if there were any."""
+        if spec.first_due_ms or spec.occurrence_count > 1:
+            self._due.add(job)
+        else:
+            age_s = _age_s(job.accepted_at_ms, now_ms)
+            self._add_occurrence(job, 0, now_s - age_s, now_s)
+
+    def add_due(self, now_s: float, now_ms: int) -> bool:
+        """Add occurrences that are due; tell if there were any."""
         is_added = False
-        while self._scheduled and self._scheduled[0][0] <= now_ms:
-            _, job_id, occurrence = heapq.heappop(self._scheduled)
-            job = jobs.get(job_id)
-            if job is not None and job.status is state.JobStatus.ACTIVE:
-                self._add_occurrence(job, occurrence, now_s, now_s)
-                is_added = True
+        for job, occurrence, due_ms in self._due.take_due(now_ms):
+            since_s = now_s - _age_s(due_ms, now_ms)
+            self._add_occurrence(job, occurrence, since_s, now_s)
+            is_added = True
         return is_added
 
     def remove_job(self, job_id: str) -> None:
         """Remove the ready steps of a job."""
         self.steps.pop(job_id, None)
         self._jobs.pop(job_id, None)
+        self._due.remove(job_id)
 
     def find(self, key: state.RunKey) -> StepWork | None:
         """Return the step of a run, or None if it isn't ready."""
@@ -179,9 +171,11 @@
             now_s: the leader's clock.
         """
         work = self.find(key)
-        if work is None or work.is_finished or not _is_done(work):
+        if work is None or work.is_finished:
+            return
+        if not work.job.is_step_done(work.occurrence, work.number):
             return
-        work.is_finished = True
+        self._mark_finished(work)
         if work.step.is_gang:
             # The end of one member completes the tasks of all of them.
             for index in range(work.step.task_count):
@@ -191,6 +185,28 @@
         graph = self._jobs[key.job_id].graph
         for number in graph.following[work.number]:
             self._add_step(work.job, work.occurrence, number, deadlines, now_s)
+        if work.job.spec.occurrence_count > 1:
+            self._remove_if_done(work.job, work.occurrence)
+
+    def _mark_finished(self, work: StepWork) -> None:
+        if not work.is_finished:
+            work.is_finished = True
+            if not work.step.is_lasting:
+                self._due.note_finished(work.job.spec.job_id)
+
+    def _remove_if_done(self, job: state.Job, occurrence: int) -> None:
+        """Remove an occurrence that is done, as a job may have thousands.
+
+        Ends that are committed together may have finished several steps, of
+        which finish_step is told one after the other.
+        """
+        if not job.is_occurrence_done(occurrence):
+            return
+        steps = self.steps[job.spec.job_id]
+        for number in range(len(job.spec.steps)):
+            work = steps.pop(f'{occurrence}.{number}', None)
+            if work is not None:
+                self._mark_finished(work)
 
     def _add_occurrence(
         self,
@@ -219,6 +235,8 @@
         key = f'{occurrence}.{number}'
         if steps is None or key in steps:
             return
+        if job.is_step_done(occurrence, number):
+            return
         step = job.spec.steps[number]
         indexed = self._jobs[job.spec.job_id]
         if not indexed.is_ready(job, occurrence, number):
@@ -238,6 +256,8 @@
             if task is None or not (task.is_done or task.live_runs):
                 work.set_waiting(index, task)
         steps[key] = work
+        if not step.is_lasting:
+            self._due.note_open(job.spec.job_id)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -272,20 +292,15 @@
         place = (occurrence, number)
         first = self._checked.pop(place, 0)
         for position in range(first, len(after)):
-            if not _is_step_done(job, occurrence, after[position]):
+            if not job.is_step_done(occurrence, after[position]):
                 if position:
                     self._checked[place] = position
                 return False
         return True
 
 
-def _is_done(work: StepWork) -> bool:
-    return _is_step_done(work.job, work.occurrence, work.number)
-
-
-def _is_step_done(job: state.Job, occurrence: int, number: int) -> bool:
-    done = job.done_counts.get(f'{occurrence}.{number}', 0)
-    return done >= job.spec.steps[number].task_count
+def _age_s(since_ms: int, now_ms: int) -> float:
+    return max(0.0, (now_ms - since_ms) / 1000)
 
 
 def find_objective_s(job: state.Job) -> float:
--- a/greengagering/coordination/scheduling/_scheduler.py
+++ b/greengagering/coordination/scheduling/_scheduler.py
@@ -353,7 +353,7 @@
 
     def _add_due(self, now_s: float) -> None:
         now_ms = self._core.now_ms
-        if self._core.index.add_due(self.jobs.jobs, now_s, now_ms):
+        if self._core.index.add_due(now_s, now_ms):
             self._core.is_plan_due = True
 
     def _run_parts(
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -169,7 +169,11 @@
     if job is None or incarnation is None:
         return
     job.has_started = True
-    task = job.tasks.setdefault(key.task, model.Task())
+    task = job.tasks.get(key.task)
+    if task is None:
+        # The tasks of a done occurrence aren't stored any more.
+        is_done = job.is_step_done(key.occurrence, key.step_number)
+        task = job.tasks[key.task] = model.Task(is_done=is_done)
     task.run = max(task.run, key.run)
     task.live_runs[key.run] = life_key
     incarnation.runs[key.name] = key
@@ -252,9 +256,9 @@
 def _finish_tasks(
     job: model.Job, step: model.StepSpec, step_key: str, end: model.RunEnd
 ) -> None:
-    done_count = job.done_counts.get(step_key, 0)
-    if done_count >= step.task_count:
+    if job.is_step_done(end.key.occurrence, end.key.step_number):
         return
+    done_count = job.done_counts.get(step_key, 0)
     if job.done_step_count < 0:
         job.done_step_count = _count_done_steps(job)
     if step.is_gang:
@@ -272,6 +276,31 @@
     job.done_step_count += 1
     if job.status is model.JobStatus.ACTIVE and _is_complete(job):
         job.status = model.JobStatus.SUCCEEDED
+    if job.spec.occurrence_count > 1:
+        _compact_occurrence(job, end.key.occurrence)
+
+
+def _compact_occurrence(job: model.Job, occurrence: int) -> None:
+    """Keep of an occurrence that is done only that it is.
+
+    A job may have thousands of occurrences, so what is stored of it, and read
+    when a term begins, must not grow with those that are done.
+    """
+    if not job.is_occurrence_done(occurrence):
+        return
+    for number, step in enumerate(job.spec.steps):
+        step_key = f'{occurrence}.{number}'
+        for index in range(step.task_count):
+            task_key = f'{step_key}.{index}'
+            task = job.tasks.get(task_key)
+            # One with another run is stored until the end of its job.
+            if task is not None and not task.live_runs:
+                del job.tasks[task_key]
+        job.done_counts.pop(step_key, None)
+    job.done_later.add(occurrence)
+    while job.done_first in job.done_later:
+        job.done_later.remove(job.done_first)
+        job.done_first += 1
 
 
 def _count_done_steps(job: model.Job) -> int:
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -294,6 +294,11 @@
         customer: name of the customer that submitted it, or ''.
         done_step_count: number of steps, in all occurrences, whose tasks are
             all done; -1 in a snapshot of a former version, which lacks it.
+        done_first: number of first occurrences that are known to be done,
+            with all of their steps. Of a done occurrence no task and no count
+            is stored, unless a run of it still had to end.
+        done_later: further occurrences that are known to be done. A former
+            version kept neither, but all tasks and counts.
     """
 
     spec: JobSpec
@@ -305,6 +310,25 @@
     done_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     customer: str = ''
     done_step_count: int = -1
+    done_first: int = 0
+    done_later: set[int] = dataclasses.field(default_factory=set)
+
+    def is_occurrence_done(self, occurrence: int) -> bool:
+        """Tell whether all steps of an occurrence are done."""
+        if occurrence < self.done_first or occurrence in self.done_later:
+            return True
+        # The last steps mostly end last, so that few are looked at.
+        return all(
+            self.is_step_done(occurrence, number)
+            for number in reversed(range(len(self.spec.steps)))
+        )
+
+    def is_step_done(self, occurrence: int, number: int) -> bool:
+        """Tell whether the tasks of a step of an occurrence are done."""
+        if occurrence < self.done_first or occurrence in self.done_later:
+            return True
+        done_count = self.done_counts.get(f'{occurrence}.{number}', 0)
+        return done_count >= self.spec.steps[number].task_count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -388,6 +412,11 @@
         """Occurrence and step, as 'occurrence.step'."""
         return self.task.rpartition('.')[0]
 
+    @property
+    def occurrence(self) -> int:
+        """Number of the occurrence of its job."""
+        return int(self.task.partition('.')[0])
+
     @property
     def step_number(self) -> int:
         """Position of the step in its job."""
