Try failed workers again that hold tasks from before

Cause: a worker that failed twice gets only probes, and a probe only without any run, so a lasting task kept it from being tried for good. The exception for "no healthy worker" looked at sizes, not at room, and a gang got one place on such a worker.

Change: only runs that were assigned while the worker is failing count as probes; tasks without other room are tried 4 s after the last failure; a gang is one probe; a task that has failed before isn't tried sooner either.

--- a/greengagering/coordination/scheduling/_placement.py
+++ b/greengagering/coordination/scheduling/_placement.py
@@ -65,14 +65,19 @@
         if cpu <= worker.free_cpu
         and memory <= worker.free_memory
         and gpu <= worker.free_gpu
-        and (
-            not (has_healthy and worker.is_failing) or worker.may_probe(now_s)
-        )
     ]
+    if has_healthy and any(worker.is_failing for worker in candidates):
+        healthy = [w for w in candidates if not w.is_failing]
+        is_needed = not _has_room_for(work, healthy)
+        candidates = healthy + [
+            w
+            for w in candidates
+            if w.is_failing and w.may_probe(now_s, is_needed=is_needed)
+        ]
     if not candidates:
         return []
     step_room = _StepRoom(
-        work, candidates, worker_limit, has_healthy=has_healthy
+        work, candidates, now_s, worker_limit, has_healthy=has_healthy
     )
     chosen: list[Placement] = []
     for index in indexes:
@@ -126,6 +131,27 @@
     return [w for w in workers if step.required_label in w.facts.labels]
 
 
+def _has_room_for(work: StepWork, workers: list[WorkerView]) -> bool:
+    """Tell whether a task, or a gang, can start on some of the workers now."""
+    if not work.step.is_gang:
+        return any(can_start(work, worker) for worker in workers)
+    room = sum(_count_places(work.step, worker) for worker in workers)
+    return room >= work.step.task_count
+
+
+def _count_places(step: state.StepSpec, worker: WorkerView) -> int:
+    """Return how many tasks of a step that isn't there fit a worker now."""
+    count = step.max_per_worker or step.task_count
+    for free, needed in (
+        (worker.free_cpu, counted_cpu(step)),
+        (worker.free_memory, step.room.memory_mb),
+        (worker.free_gpu, step.room.gpu_count),
+    ):
+        if needed:
+            count = min(count, max(free, 0) // needed)
+    return count
+
+
 def _is_large_enough(worker: WorkerView, step: state.StepSpec) -> bool:
     """Tell whether a task fits a worker on which nothing else runs."""
     room = worker.room
@@ -233,11 +259,13 @@
         self,
         work: StepWork,
         workers: list[WorkerView],
+        now_s: float,
         worker_limit: int | None,
         *,
         has_healthy: bool,
     ) -> None:
         self._work = work
+        self._now_s = now_s
         self._step = work.step
         self._worker_limit = worker_limit
         self._placed_counts: dict[str, int] = {}
@@ -287,6 +315,8 @@
         for worker in self._workers:
             if not self._has_room(worker):
                 continue
+            if avoided and self._may_fail_again(worker):
+                continue
             rank = self._rank(worker, worker.key in avoided)
             if best is None or rank < best_rank:
                 best, best_rank = worker, rank
@@ -294,6 +324,14 @@
             self._reserve(best)
         return best
 
+    def _may_fail_again(self, worker: WorkerView) -> bool:
+        """Tell whether a task that has failed is not to be tried there yet.
+
+        Its attempts are limited, so others are tried on the worker first.
+        """
+        is_probe = worker.is_failing and self._has_healthy
+        return is_probe and not worker.is_calm(self._now_s)
+
     def _has_room(self, worker: WorkerView) -> bool:
         step = self._step
         task_count = self._placed_counts.get(worker.key, 0) + 1
@@ -303,7 +341,9 @@
             and len(self._placed_counts) >= self._worker_limit
         ):
             return False
-        if worker.is_failing and task_count > 1 and self._has_healthy:
+        is_single = worker.is_failing and self._has_healthy
+        # The tasks of a gang start and fail together, as one probe.
+        if is_single and task_count > 1 and not step.is_gang:
             return False
         if not worker.fits(step, task_count):
             return False
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -74,6 +74,15 @@
 QUARANTINE_MAX_S = 16.0
 """Upper limit of that time, which doubles with each further failure."""
 
+NEEDED_QUARANTINE_S = 4.0
+"""Time since the last failure after which a worker gets a probe of a task that
+finds no other room, or that has failed before; longer than most objectives
+allow such a task to wait for room that is there."""
+
+PROBE_S = 1.0
+"""Run time after which a lasting task no longer counts as a probe. It never
+ends done, so it can't end a quarantine; one that fails does so sooner."""
+
 SLOW_RATIO = 1.8
 """Ratio of run time to estimate from which a worker counts as slow; estimates
 are off by half at most."""
@@ -132,6 +141,7 @@
         unassigned: names of runs that it lists and that are not assigned to
             it.
         failure_streak: failures since the last success.
+        failed_at_s: when the newest of them was counted.
         quarantined_until_s: time before which a failing worker gets no probe.
         slowness: smoothed ratio of run time to estimate.
         blocked_runs: runs of which a start may come late that it must refuse
@@ -199,8 +209,11 @@
         self._unread_since_s: float | None = now_s
         self._clock_offset_ms: float | None = None
         self.failure_streak = 0
+        self.failed_at_s = float('-inf')
         self.quarantined_until_s = float('-inf')
         self.slowness = 1.0
+        # Runs that were assigned while it is failing.
+        self._probes: dict[str, RunView] = {}
         self.observer: RunObserver | None = None
         self._isolated: dict[str, RunView] = {}
         # Placement asks for these counts for each worker and waiting step.
@@ -315,6 +328,8 @@
             self.runs[run.key.name] = run
             if run.isolated_s:
                 self._isolated[run.key.name] = run
+            if self.is_failing:
+                self._probes[run.key.name] = run
             self._change_use(run, 1)
             if self.observer is not None:
                 self.observer.add_run(run)
@@ -324,6 +339,7 @@
         run = self.runs.pop(name, None)
         if run is not None:
             self._isolated.pop(name, None)
+            self._probes.pop(name, None)
             self._change_use(run, -1)
             if self.observer is not None:
                 self.observer.remove_run(run)
@@ -547,6 +563,7 @@
     def record_failure(self, now_s: float, weight: int = 1) -> None:
         """Count a failed or stalled run, and extend the quarantine."""
         self.failure_streak += weight
+        self.failed_at_s = now_s
         excess = self.failure_streak - QUARANTINE_STREAK
         if excess >= 0:
             pause_s = min(QUARANTINE_MIN_S * 2**excess, QUARANTINE_MAX_S)
@@ -559,6 +576,7 @@
             run_ratio: ratio of its run time to its estimate, or None.
         """
         self.failure_streak = 0
+        self._probes.clear()
         if run_ratio is not None:
             change = SLOW_SMOOTHING * (run_ratio - self.slowness)
             self.slowness += change
@@ -568,9 +586,27 @@
         """Whether the worker may get single runs only, as probes."""
         return self.failure_streak >= QUARANTINE_STREAK
 
-    def may_probe(self, now_s: float) -> bool:
-        """Tell whether a failing worker may get one run as a probe."""
-        return now_s >= self.quarantined_until_s and not self.runs
+    def may_probe(self, now_s: float, *, is_needed: bool = False) -> bool:
+        """Tell whether a failing worker may get one run as a probe.
+
+        Runs that it had before it failed are no probes: a lasting one would
+        keep it from being tried for good, and a long one for its run time.
+
+        Args:
+            now_s: the leader's clock.
+            is_needed: whether the run finds no room on other workers.
+        """
+        is_over = now_s >= self.quarantined_until_s
+        if not (is_over or (is_needed and self.is_calm(now_s))):
+            return False
+        return not any(map(self._is_open_probe, self._probes.values()))
+
+    def is_calm(self, now_s: float) -> bool:
+        """Tell whether nothing has failed there for a while."""
+        return now_s >= self.failed_at_s + NEEDED_QUARANTINE_S
+
+    def _is_open_probe(self, run: RunView) -> bool:
+        return not run.step.is_lasting or self.survived_s(run) < PROBE_S
 
     def count_runs_of_step(self, job_id: str, step_key: str) -> int:
         """Return how many runs of a step are assigned to this worker."""
