Let a wave miss what jobs can miss, and give machines back that it can't empty

Cause: for an upkeep a lasting task was stopped only if it had another place, also where its job may miss it; and a machine stayed reserved while its tasks could not be stopped.

Change: a lasting task that its job may miss is stopped for an upkeep after 1.5 s without another place. Machines with tasks that must not be missed now aren't reserved, and are given back if that comes up meanwhile. wave-get and the log name what blocks a wave.

--- a/greengagering/coordination/capacity/_emptying.py
+++ b/greengagering/coordination/capacity/_emptying.py
@@ -6,6 +6,7 @@
 from greengagering.coordination.scheduling import JobScheduler
 from greengagering.coordination.workers import RunPhase
 from greengagering.coordination.workers import RunView
+from greengagering.coordination.workers import WorkerView
 from greengagering import state
 
 FULL_PERCENT = 100
@@ -14,12 +15,23 @@
 """Time for finite tasks to end by themselves on a machine that is emptied for
 upkeep; then they are stopped."""
 
+PLACE_TIMEOUT_S = 1.5
+"""Time for a lasting task to find a place elsewhere. Then it is stopped for an
+upkeep without one, if its job may miss it, and starts again after the upkeep
+at the latest."""
+
 
 class MachineEmptier:
     """Stops runs of machines, lasting tasks within what their jobs allow."""
 
     def __init__(self, scheduler: JobScheduler) -> None:
         self._scheduler = scheduler
+        # Tasks that are out, by job and step, in this step of the leader.
+        self._out_counts: dict[tuple[str, str], int] = {}
+
+    def begin_step(self) -> None:
+        """Count anew which tasks are out."""
+        self._out_counts.clear()
 
     def sort(
         self, candidates: list[machines.Machine], emptied_pools: set[str]
@@ -61,8 +73,8 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             if run.step.is_lasting:
-                if self._may_stop(run):
-                    self._scheduler.empty_run(view, run, now_s)
+                if self._may_stop(view, run, opened, now_s):
+                    self._stop_lasting(view, run, now_s)
             elif opened.duty.kind is state.DutyKind.UPKEEP and (
                 run.step.saves_progress
                 or now_s >= opened.phase_at_s + TASK_END_TIMEOUT_S
@@ -72,30 +84,95 @@
                 self._scheduler.empty_run(view, run, now_s)
         return not view.runs
 
-    def _may_stop(self, run: RunView) -> bool:
-        """Tell whether a lasting task may be stopped and fits elsewhere."""
+    def find_blocking(self, worker_id: str) -> list[str]:
+        """Return the lasting tasks on a worker that must not be stopped now.
+
+        Their jobs allow no more tasks to be out than are.
+        """
+        view = self._scheduler.newest_incarnation(worker_id)
+        if view is None:
+            return []
+        return [
+            run.key.task_name
+            for run in view.runs.values()
+            if run.step.is_lasting and not self._may_miss(run)
+        ]
+
+    def find_stuck(self, worker_id: str) -> list[str]:
+        """Return those of them that have no place elsewhere either.
+
+        Others of their step that are out may be waiting for a place as well.
+        """
+        view = self._scheduler.newest_incarnation(worker_id)
+        if view is None:
+            return []
+        return [
+            run.key.task_name
+            for run in view.runs.values()
+            if run.step.is_lasting
+            and not self._may_miss(run)
+            and not self._has_other_place(run)
+        ]
+
+    def _may_stop(
+        self, view: WorkerView, run: RunView, opened: OpenDuty, now_s: float
+    ) -> bool:
+        """Tell whether a lasting task may be stopped for a duty.
+
+        Its machine leaves the pool by a move, and comes back from an upkeep.
+        So for an upkeep it needs no place elsewhere, once nothing but lasting
+        tasks is left to wait for.
+        """
+        if not self._may_miss(run):
+            return False
+        if self._has_other_place(run):
+            return True
+        return (
+            opened.duty.kind is state.DutyKind.UPKEEP
+            and now_s >= opened.phase_at_s + PLACE_TIMEOUT_S
+            and all(other.step.is_lasting for other in view.runs.values())
+        )
+
+    def _stop_lasting(
+        self, view: WorkerView, run: RunView, now_s: float
+    ) -> None:
+        self._scheduler.empty_run(view, run, now_s)
+        step_name = (run.key.job_id, run.key.step_key)
+        if step_name in self._out_counts:
+            self._out_counts[step_name] += 1
+
+    def _may_miss(self, run: RunView) -> bool:
+        """Tell whether a lasting task's job allows it to be out now."""
         job = self._scheduler.jobs.jobs.get(run.key.job_id)
         if job is None or job.status is not state.JobStatus.ACTIVE:
             return True
-        out_count = 0
-        for index in range(run.step.task_count):
-            task_key = f'{run.key.step_key}.{index}'
-            if task_key != run.key.task and not self._is_fully_running(
-                job, task_key
-            ):
-                out_count += 1
-        if run.step.may_miss is not None and out_count >= run.step.may_miss:
-            return False
-        if run.step.may_miss is None and out_count:
-            return False
-        work = self._scheduler.index.find(run.key)
-        if work is None:
-            return True
         if self._scheduler.limits.is_exceeded(run.customer):
             # A customer above its limit starts nothing.
             return False
-        workers = self._scheduler.usable_workers(job)
-        return has_place(work, workers)
+        out_count = self._count_out(job, run)
+        if not self._is_fully_running(job, run.key.task):
+            out_count -= 1
+        allowed = run.step.may_miss
+        return out_count < (1 if allowed is None else allowed)
+
+    def _count_out(self, job: state.Job, run: RunView) -> int:
+        """Return how many tasks of a run's step are not fully at work."""
+        step_name = (run.key.job_id, run.key.step_key)
+        out_count = self._out_counts.get(step_name)
+        if out_count is None:
+            out_count = self._out_counts[step_name] = sum(
+                not self._is_fully_running(job, f'{run.key.step_key}.{index}')
+                for index in range(run.step.task_count)
+            )
+        return out_count
+
+    def _has_other_place(self, run: RunView) -> bool:
+        """Tell whether another worker has room for a lasting task."""
+        job = self._scheduler.jobs.jobs.get(run.key.job_id)
+        work = self._scheduler.index.find(run.key)
+        if job is None or work is None:
+            return True
+        return has_place(work, self._scheduler.usable_workers(job))
 
     def _is_fully_running(self, job: state.Job, task_key: str) -> bool:
         task = job.tasks.get(task_key)
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -49,6 +49,14 @@
 MACHINE_CYCLE_S = 4.5
 """Usual time to empty a machine, take it down and get it back."""
 
+STUCK_TIMEOUT_S = 1.0
+"""Time after which a machine goes back to work that can't be emptied now. Its
+lasting tasks must not be stopped, and the others of their steps that are out
+have no place to start; that ends with the upkeep of another machine."""
+
+BLOCKED_LOG_INTERVAL_S = 5.0
+"""Time between two lines about a wave that can't go on."""
+
 PLANNED_TIME_SHARE = 0.6
 """Share of a wave's remaining time that the plan uses; the rest is a reserve
 for delays."""
@@ -83,6 +91,8 @@
         self._lists: list[tuple[float, dict[str, machines.Machine]]] = []
         self._calls: list[machines.MachineCall] = []
         self._wave_started_s: dict[int, float] = {}
+        # When a line was last logged that the wave can't go on.
+        self._blocked_logged_s: dict[int, float] = {}
         self._lost_workers = LostWorkerFinder()
         self._emptier = MachineEmptier(scheduler)
 
@@ -101,6 +111,7 @@
         self._list_machines(now_s)
         if not self._has_listed:
             return []
+        self._emptier.begin_step()
         records: list[state.JobRecord] = []
 
         def advance_wave(wave: state.WaveState) -> None:
@@ -261,6 +272,7 @@
         self.open_duties.clear()
         self._calls.clear()
         self._wave_started_s.clear()
+        self._blocked_logged_s.clear()
         self.pool_planner.start_term(now_s)
 
     def _list_machines(self, now_s: float) -> None:
@@ -365,12 +377,64 @@
             and opened.duty.wave_number == number
             and opened.phase is DutyPhase.EMPTYING
         }
-        order = self._emptier.sort(candidates, emptied_pools)
-        for machine in order[:free_places]:
+        blocked: dict[str, list[str]] = {}
+        for machine in self._emptier.sort(candidates, emptied_pools):
+            if free_places <= 0:
+                return []
+            blocking = self._emptier.find_blocking(machine.worker_id)
+            if blocking:
+                blocked[machine.name] = blocking
+                continue
             duty = state.Duty(machine.name, state.DutyKind.UPKEEP, '', number)
             self._open_duty(duty, now_s)
+            free_places -= 1
+        if blocked and not out_machines:
+            self._log_blocked(wave, blocked, time_left_s, now_s)
         return []
 
+    def _log_blocked(
+        self,
+        wave: state.WaveState,
+        blocked: dict[str, list[str]],
+        time_left_s: float,
+        now_s: float,
+    ) -> None:
+        """Log that no machine of a wave can be taken down now, and why."""
+        number = wave.wave.number
+        logged_s = self._blocked_logged_s.get(number, float('-inf'))
+        if now_s < logged_s + BLOCKED_LOG_INTERVAL_S:
+            return
+        self._blocked_logged_s[number] = now_s
+        machine, tasks = next(iter(blocked.items()))
+        self._scheduler.log_decision(
+            'wave_blocked',
+            wave=number,
+            machines=len(blocked),
+            example=machine,
+            task=tasks[0],
+            time_left_s=round(time_left_s, 3),
+        )
+
+    def find_blocked(self, wave: state.WaveState) -> dict[str, list[str]]:
+        """Return the tasks that keep a wave's machines from their upkeep.
+
+        Args:
+            wave: the wave.
+
+        Returns:
+            The lasting tasks that must not be stopped now, by the names of
+            the machines that are not being emptied because of them.
+        """
+        self._emptier.begin_step()
+        blocked = {}
+        for name in wave.wave.machines:
+            machine = self.machines.get(name)
+            if machine is None or name in wave.begun:
+                continue
+            if name not in self.open_duties:
+                blocked[name] = self._emptier.find_blocking(machine.worker_id)
+        return {name: tasks for name, tasks in blocked.items() if tasks}
+
     def _mark_upkeep_due(self, remaining: list[str]) -> None:
         """Mark workers whose upkeep is due, which lasting tasks then avoid."""
         for name in remaining:
@@ -441,10 +505,40 @@
                 opened.phase_at_s = now_s
                 self._ordered_in_term.add(opened.duty.machine)
                 return [state.DutyOrdered(opened.duty, self._now_ms)]
+            self._give_up_stuck(opened, now_s)
         elif opened.phase is DutyPhase.SENDING:
             self._send(opened, now_s)
         return []
 
+    def _give_up_stuck(self, opened: OpenDuty, now_s: float) -> None:
+        """Put a machine back to work that can't be emptied now.
+
+        While it waits it runs nothing new, and it may wait for good.
+        """
+        stuck = self._emptier.find_stuck(opened.worker_id)
+        if not stuck:
+            opened.stuck_since_s = None
+            return
+        if opened.stuck_since_s is None:
+            opened.stuck_since_s = now_s
+        if now_s < opened.stuck_since_s + STUCK_TIMEOUT_S:
+            return
+        machine = opened.duty.machine
+        self._scheduler.log_decision(
+            'duty_given_up',
+            machine=machine,
+            kind=str(opened.duty.kind),
+            wave=opened.duty.wave_number,
+            worker=opened.worker_id,
+            tasks=len(stuck),
+            task=stuck[0],
+            open_s=round(now_s - opened.phase_at_s, 3),
+        )
+        del self.open_duties[machine]
+        self._scheduler.release_worker(opened.worker_id)
+        # It isn't opened again at once.
+        self._settled_at_s[machine] = now_s
+
     def _reserve_next_worker(
         self, opened: OpenDuty, machine: machines.Machine
     ) -> None:
--- a/greengagering/coordination/capacity/_open_duties.py
+++ b/greengagering/coordination/capacity/_open_duties.py
@@ -28,6 +28,8 @@
         is_inherited: whether a former leader may have sent the order.
         ends_life: key of the incarnation that the duty ends, or '' if that
             isn't certain; see _send.
+        stuck_since_s: time since which lasting tasks keep its machine from
+            being emptied, or None.
         retry_at_s: time before which the order isn't sent again.
         call_number: number of the unanswered call to the platform, or 0.
         sent_count: number of calls to the platform in this term.
@@ -40,6 +42,7 @@
     phase_at_s: float
     is_inherited: bool = False
     ends_life: str = ''
+    stuck_since_s: float | None = None
     retry_at_s: float = float('-inf')
     call_number: int = 0
     sent_count: int = 0
--- a/greengagering/platform/_control_app.py
+++ b/greengagering/platform/_control_app.py
@@ -177,10 +177,10 @@
         if wave is None:
             shown = protocol.shorten(text)
             return _responses.error_response(404, f'no wave {shown}')
-        is_done = self._node.core.jobs.is_wave_done(wave)
-        return _responses.json_response(
-            {'state': 'succeeded' if is_done else 'running'}
-        )
+        if self._node.core.jobs.is_wave_done(wave):
+            return _responses.json_response({'state': 'succeeded'})
+        blocked = self._node.core.machine_manager.find_blocked(wave)
+        return _responses.json_response(_waves.running_wave(blocked))
 
     def _only_on_leader(self, handler: Handler) -> Handler:
         """Wrap a handler so that it runs only on the leader."""
--- a/greengagering/platform/_waves.py
+++ b/greengagering/platform/_waves.py
@@ -35,3 +35,19 @@
         deadline_s=wire.deadline_s,
         max_down_count=wire.max_count,
     )
+
+
+def running_wave(blocked: dict[str, list[str]]) -> dict[str, object]:
+    """Return the answer for a wave that isn't done.
+
+    Args:
+        blocked: the tasks that keep machines from their upkeep, by machine;
+            they are named so that an operator can see why a wave is late.
+    """
+    answer: dict[str, object] = {'state': 'running'}
+    if blocked:
+        answer['blocked'] = [
+            {'machine': machine, 'tasks': tasks}
+            for machine, tasks in blocked.items()
+        ]
+    return answer
