Log the stages of an operator's order

No line told whether a configuration had arrived at a replica, and plan_accepted told nothing of the time that it took, so a slow process, a redirection and a call that never arrived looked alike.

Change: plan_accepted gives the time for reading, parsing and the commit; plan_unconfirmed the same where the lead was lost; order_passed_on a configuration or wave at a replica that doesn't lead. Nothing else is changed.

--- a/greengagering/platform/_control_app.py
+++ b/greengagering/platform/_control_app.py
@@ -52,13 +52,18 @@
                 ),
                 web.post(
                     '/config/replace',
-                    self._only_on_leader(self.replace_configuration),
+                    self._only_on_leader(
+                        self.replace_configuration, is_logged=True
+                    ),
                 ),
                 web.get(
                     '/config/read',
                     self._only_on_leader(self.read_configuration),
                 ),
-                web.post('/wave-start', self._only_on_leader(self.start_wave)),
+                web.post(
+                    '/wave-start',
+                    self._only_on_leader(self.start_wave, is_logged=True),
+                ),
                 web.get(
                     '/wave-get/{number}', self._only_on_leader(self.show_wave)
                 ),
@@ -109,11 +114,13 @@
         One that is not newer than the current one is acknowledged and
         ignored.
         """
+        arrived_s = self._node.now_s()
         body = await control.read_body(
             request, MAX_CONFIGURATION_BYTES, BODY_TIMEOUT_S
         )
         if isinstance(body, web.Response):
             return body
+        read_s = self._node.now_s()
         try:
             plan = _plans.parse_plan(body)
         except protocol_errors.InvalidInputError as error:
@@ -125,13 +132,27 @@
                 'plan_outdated', number=plan.number, present=present.number
             )
             return _responses.json_response({})
-        if isinstance(await self._node.commit(state.PlanReplaced(plan)), Err):
+        parsed_s = self._node.now_s()
+        result = await self._node.commit(state.PlanReplaced(plan))
+        stages = {
+            'read_s': round(read_s - arrived_s, 3),
+            'parse_s': round(parsed_s - read_s, 3),
+            'commit_s': round(self._node.now_s() - parsed_s, 3),
+        }
+        if isinstance(result, Err):
+            logs.info(
+                'plan_unconfirmed',
+                number=plan.number,
+                cause=str(result.err_value),
+                **stages,
+            )
             return _no_leader_response()
         logs.info(
             'plan_accepted',
             number=plan.number,
             queues=len(plan.queues),
             services=len(plan.services),
+            **stages,
         )
         return _responses.json_response({})
 
@@ -182,12 +203,27 @@
         blocked = self._node.core.machine_manager.find_blocked(wave)
         return _responses.json_response(_waves.running_wave(blocked))
 
-    def _only_on_leader(self, handler: Handler) -> Handler:
-        """Wrap a handler so that it runs only on the leader."""
+    def _only_on_leader(
+        self, handler: Handler, *, is_logged: bool = False
+    ) -> Handler:
+        """Wrap a handler so that it runs only on the leader.
+
+        Args:
+            handler: the handler.
+            is_logged: whether a line tells that another replica has to handle
+                a request; for the operator's orders, which are few.
+        """
 
         async def handle(request: web.Request) -> web.StreamResponse:
             response = self._redirect_to_leader(request)
             if response is not None:
+                if is_logged:
+                    logs.info(
+                        'order_passed_on',
+                        path=protocol.shorten(request.path),
+                        status=response.status,
+                        location=response.headers.get('Location', ''),
+                    )
                 return response
             return await handler(request)
 
