Stop no task for a machine that can't be emptied

Cause: a task without another place was stopped if its job could miss it, without a look at other tasks of its step on the same machine, of which only one may be out. These kept the machine, and the task came back to it.

Change: tasks are stopped without a place only if all lasting tasks there may be missed together. A machine is given up after 3 s, which leaves time for one from standby, and tried again after pauses that double up to 16 s.

--- a/features/blocked_waves.feature
+++ b/features/blocked_waves.feature
@@ -48,3 +48,12 @@
     And a job of 1 task that needs over half of a worker is submitted each second, for 10 s
     Then each of these jobs began within 3 s
     And the wave is done within 40 s
+
+  # Guards against tasks that are stopped again and again for a machine that can't be emptied, as two of one step are there and only one may be out.
+  Scenario: Tasks aren't stopped for a machine that can't be emptied
+    Given two lasting tasks on each worker that fit nowhere else, of which 1 may be out
+    When a wave over all 4 machines, 2 at once within 8 s, is accepted
+    And a job of 1 task that needs over half of a worker is submitted each second, for 20 s
+    Then no machine had an upkeep
+    And no more than 0 of the lasting tasks were out at the same time
+    And each of these jobs began within 1 s
--- a/features/steps/blocked_wave_steps.py
+++ b/features/steps/blocked_wave_steps.py
@@ -25,16 +25,31 @@
     '{missed:d} may be out'
 )
 def hold_tasks(context: Any, missed: int) -> None:
+    hold_several(context, 1, missed)
+
+
+@given(
+    'two lasting tasks on each worker that fit nowhere else, of which '
+    '{missed:d} may be out'
+)
+def hold_two(context: Any, missed: int) -> None:
+    hold_several(context, 2, missed)
+
+
+def hold_several(context: Any, each: int, missed: int) -> None:
+    """Put a number of lasting tasks of one step on each worker."""
     world = _world(context)
-    count = len(world.workers)
+    count = each * len(world.workers)
     for worker in world.workers.values():
         worker.lasting_run_s = 1000.0
     step = state.StepSpec(
-        count, ROOM, is_lasting=True, max_per_worker=1, may_miss=missed
+        count, ROOM, is_lasting=True, max_per_worker=each, may_miss=missed
     )
     world.submit(LASTING, step)
     world.advance(2.0)
-    assert len(set(world.running(LASTING).values())) == count
+    where = list(world.running(LASTING).values())
+    assert all(where.count(name) == each for name in world.workers), where
+    context.task_count = count
     context.out_counts = []
     context.job_ids = []
 
@@ -73,7 +88,7 @@
         while world.now_s < ends_s:
             world.advance(0.1)
             at_work = len(world.running(LASTING))
-            context.out_counts.append(len(world.workers) - at_work)
+            context.out_counts.append(context.task_count - at_work)
 
 
 @when('after {after_s:g} s the job of the lasting tasks is cancelled')
--- a/greengagering/coordination/capacity/_emptying.py
+++ b/greengagering/coordination/capacity/_emptying.py
@@ -1,5 +1,7 @@
 """Stops the runs on machines that move or go down for upkeep."""
 
+import math
+
 from greengagering.coordination.capacity import _machines as machines
 from greengagering.coordination.capacity._open_duties import OpenDuty
 from greengagering.coordination.scheduling import has_place
@@ -99,9 +101,11 @@
         ]
 
     def find_stuck(self, worker_id: str) -> list[str]:
-        """Return those of them that have no place elsewhere either.
+        """Return the lasting tasks on a worker that can't leave it for now.
 
-        Others of their step that are out may be waiting for a place as well.
+        They have no place elsewhere, and their jobs don't allow all of them
+        to be out at once. Others of their steps that are out may have no place
+        either.
         """
         view = self._scheduler.newest_incarnation(worker_id)
         if view is None:
@@ -110,7 +114,7 @@
             run.key.task_name
             for run in view.runs.values()
             if run.step.is_lasting
-            and not self._may_miss(run)
+            and not self._may_miss_all(view, run)
             and not self._has_other_place(run)
         ]
 
@@ -130,7 +134,10 @@
         return (
             opened.duty.kind is state.DutyKind.UPKEEP
             and now_s >= opened.phase_at_s + PLACE_TIMEOUT_S
-            and all(other.step.is_lasting for other in view.runs.values())
+            and all(
+                other.step.is_lasting and self._may_miss_all(view, other)
+                for other in view.runs.values()
+            )
         )
 
     def _stop_lasting(
@@ -143,17 +150,34 @@
 
     def _may_miss(self, run: RunView) -> bool:
         """Tell whether a lasting task's job allows it to be out now."""
+        return self._count_missable(run) > 0
+
+    def _may_miss_all(self, view: WorkerView, run: RunView) -> bool:
+        """Tell whether a job allows all of a step's tasks on a worker out."""
+        step_name = (run.key.job_id, run.key.step_key)
+        at_work = sum(
+            (other.key.job_id, other.key.step_key) == step_name
+            and not other.is_stopping
+            for other in view.runs.values()
+        )
+        return at_work <= self._count_missable(run)
+
+    def _count_missable(self, run: RunView) -> float:
+        """Return how many more tasks of a step its job allows to be out.
+
+        The run itself counts as at work.
+        """
         job = self._scheduler.jobs.jobs.get(run.key.job_id)
         if job is None or job.status is not state.JobStatus.ACTIVE:
-            return True
+            return math.inf
         if self._scheduler.limits.is_exceeded(run.customer):
             # A customer above its limit starts nothing.
-            return False
+            return 0
         out_count = self._count_out(job, run)
         if not self._is_fully_running(job, run.key.task):
             out_count -= 1
         allowed = run.step.may_miss
-        return out_count < (1 if allowed is None else allowed)
+        return (1 if allowed is None else allowed) - out_count
 
     def _count_out(self, job: state.Job, run: RunView) -> int:
         """Return how many tasks of a run's step are not fully at work."""
--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -50,9 +50,20 @@
 """Usual time to empty a machine, take it down and get it back."""
 
 STUCK_TIMEOUT_S = 1.0
-"""Time after which a machine goes back to work that can't be emptied now. Its
-lasting tasks must not be stopped, and the others of their steps that are out
-have no place to start; that ends with the upkeep of another machine."""
+"""Time without a way to empty a machine after which it goes back to work: its
+lasting tasks have no place elsewhere, and their jobs don't allow all of them
+to be out."""
+
+EMPTYING_MIN_S = 3.0
+"""Time for which a machine is emptied before it is given up. A machine from
+standby, which may give its tasks a place, takes some 2 s to arrive."""
+
+GIVE_UP_PAUSE_MIN_S = 2.0
+"""Time without another try for a machine that couldn't be emptied; it doubles
+each time, so that the machine is mostly at work."""
+
+GIVE_UP_PAUSE_MAX_S = 16.0
+"""Upper limit of that time."""
 
 BLOCKED_LOG_INTERVAL_S = 5.0
 """Time between two lines about a wave that can't go on."""
@@ -91,6 +102,9 @@
         self._lists: list[tuple[float, dict[str, machines.Machine]]] = []
         self._calls: list[machines.MachineCall] = []
         self._wave_started_s: dict[int, float] = {}
+        # Machines that couldn't be emptied: the pause after the last try, and
+        # when it ends.
+        self._given_up: dict[str, tuple[float, float]] = {}
         # When a line was last logged that the wave can't go on.
         self._blocked_logged_s: dict[int, float] = {}
         self._lost_workers = LostWorkerFinder()
@@ -272,6 +286,7 @@
         self.open_duties.clear()
         self._calls.clear()
         self._wave_started_s.clear()
+        self._given_up.clear()
         self._blocked_logged_s.clear()
         self.pool_planner.start_term(now_s)
 
@@ -422,8 +437,8 @@
             wave: the wave.
 
         Returns:
-            The lasting tasks that must not be stopped now, by the names of
-            the machines that are not being emptied because of them.
+            The lasting tasks that can't leave their machine now, by the
+            names of the machines that are not being emptied.
         """
         self._emptier.begin_step()
         blocked = {}
@@ -432,7 +447,9 @@
             if machine is None or name in wave.begun:
                 continue
             if name not in self.open_duties:
-                blocked[name] = self._emptier.find_blocking(machine.worker_id)
+                tasks = self._emptier.find_blocking(machine.worker_id)
+                tasks += self._emptier.find_stuck(machine.worker_id)
+                blocked[name] = list(dict.fromkeys(tasks))
         return {name: tasks for name, tasks in blocked.items() if tasks}
 
     def _mark_upkeep_due(self, remaining: list[str]) -> None:
@@ -521,9 +538,15 @@
             return
         if opened.stuck_since_s is None:
             opened.stuck_since_s = now_s
-        if now_s < opened.stuck_since_s + STUCK_TIMEOUT_S:
+        if now_s < max(
+            opened.stuck_since_s + STUCK_TIMEOUT_S,
+            opened.phase_at_s + EMPTYING_MIN_S,
+        ):
             return
         machine = opened.duty.machine
+        former_s, _ = self._given_up.get(machine, (GIVE_UP_PAUSE_MIN_S / 2, 0))
+        pause_s = min(former_s * 2, GIVE_UP_PAUSE_MAX_S)
+        self._given_up[machine] = (pause_s, now_s + pause_s)
         self._scheduler.log_decision(
             'duty_given_up',
             machine=machine,
@@ -533,11 +556,10 @@
             tasks=len(stuck),
             task=stuck[0],
             open_s=round(now_s - opened.phase_at_s, 3),
+            pause_s=pause_s,
         )
         del self.open_duties[machine]
         self._scheduler.release_worker(opened.worker_id)
-        # It isn't opened again at once.
-        self._settled_at_s[machine] = now_s
 
     def _reserve_next_worker(
         self, opened: OpenDuty, machine: machines.Machine
@@ -648,14 +670,17 @@
                 self._open_duty(duty, now_s)
 
     def _may_open(self, name: str, now_s: float) -> bool:
-        """Tell whether a machine has neither an open duty nor one to settle.
+        """Tell whether a duty of a machine may be opened.
+
+        It has neither an open one nor one to settle, and isn't given up.
 
         Until the outcome of its last duty is committed, the state still has
         that duty, which would be taken for a former leader's.
         """
         settled_at_s = self._settled_at_s.get(name, float('-inf'))
+        _, paused_until_s = self._given_up.get(name, (0.0, now_s))
         return name not in self.open_duties and (
-            now_s >= settled_at_s + SETTLE_TIMEOUT_S
+            now_s >= max(settled_at_s + SETTLE_TIMEOUT_S, paused_until_s)
         )
 
     def _find_worker(self, worker_id: str) -> WorkerView | None:
