Move the planning of waves and the lists of machines out of the manager

Waves and lists have files of their own now, and the pauses of machines that were given up are with the open duties.

--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -1,13 +1,14 @@
 """Upkeep and moves of machines, which the leader empties first."""
 
-import math
-
 from greengagering.coordination.capacity._emptying import MachineEmptier
 from greengagering.coordination.capacity._lost_workers import LostWorkerFinder
+from greengagering.coordination.capacity._machine_lists import MachineLists
 from greengagering.coordination.capacity import _machines as machines
 from greengagering.coordination.capacity._open_duties import DutyPhase
+from greengagering.coordination.capacity._open_duties import EmptyingPauses
 from greengagering.coordination.capacity._open_duties import OpenDuty
 from greengagering.coordination.capacity._pool_plan import PoolPlanner
+from greengagering.coordination.capacity._upkeep_waves import UpkeepWaves
 from greengagering.coordination.scheduling import JobScheduler
 from greengagering.coordination.workers import WorkerView
 from greengagering import state
@@ -20,11 +21,6 @@
 """Time between two requests otherwise, while machines change only without an
 order of the leader."""
 
-MISSING_LIST_COUNT = 2
-"""Lists in a row that a machine must be missing from before it counts as gone
-from the fleet. The list is read in pages, so one that changes meanwhile may
-lack a machine; and a single list may be older than the machine."""
-
 DUTY_RETRY_S = 0.5
 """Pause before a duty that was unanswered or refused for now is sent again."""
 
@@ -46,9 +42,6 @@
 before, or still without one, counts as back from its upkeep: the platform
 takes 2 s, and the rest allows for a stale list."""
 
-MACHINE_CYCLE_S = 4.5
-"""Usual time to empty a machine, take it down and get it back."""
-
 STUCK_TIMEOUT_S = 1.0
 """Time without a way to empty a machine after which it goes back to work: its
 lasting tasks have no place elsewhere, and their jobs don't allow all of them
@@ -58,33 +51,16 @@
 """Time for which a machine is emptied before it is given up. A machine from
 standby, which may give its tasks a place, takes some 2 s to arrive."""
 
-GIVE_UP_PAUSE_MIN_S = 2.0
-"""Time without another try for a machine that couldn't be emptied; it doubles
-each time, so that the machine is mostly at work."""
-
-GIVE_UP_PAUSE_MAX_S = 16.0
-"""Upper limit of that time."""
-
-BLOCKED_LOG_INTERVAL_S = 5.0
-"""Time between two lines about a wave that can't go on."""
-
-PLANNED_TIME_SHARE = 0.6
-"""Share of a wave's remaining time that the plan uses; the rest is a reserve
-for delays."""
-
 
 class MachineManager:
     """Carries out upkeep waves and moves, one duty per machine at a time.
 
     Attributes:
-        machines: newest entry of each machine that any of the newest
-            MISSING_LIST_COUNT lists has, by name.
         open_duties: duties that are not finished, by machine.
         pool_planner: plans the moves.
     """
 
     def __init__(self, scheduler: JobScheduler, holder: str) -> None:
-        self.machines: dict[str, machines.Machine] = {}
         self.open_duties: dict[str, OpenDuty] = {}
         self.pool_planner = PoolPlanner()
         self._scheduler = scheduler
@@ -98,17 +74,17 @@
         self._list_count = 0
         self._call_count = 0
         self._has_listed = False
-        # The newest lists, with the times at which they were received.
-        self._lists: list[tuple[float, dict[str, machines.Machine]]] = []
+        self._lists = MachineLists()
         self._calls: list[machines.MachineCall] = []
-        self._wave_started_s: dict[int, float] = {}
-        # Machines that couldn't be emptied: the pause after the last try, and
-        # when it ends.
-        self._given_up: dict[str, tuple[float, float]] = {}
-        # When a line was last logged that the wave can't go on.
-        self._blocked_logged_s: dict[int, float] = {}
         self._lost_workers = LostWorkerFinder()
         self._emptier = MachineEmptier(scheduler)
+        self._waves = UpkeepWaves(scheduler, self._emptier)
+        self._pauses = EmptyingPauses()
+
+    @property
+    def known_machines(self) -> dict[str, machines.Machine]:
+        """Newest entry of each machine that any of the newest lists has."""
+        return self._lists.machines
 
     @property
     def jobs(self) -> state.JobsState:
@@ -129,7 +105,18 @@
         records: list[state.JobRecord] = []
 
         def advance_wave(wave: state.WaveState) -> None:
-            records.extend(self._advance_wave(wave, now_s))
+            if self._scheduler.is_wave_done(wave):
+                return
+            plan = self._waves.plan(
+                wave,
+                self._lists,
+                self.open_duties,
+                {m for m in wave.wave.machines if self._may_open(m, now_s)},
+                now_s,
+            )
+            records.extend(plan.settled)
+            for duty in plan.duties:
+                self._open_duty(duty, now_s)
 
         def advance_duty(opened: OpenDuty) -> None:
             records.extend(self._advance_duty(opened, now_s))
@@ -143,6 +130,21 @@
             run_part(advance_duty, opened)
         return records
 
+    def find_blocked(self, wave: state.WaveState) -> dict[str, list[str]]:
+        """Return the tasks that keep a wave's machines from their upkeep.
+
+        Args:
+            wave: the wave.
+
+        Returns:
+            The lasting tasks that can't leave their machine now, by the
+            names of the machines that are not being emptied.
+        """
+        self._emptier.begin_step()
+        return self._waves.find_blocked(
+            wave, self.known_machines, self.open_duties
+        )
+
     def take_calls(self) -> list[machines.MachineCall]:
         """Return and clear the calls to the platform."""
         taken = self._calls
@@ -179,21 +181,16 @@
         self._pending_list = None
         if listed is None:
             return
-        newest = {machine.name: machine for machine in listed}
-        self._lists.append((now_s, newest))
-        del self._lists[:-MISSING_LIST_COUNT]
-        self.machines = {}
-        for _, by_name in self._lists:
-            self.machines.update(by_name)
+        self._lists.add(listed, now_s)
         for view in self._lost_workers.find_lost(
-            newest,
+            self._lists.newest,
             self._scheduler.workers.values(),
             self._list_requested_at_s,
         ):
             self._scheduler.declare_over(view, 'machine lost', is_crash=True)
         self._has_listed = True
         for opened in list(self.open_duties.values()):
-            machine = self.machines.get(opened.duty.machine)
+            machine = self.known_machines.get(opened.duty.machine)
             if opened.phase is DutyPhase.RETURNING and (
                 machine is None or self._is_back(opened, machine)
             ):
@@ -266,7 +263,7 @@
         self._end_reservation(opened)
 
     def _end_reservation(self, opened: OpenDuty) -> None:
-        machine = self.machines.get(opened.duty.machine)
+        machine = self.known_machines.get(opened.duty.machine)
         if machine is not None and machine.worker_id == opened.worker_id:
             # An earlier order had carried the duty out, and this worker has
             # joined after it.
@@ -282,12 +279,10 @@
         self._has_listed = False
         self._lists.clear()
         self._list_requested_at_s = float('-inf')
-        self.machines.clear()
         self.open_duties.clear()
         self._calls.clear()
-        self._wave_started_s.clear()
-        self._given_up.clear()
-        self._blocked_logged_s.clear()
+        self._waves = UpkeepWaves(self._scheduler, self._emptier)
+        self._pauses = EmptyingPauses()
         self.pool_planner.start_term(now_s)
 
     def _list_machines(self, now_s: float) -> None:
@@ -311,15 +306,12 @@
             view.seen_at_s > self._list_requested_at_s
             for view in self._scheduler.workers.values()
         )
-        has_vanished = bool(self._lists) and (
-            len(self._lists[-1][1]) < len(self.machines)
-        )
         is_urgent = (
             self.open_duties
             or has_wave
             or has_silent
             or has_new
-            or has_vanished
+            or self._lists.lacks_machines
         )
         if is_urgent or not self._has_listed:
             interval_s = LIST_INTERVAL_S
@@ -345,143 +337,8 @@
             )
         return True
 
-    def _advance_wave(
-        self, wave: state.WaveState, now_s: float
-    ) -> list[state.JobRecord]:
-        number = wave.wave.number
-        started_s = self._wave_started_s.setdefault(number, now_s)
-        begun = set(wave.begun)
-        remaining = [m for m in wave.wave.machines if m not in begun]
-        remaining = [
-            m for m in remaining if self._is_presence_known(m, started_s)
-        ]
-        missing = [m for m in remaining if m not in self.machines]
-        if missing:
-            # A machine that has left the fleet needs no upkeep.
-            return [
-                state.DutySettled(
-                    state.Duty(m, state.DutyKind.UPKEEP, '', number),
-                    is_done=True,
-                )
-                for m in missing
-            ]
-        if not remaining:
-            return []
-        # Includes machines that a former leader has taken down, as the list
-        # shows them in upkeep.
-        out_machines = {
-            name for name in wave.wave.machines if self._is_out(name, number)
-        }
-        time_left_s = started_s + wave.wave.deadline_s - now_s
-        planned_s = max(time_left_s * PLANNED_TIME_SHARE, MACHINE_CYCLE_S)
-        wanted = math.ceil(len(remaining) * MACHINE_CYCLE_S / planned_s)
-        free_places = min(wanted, wave.wave.max_down_count) - len(out_machines)
-        self._mark_upkeep_due(remaining)
-        if free_places <= 0:
-            return []
-        candidates = [
-            self.machines[m]
-            for m in remaining
-            if self._may_open(m, now_s)
-            and self.machines[m].status is machines.MachineState.UP
-        ]
-        emptied_pools = {
-            self.machines[name].pool
-            for name, opened in self.open_duties.items()
-            if name in self.machines
-            and opened.duty.wave_number == number
-            and opened.phase is DutyPhase.EMPTYING
-        }
-        blocked: dict[str, list[str]] = {}
-        for machine in self._emptier.sort(candidates, emptied_pools):
-            if free_places <= 0:
-                return []
-            blocking = self._emptier.find_blocking(machine.worker_id)
-            if blocking:
-                blocked[machine.name] = blocking
-                continue
-            duty = state.Duty(machine.name, state.DutyKind.UPKEEP, '', number)
-            self._open_duty(duty, now_s)
-            free_places -= 1
-        if blocked and not out_machines:
-            self._log_blocked(wave, blocked, time_left_s, now_s)
-        return []
-
-    def _log_blocked(
-        self,
-        wave: state.WaveState,
-        blocked: dict[str, list[str]],
-        time_left_s: float,
-        now_s: float,
-    ) -> None:
-        """Log that no machine of a wave can be taken down now, and why."""
-        number = wave.wave.number
-        logged_s = self._blocked_logged_s.get(number, float('-inf'))
-        if now_s < logged_s + BLOCKED_LOG_INTERVAL_S:
-            return
-        self._blocked_logged_s[number] = now_s
-        machine, tasks = next(iter(blocked.items()))
-        self._scheduler.log_decision(
-            'wave_blocked',
-            wave=number,
-            machines=len(blocked),
-            example=machine,
-            task=tasks[0],
-            time_left_s=round(time_left_s, 3),
-        )
-
-    def find_blocked(self, wave: state.WaveState) -> dict[str, list[str]]:
-        """Return the tasks that keep a wave's machines from their upkeep.
-
-        Args:
-            wave: the wave.
-
-        Returns:
-            The lasting tasks that can't leave their machine now, by the
-            names of the machines that are not being emptied.
-        """
-        self._emptier.begin_step()
-        blocked = {}
-        for name in wave.wave.machines:
-            machine = self.machines.get(name)
-            if machine is None or name in wave.begun:
-                continue
-            if name not in self.open_duties:
-                tasks = self._emptier.find_blocking(machine.worker_id)
-                tasks += self._emptier.find_stuck(machine.worker_id)
-                blocked[name] = list(dict.fromkeys(tasks))
-        return {name: tasks for name, tasks in blocked.items() if tasks}
-
-    def _mark_upkeep_due(self, remaining: list[str]) -> None:
-        """Mark workers whose upkeep is due, which lasting tasks then avoid."""
-        for name in remaining:
-            view = self._find_worker(self.machines[name].worker_id)
-            if view is not None:
-                view.is_upkeep_due = True
-
-    def _is_presence_known(self, name: str, started_s: float) -> bool:
-        """Tell whether a machine is certainly there, or certainly missing.
-
-        A single list may be older than a machine that the wave names.
-        """
-        if name in self.machines:
-            return True
-        fresh = [at_s for at_s, _ in self._lists if at_s > started_s]
-        return len(fresh) >= MISSING_LIST_COUNT
-
-    def _is_out(self, name: str, wave_number: int) -> bool:
-        """Tell whether a machine counts against a wave's max_down_count."""
-        opened = self.open_duties.get(name)
-        if opened is not None:
-            return opened.duty.wave_number == wave_number
-        machine = self.machines.get(name)
-        return (
-            machine is not None
-            and machine.status is machines.MachineState.UPKEEP
-        )
-
     def _open_duty(self, duty: state.Duty, now_s: float) -> None:
-        machine = self.machines[duty.machine]
+        machine = self.known_machines[duty.machine]
         opened = OpenDuty(duty, machine.worker_id, DutyPhase.EMPTYING, now_s)
         ordered = self.jobs.duties.get(duty.machine)
         if ordered is not None:
@@ -511,7 +368,7 @@
             if now_s >= opened.phase_at_s + RETURN_TIMEOUT_S:
                 self._close_duty(opened)
             return []
-        machine = self.machines.get(opened.duty.machine)
+        machine = self.known_machines.get(opened.duty.machine)
         if machine is not None and machine.worker_id != opened.worker_id:
             self._reserve_next_worker(opened, machine)
         if machine is not None and self._is_moved(opened, machine):
@@ -544,9 +401,7 @@
         ):
             return
         machine = opened.duty.machine
-        former_s, _ = self._given_up.get(machine, (GIVE_UP_PAUSE_MIN_S / 2, 0))
-        pause_s = min(former_s * 2, GIVE_UP_PAUSE_MAX_S)
-        self._given_up[machine] = (pause_s, now_s + pause_s)
+        pause_s = self._pauses.begin(machine, now_s)
         self._scheduler.log_decision(
             'duty_given_up',
             machine=machine,
@@ -654,7 +509,7 @@
         as down.
         """
         for duty in self.jobs.duties.values():
-            if duty.machine in self.machines and self._may_open(
+            if duty.machine in self.known_machines and self._may_open(
                 duty.machine, now_s
             ):
                 self._open_duty(duty, now_s)
@@ -662,7 +517,7 @@
     def _plan_moves(self, now_s: float) -> None:
         for duty in self.pool_planner.find_moves(
             self._scheduler,
-            self.machines,
+            self.known_machines,
             [opened.duty for opened in self.open_duties.values()],
             now_s,
         ):
@@ -673,14 +528,14 @@
         """Tell whether a duty of a machine may be opened.
 
         It has neither an open one nor one to settle, and isn't given up.
-
         Until the outcome of its last duty is committed, the state still has
         that duty, which would be taken for a former leader's.
         """
         settled_at_s = self._settled_at_s.get(name, float('-inf'))
-        _, paused_until_s = self._given_up.get(name, (0.0, now_s))
-        return name not in self.open_duties and (
-            now_s >= max(settled_at_s + SETTLE_TIMEOUT_S, paused_until_s)
+        return (
+            name not in self.open_duties
+            and now_s >= settled_at_s + SETTLE_TIMEOUT_S
+            and not self._pauses.is_paused(name, now_s)
         )
 
     def _find_worker(self, worker_id: str) -> WorkerView | None:
