Drop the tasks of a done occurrence that end after it

A job with due times kept the other tasks of each gang for good, as their runs end after the one by which the occurrence is done; saved progress of a gang stored new tasks for it.

Change: a task of a known done occurrence is dropped with its last run, in whichever way that leaves, and no progress is saved for it.

--- a/features/large_jobs.feature
+++ b/features/large_jobs.feature
@@ -37,11 +37,16 @@
     Then each of its tasks was started once, and the longest due first
     And nothing is stored of its tasks
 
+  # Guards against a job whose memory grows with its done times: the others of a gang end after the one by which it is done.
+  Scenario: Nothing is stored of the done times of a gang that saves its progress
+    When a job with 20 due times of a gang of 3 tasks is played
+    Then nothing is stored of its tasks
+
   # Guards against a task that runs again: a run is assigned while an earlier one is listed as done, and its occurrence isn't stored any more.
   Scenario: A run that is assigned as its occurrence is done isn't wanted
     Given a job with 3 due times of 1 steps, of which time 1 is done
     When another run of time 1 is assigned
-    Then its task counts as done, also after the end of that run
+    Then its task counts as done, and isn't stored after the end of that run
 
   # Guards against a job whose times wait for as long as the backlog of other jobs lasts.
   Scenario: A due time of a job without an open one doesn't wait for the backlog of others
--- a/features/steps/large_job_steps.py
+++ b/features/steps/large_job_steps.py
@@ -164,6 +164,14 @@
     context.life.play(leader_change_s=after_s)
 
 
+@when('a job with {times:d} due times of a gang of {count:d} tasks is played')
+def play_gang(context: Any, times: int, count: int) -> None:
+    step = _step(count, is_gang=True, saves_progress=True)
+    spec = state.JobSpec('job', 'text', (step,), times, 1, 1)
+    context.life = job_life.JobLife(spec)
+    context.life.play()
+
+
 @then('each of its tasks was started once, and the longest due first')
 def check_started_once(context: Any) -> None:
     started = [key.task for key in context.life.started]
@@ -211,7 +219,7 @@
     _apply(context, state.RunsAllotted((context.key,), (context.life_key,)))
 
 
-@then('its task counts as done, also after the end of that run')
+@then("its task counts as done, and isn't stored after the end of that run")
 def check_done(context: Any) -> None:
     job = context.jobs.jobs['job']
     assert job.tasks[context.key.task].is_done
@@ -219,6 +227,7 @@
     _apply(context, state.EndsNoted(context.life_key, (end,)))
     assert job.done_step_count == 1, job.done_step_count
     assert job.is_occurrence_done(context.key.occurrence)
+    assert not job.tasks, job.tasks
     assert job.status is state.JobStatus.ACTIVE
 
 
--- a/greengagering/state/_jobs_apply.py
+++ b/greengagering/state/_jobs_apply.py
@@ -148,6 +148,7 @@
         task = state.find_task(key)
         if task is not None:
             task.live_runs.pop(key.run, None)
+            _drop_done_task(state.jobs[key.job_id], key.task)
 
 
 def _put_newest(
@@ -186,6 +187,7 @@
     incarnation = state.lives.get(task.live_runs.pop(key.run, ''))
     if incarnation is not None:
         incarnation.runs.pop(key.name, None)
+    _drop_done_task(state.jobs[key.job_id], key.task)
 
 
 def _record_ends(state: model.JobsState, record: model.EndsNoted) -> None:
@@ -221,6 +223,9 @@
     if job is None or task is None:
         return
     task.live_runs.pop(end.key.run, None)
+    if job.is_known_done(end.key.occurrence):
+        _drop_done_task(job, end.key.task)
+        return
     step_key = end.key.step_key
     step = job.spec.steps[end.key.step_number]
     if end.saved and step.is_gang:
@@ -239,7 +244,10 @@
 
 
 def _save_gang_progress(job: model.Job, step_key: str, saved: str) -> None:
-    step = job.spec.steps[int(step_key.rpartition('.')[2])]
+    occurrence, number = map(int, step_key.split('.'))
+    if job.is_known_done(occurrence):
+        return
+    step = job.spec.steps[number]
     for member in _step_tasks(job, step, step_key):
         member.saved = saved
 
@@ -288,21 +296,29 @@
     """
     if not job.is_occurrence_done(occurrence):
         return
+    job.done_later.add(occurrence)
     for number, step in enumerate(job.spec.steps):
         step_key = f'{occurrence}.{number}'
-        for index in range(step.task_count):
-            task_key = f'{step_key}.{index}'
-            task = job.tasks.get(task_key)
-            # One with another run is stored until the end of its job.
-            if task is not None and not task.live_runs:
-                del job.tasks[task_key]
         job.done_counts.pop(step_key, None)
-    job.done_later.add(occurrence)
+        for index in range(step.task_count):
+            _drop_done_task(job, f'{step_key}.{index}')
     while job.done_first in job.done_later:
         job.done_later.remove(job.done_first)
         job.done_first += 1
 
 
+def _drop_done_task(job: model.Job, task_key: str) -> None:
+    """Drop a task of an occurrence that is known to be done.
+
+    One with a run that still has to end is stored until then.
+    """
+    task = job.tasks.get(task_key)
+    if task is None or task.live_runs:
+        return
+    if job.is_known_done(int(task_key.partition('.')[0])):
+        del job.tasks[task_key]
+
+
 def _count_done_steps(job: model.Job) -> int:
     return sum(
         done_count >= job.spec.steps[int(key.rpartition('.')[2])].task_count
--- a/greengagering/state/_jobs_model.py
+++ b/greengagering/state/_jobs_model.py
@@ -313,9 +313,13 @@
     done_first: int = 0
     done_later: set[int] = dataclasses.field(default_factory=set)
 
+    def is_known_done(self, occurrence: int) -> bool:
+        """Tell whether done_first or done_later has an occurrence."""
+        return occurrence < self.done_first or occurrence in self.done_later
+
     def is_occurrence_done(self, occurrence: int) -> bool:
         """Tell whether all steps of an occurrence are done."""
-        if occurrence < self.done_first or occurrence in self.done_later:
+        if self.is_known_done(occurrence):
             return True
         # The last steps mostly end last, so that few are looked at.
         return all(
@@ -325,7 +329,7 @@
 
     def is_step_done(self, occurrence: int, number: int) -> bool:
         """Tell whether the tasks of a step of an occurrence are done."""
-        if occurrence < self.done_first or occurrence in self.done_later:
+        if self.is_known_done(occurrence):
             return True
         done_count = self.done_counts.get(f'{occurrence}.{number}', 0)
         return done_count >= self.spec.steps[number].task_count
