--- a/greengagering/coordination/capacity/_machine_manager.py
+++ b/greengagering/coordination/capacity/_machine_manager.py
@@ -49,7 +49,8 @@
 
 EMPTYING_MIN_S = 3.0
 """Time for which a machine is emptied before it is given up. A machine from
-standby, which may give its tasks a place, takes some 2 s to arrive."""
+standby, which may give its tasks a place, needs 1.5 s for its move, and is
+then polled."""
 
 
 class MachineManager:
--- a/greengagering/coordination/jobs/_due_occurrences.py
+++ b/greengagering/coordination/jobs/_due_occurrences.py
@@ -7,16 +7,16 @@
 from greengagering import state
 
 MAX_OPEN_STEPS = 64
-"""Unfinished steps of one job from which its next occurrence waits. That many
-keep a pool busy, and a plan looks at each of them."""
+"""Unfinished steps of one job from which its next occurrence waits. Each plan
+looks at all of them."""
 
 MAX_OPEN_STEPS_OF_ALL = 1_000
 """Unfinished steps of all jobs with due times from which a job gets its next
-occurrence only if it has none; a plan with so many takes some 10 ms."""
+occurrence only if it has no unfinished step."""
 
 MAX_OCCURRENCES_PER_CALL = 200
 """Occurrences that one call looks at. Thousands may be due when a term begins,
-and opening this many takes far less time than the leader's lease."""
+and the leader must go on to renew its lease meanwhile."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/greengagering/coordination/workers/_worker_view.py
+++ b/greengagering/coordination/workers/_worker_view.py
@@ -75,9 +75,9 @@
 """Upper limit of that time, which doubles with each further failure."""
 
 NEEDED_QUARANTINE_S = 4.0
-"""Time since the last failure after which a worker gets a probe of a task that
-finds no other room, or that has failed before; longer than most objectives
-allow such a task to wait for room that is there."""
+"""Time since the last failure after which a worker may be tried with a task
+that finds no other room, or that has failed before. With the full pause such
+a task would wait beside free room."""
 
 PROBE_S = 1.0
 """Run time after which a lasting task no longer counts as a probe. It never
