--- a/features/steps/late_task_steps.py
+++ b/features/steps/late_task_steps.py
@@ -11,7 +11,6 @@
 from features.steps import worker_order_steps
 from greengagering import coordination
 from greengagering.coordination import workers
-from greengagering.coordination import workers
 from greengagering import state
 
 LATE_EVENTS = ('start_late', 'end_late', 'job_late')
--- a/features/support/job_life.py
+++ b/features/support/job_life.py
@@ -61,7 +61,7 @@
     @property
     def status(self) -> state.JobStatus:
         """Status of the job."""
-        return self._state.jobs[self._spec.job_id].status
+        return self.job.status
 
     @property
     def job(self) -> state.Job:
